--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and the demonstration, on loopback."""
--- /dev/null
+++ b/nutmegtrail/__init__.py
@@ -0,0 +1,1 @@
+"""Load balancer for expert-parallel model groups."""
--- /dev/null
+++ b/nutmegtrail/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports."""
--- /dev/null
+++ b/nutmegtrail/adapters/host_list/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's host list."""
--- /dev/null
+++ b/nutmegtrail/adapters/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server side: ASGI helpers and the server loop."""
--- /dev/null
+++ b/nutmegtrail/adapters/key_value/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value service."""
--- /dev/null
+++ b/nutmegtrail/adapters/peers/__init__.py
@@ -0,0 +1,1 @@
+"""TCP connections between entries and sidecars."""
--- /dev/null
+++ b/nutmegtrail/adapters/peers/listener.py
@@ -0,0 +1,57 @@
+"""The TCP port on which a process takes messages from its peers."""
+
+import collections.abc
+import typing
+
+import anyio
+import anyio.abc
+
+from nutmegtrail import models as shared_models
+from nutmegtrail.adapters.peers import connection
+from nutmegtrail.wire import errors
+from nutmegtrail.wire import models
+
+Post: typing.TypeAlias = collections.abc.Callable[[models.Message], None]
+Receiver: typing.TypeAlias = collections.abc.Callable[
+    [models.Message, Post], None
+]
+
+
+class Listener:
+    """Accepts connections and hands their messages to one receiver."""
+
+    def __init__(
+        self,
+        address: shared_models.Address,
+        receiver: Receiver,
+        on_lost: collections.abc.Callable[[Post], None],
+    ) -> None:
+        """Keep the address; nothing listens yet."""
+        self._address = address
+        self._receiver = receiver
+        self._on_lost = on_lost
+
+    async def serve(self) -> None:
+        """Accept connections until cancelled."""
+        listener = await anyio.create_tcp_listener(
+            local_host=self._address.ip,
+            local_port=self._address.port,
+        )
+        await listener.serve(self._serve_peer)
+
+    async def _serve_peer(self, stream: anyio.abc.SocketStream) -> None:
+        """Serve one connection until it is lost."""
+        peer = connection.Connection(stream)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(peer.run)
+            try:
+                await self._receive(peer)
+            except errors.WireError:
+                await peer.close()
+        self._on_lost(peer.post)
+
+    async def _receive(self, peer: connection.Connection) -> None:
+        """Hand on messages until the connection is lost."""
+        while True:
+            for message in await peer.receive():
+                self._receiver(message, peer.post)
--- /dev/null
+++ b/nutmegtrail/adapters/upstream_http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP client of the upstream beside a sidecar."""
--- /dev/null
+++ b/nutmegtrail/bootstrap.py
@@ -0,0 +1,97 @@
+"""The composition root: wires the daemons from their settings."""
+
+import random
+import signal
+import typing
+import uuid
+
+import anyio
+import anyio.abc
+
+from nutmegtrail import models
+from nutmegtrail.adapters.host_list import http as host_list_http
+from nutmegtrail.adapters.key_value import etcd
+from nutmegtrail.adapters.upstream_http import client
+from nutmegtrail.configuration import settings
+from nutmegtrail.daemons import entry
+from nutmegtrail.daemons import sidecar
+from nutmegtrail.idempotency import models as idempotency_models
+from nutmegtrail.observability import logs
+
+
+class Daemon(typing.Protocol):
+    """A process that runs until it is closed."""
+
+    async def start(self) -> None:
+        """Run until `close` and the end of what is under way."""
+
+    def close(self) -> None:
+        """Begin the planned stop."""
+
+
+def create_store(platform: settings.Platform) -> etcd.EtcdStore:
+    """Return the client of the key-value service."""
+    return etcd.EtcdStore(models.parse_address(platform.key_value))
+
+
+def create_host_list(
+    platform: settings.Platform,
+) -> host_list_http.HttpHostList:
+    """Return the client of the host list."""
+    return host_list_http.HttpHostList(
+        models.parse_address(platform.host_list),
+    )
+
+
+def create_entry(configured: settings.EntrySettings) -> entry.Entry:
+    """Return an entry; it is not started."""
+    return entry.Entry(
+        configured,
+        create_store(configured.platform),
+        create_host_list(configured.platform),
+        random.Random(),
+    )
+
+
+def create_sidecar(configured: settings.SidecarSettings) -> sidecar.Sidecar:
+    """Return a sidecar in a new incarnation; it is not started."""
+    upstream = configured.upstream
+    adapter = client.HttpUpstream(models.parse_address(upstream.address))
+    incarnation = f'{upstream.name}/{uuid.uuid4().hex}'
+    return sidecar.Sidecar(
+        configured,
+        idempotency_models.Owner(upstream.name, incarnation),
+        create_store(configured.platform),
+        adapter,
+        adapter.probe,
+    )
+
+
+def run(daemon: Daemon, log_format: str) -> None:
+    """Run a daemon until a signal stops it."""
+    logs.start(log_format)
+    anyio.run(_run, daemon)
+
+
+async def _run(daemon: Daemon) -> None:
+    """Run a daemon; the second signal cuts what is under way."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_watch_signals, daemon, tasks.cancel_scope)
+        await daemon.start()
+        tasks.cancel_scope.cancel()
+
+
+async def _watch_signals(
+    daemon: Daemon,
+    scope: anyio.CancelScope,
+) -> None:
+    """Begin the planned stop at the first signal, cut at the second."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        stopping = False
+        async for number in received:
+            if stopping:
+                logs.decision('daemon:cut-by-operator', signal=number.name)
+                scope.cancel()
+            else:
+                daemon.close()
+            stopping = True
--- /dev/null
+++ b/nutmegtrail/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command line."""
--- /dev/null
+++ b/nutmegtrail/cli/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line: `python -m nutmegtrail.cli`."""
+
+from nutmegtrail.cli import main
+
+if __name__ == '__main__':
+    main.run()
--- /dev/null
+++ b/nutmegtrail/cli/config.py
@@ -0,0 +1,211 @@
+"""Commands on settings and on the deployment's configuration."""
+
+import types
+import typing
+
+import anyio
+import httpx
+import pydantic
+import typer
+
+from nutmegtrail import models as shared_models
+from nutmegtrail.adapters.host_list import http as host_list_http
+from nutmegtrail.adapters.key_value import etcd
+from nutmegtrail.cli import const
+from nutmegtrail.cli import options
+from nutmegtrail.cli import output
+from nutmegtrail.configuration import const as configuration_const
+from nutmegtrail.configuration import documents
+from nutmegtrail.configuration import editing
+from nutmegtrail.configuration import errors
+from nutmegtrail.configuration import models
+from nutmegtrail.configuration import settings
+from nutmegtrail.contracts import models as contract_models
+
+application = typer.Typer(help='Settings and the deployment configuration.')
+_TIMEOUT_SECONDS: typing.Final = 2.0
+_Schema: typing.TypeAlias = type[pydantic.BaseModel]
+_SCHEMAS_BY_KIND: typing.Final = types.MappingProxyType[str, _Schema](
+    {
+        'entry': settings.EntrySettings,
+        'sidecar': settings.SidecarSettings,
+        'deployment': models.Deployment,
+        'contracts': contract_models.ContractFile,
+    },
+)
+
+
+@application.command('check')
+def check(kind: str, file: options.File) -> None:
+    """Check a file: KIND is entry, sidecar, deployment or contracts.
+
+    Example: nutmegtrail config check entry entry.toml
+    """
+    schema = _SCHEMAS_BY_KIND.get(kind)
+    if schema is None:
+        allowed = ', '.join(_SCHEMAS_BY_KIND)
+        output.fail(errors.SettingsError(f'KIND must be one of {allowed}'))
+    try:
+        settings.load(file, schema)
+    except errors.SettingsError as error:
+        output.fail(error)
+    typer.echo(f'{file}: correct')
+
+
+@application.command('apply')
+def apply_deployment(
+    file: options.File,
+    key_value: options.KeyValue,
+    operator: options.Operator = 'unknown',
+    dry_run: options.DryRun = False,
+    as_json: options.AsJson = False,
+) -> None:
+    """Put a deployment file in force.
+
+    Example: nutmegtrail config apply deployment.toml
+    """
+    anyio.run(_apply, file, key_value, operator, dry_run, as_json)
+
+
+@application.command('history')
+def show_history(
+    key_value: options.KeyValue,
+    as_json: options.AsJson = False,
+) -> None:
+    """Show the latest edits of the deployment, newest first.
+
+    Example: nutmegtrail config history
+    """
+    anyio.run(_history, key_value, as_json)
+
+
+@application.command('status')
+def show_status(
+    host_list: options.HostList,
+    token: options.Token,
+    as_json: options.AsJson = False,
+) -> None:
+    """Show the revision in force at each entry and name those behind.
+
+    Example: nutmegtrail config status; exit code 6 if any is behind
+    """
+    anyio.run(_status, host_list, token, as_json)
+
+
+async def _apply(
+    file: typing.Any,
+    address: str,
+    operator: str,
+    dry_run: bool,
+    as_json: bool,
+) -> None:
+    """Store the deployment document."""
+    store = etcd.EtcdStore(shared_models.parse_address(address))
+    try:
+        deployment = settings.load(file, models.Deployment)
+    except errors.SettingsError as error:
+        output.fail(error)
+    found = await editing.read(store, configuration_const.DEPLOYMENT_NAME)
+    if found.is_error():
+        output.fail(found.error)
+    stored = _stored(found.ok)
+    changes = _describe(stored, deployment)
+    if dry_run:
+        output.show(changes, as_json=as_json, text='\n'.join(changes))
+        return
+    change = editing.new_change(operator, '; '.join(changes)[:512])
+    edit = editing.Edit(
+        configuration_const.DEPLOYMENT_NAME,
+        0 if found.ok is None else found.ok.revision,
+        editing.with_deployment(stored, deployment, change),
+        change,
+    )
+    committed = await editing.commit(store, edit)
+    if committed.is_error():
+        output.fail(committed.error)
+    text = f'accepted at revision {committed.ok}'
+    accepted = {'revision': committed.ok, 'changes': changes}
+    output.show(accepted, as_json=as_json, text=text)
+
+
+async def _history(address: str, as_json: bool) -> None:
+    """Print the deployment's edits."""
+    store = etcd.EtcdStore(shared_models.parse_address(address))
+    found = await editing.read(store, configuration_const.DEPLOYMENT_NAME)
+    if found.is_error():
+        output.fail(found.error)
+    history = editing.history_of(found.ok)
+    text = '\n'.join(
+        f'{change.time} {change.operator}: {change.subject}'
+        for change in history
+    )
+    rows = [change.model_dump() for change in history]
+    output.show(rows, as_json=as_json, text=text)
+
+
+async def _status(address: str, token: str, as_json: bool) -> None:
+    """Ask every entry for its configuration's digest."""
+    hosts = host_list_http.HttpHostList(shared_models.parse_address(address))
+    listed = await hosts.hosts()
+    if listed.is_error():
+        output.fail(errors.EditRefused('the host list is not available'))
+    rows = []
+    for host in listed.ok:
+        if host.role == 'entry':
+            rows.append(await _ask(host.host, host.http_address, token))
+    highest = max((row['revision'] for row in rows), default=0)
+    behind = [row['host'] for row in rows if row['revision'] < highest]
+    text = '\n'.join(
+        f'{row["host"]}: revision {row["revision"]}' for row in rows
+    )
+    if behind:
+        text = f'{text}\nbehind or silent: {", ".join(behind)}'
+    output.show({'entries': rows, 'behind': behind}, as_json=as_json, text=text)
+    if behind:
+        raise typer.Exit(const.EXIT_BEHIND)
+
+
+async def _ask(
+    host: str,
+    address: shared_models.Address,
+    token: str,
+) -> dict[str, typing.Any]:
+    """Return an entry's status; revision -1 where it is silent."""
+    try:
+        async with httpx.AsyncClient(timeout=_TIMEOUT_SECONDS) as client:
+            response = await client.get(
+                f'http://{address}/operator/status',
+                headers={'authorization': f'Bearer {token}'},
+            )
+    except httpx.HTTPError:
+        return {'host': host, 'revision': -1, 'digest': ''}
+    status = response.json()
+    return {
+        'host': host,
+        'revision': status.get('revision', -1),
+        'digest': status.get('digest', ''),
+    }
+
+
+def _stored(
+    document: models.Document | None,
+) -> models.DeploymentDocument | None:
+    """Return the stored deployment document."""
+    if document is None:
+        return None
+    return documents.parse_stored(document.content, models.DeploymentDocument)
+
+
+def _describe(
+    stored: models.DeploymentDocument | None,
+    deployment: models.Deployment,
+) -> list[str]:
+    """Return a line for each changed part of the deployment."""
+    if stored is None:
+        return ['deployment: new']
+    before = stored.deployment.model_dump()
+    return [
+        f'{field}: {before[field]} -> {new}'
+        for field, new in deployment.model_dump().items()
+        if before[field] != new
+    ]
--- /dev/null
+++ b/nutmegtrail/cli/contract.py
@@ -0,0 +1,186 @@
+"""Commands on the contracts of the client accounts."""
+
+import collections
+import typing
+
+import anyio
+import typer
+
+from nutmegtrail.adapters.key_value import etcd
+from nutmegtrail.cli import options
+from nutmegtrail.cli import output
+from nutmegtrail import models as shared_models
+from nutmegtrail.configuration import documents
+from nutmegtrail.configuration import editing
+from nutmegtrail.configuration import errors
+from nutmegtrail.configuration import models
+from nutmegtrail.configuration import settings
+from nutmegtrail.contracts import models as contract_models
+
+application = typer.Typer(help='Contracts of the client accounts.')
+_Contracts: typing.TypeAlias = dict[str, contract_models.Contract]
+
+
+class _Bucket(typing.NamedTuple):
+    """A bucket as stored and the contracts to put into it."""
+
+    name: str
+    revision: int
+    stored: models.ContractDocument
+    contracts_by_account: _Contracts
+
+
+@application.command('apply')
+def apply_contracts(
+    file: options.File,
+    key_value: options.KeyValue,
+    operator: options.Operator = 'unknown',
+    dry_run: options.DryRun = False,
+    as_json: options.AsJson = False,
+) -> None:
+    """Add or replace the contracts in a file.
+
+    Example: nutmegtrail contract apply contracts.toml --dry-run
+    """
+    anyio.run(_apply, file, key_value, operator, dry_run, as_json)
+
+
+@application.command('show')
+def show_contract(
+    client_account: str,
+    key_value: options.KeyValue,
+    as_json: options.AsJson = False,
+) -> None:
+    """Show the contract of a client account.
+
+    Example: nutmegtrail contract show harbour-pilots
+    """
+    anyio.run(_show, client_account, key_value, as_json)
+
+
+@application.command('history')
+def show_history(
+    client_account: str,
+    key_value: options.KeyValue,
+    as_json: options.AsJson = False,
+) -> None:
+    """Show the latest edits near a client account, newest first.
+
+    Example: nutmegtrail contract history harbour-pilots
+    """
+    anyio.run(_history, client_account, key_value, as_json)
+
+
+async def _apply(
+    file: typing.Any,
+    address: str,
+    operator: str,
+    dry_run: bool,
+    as_json: bool,
+) -> None:
+    """Store each bucket that the file's contracts belong to."""
+    store = etcd.EtcdStore(shared_models.parse_address(address))
+    try:
+        loaded = settings.load(file, contract_models.ContractFile)
+    except errors.SettingsError as error:
+        output.fail(error)
+    for bucket in await _buckets(store, loaded.client_account):
+        changes = _describe(bucket)
+        text = '\n'.join(changes)
+        if dry_run:
+            output.show(changes, as_json=as_json, text=text)
+            continue
+        change = editing.new_change(operator, '; '.join(changes)[:512])
+        edit = editing.Edit(
+            bucket.name,
+            bucket.revision,
+            editing.with_contracts(
+                bucket.stored,
+                bucket.contracts_by_account,
+                change,
+            ),
+            change,
+        )
+        committed = await editing.commit(store, edit)
+        if committed.is_error():
+            output.fail(committed.error)
+        accepted = {'revision': committed.ok, 'changes': changes}
+        lines = f'{text}\naccepted at revision {committed.ok}'
+        output.show(accepted, as_json=as_json, text=lines)
+
+
+async def _show(address_account: str, address: str, as_json: bool) -> None:
+    """Print one contract."""
+    document = await _read(address, documents.bucket_name(address_account))
+    contract = _bucket_of(document).contracts_by_account.get(address_account)
+    if contract is None:
+        output.fail(
+            errors.ConfigurationError(f'{address_account} has no contract'),
+        )
+    text = contract.model_dump_json(indent=2)
+    output.show(contract.model_dump(), as_json=as_json, text=text)
+
+
+async def _history(account: str, address: str, as_json: bool) -> None:
+    """Print the edits of an account's bucket."""
+    document = await _read(address, documents.bucket_name(account))
+    history = editing.history_of(document)
+    text = '\n'.join(
+        f'{change.time} {change.operator}: {change.subject}'
+        for change in history
+    )
+    rows = [change.model_dump() for change in history]
+    output.show(rows, as_json=as_json, text=text)
+
+
+async def _read(address: str, name: str) -> models.Document | None:
+    """Return a stored document; end the command where it can not be read."""
+    store = etcd.EtcdStore(shared_models.parse_address(address))
+    found = await editing.read(store, name)
+    if found.is_error():
+        output.fail(found.error)
+    return found.ok
+
+
+async def _buckets(
+    store: etcd.EtcdStore,
+    contracts_by_account: _Contracts,
+) -> list[_Bucket]:
+    """Return the stored buckets that the contracts belong to."""
+    accounts_by_name: dict[str, _Contracts] = collections.defaultdict(dict)
+    for account, contract in contracts_by_account.items():
+        accounts_by_name[documents.bucket_name(account)][account] = contract
+    buckets = []
+    for name, contracts in sorted(accounts_by_name.items()):
+        found = await editing.read(store, name)
+        if found.is_error():
+            output.fail(found.error)
+        document = found.ok
+        revision = 0 if document is None else document.revision
+        stored = _bucket_of(document)
+        buckets.append(_Bucket(name, revision, stored, contracts))
+    return buckets
+
+
+def _bucket_of(document: models.Document | None) -> models.ContractDocument:
+    """Return the contracts that a document holds."""
+    if document is None:
+        return models.ContractDocument()
+    return documents.parse_stored(document.content, models.ContractDocument)
+
+
+def _describe(bucket: _Bucket) -> list[str]:
+    """Return a line for each changed field of each account."""
+    lines = []
+    for account, contract in bucket.contracts_by_account.items():
+        before = bucket.stored.contracts_by_account.get(account)
+        if before is None:
+            lines.append(f'{account}: new contract')
+            continue
+        old = before.model_dump()
+        lines.extend(
+            f'{account}: {field}: {old[field]} -> {new}'
+            for field, new in contract.model_dump().items()
+            if old[field] != new
+        )
+    return lines
--- /dev/null
+++ b/nutmegtrail/cli/main.py
@@ -0,0 +1,125 @@
+"""The command `nutmegtrail`."""
+
+import secrets
+
+import httpx
+import typer
+
+from nutmegtrail import bootstrap
+from nutmegtrail import models
+from nutmegtrail.cli import config
+from nutmegtrail.cli import const
+from nutmegtrail.cli import contract
+from nutmegtrail.cli import options
+from nutmegtrail.cli import output
+from nutmegtrail.configuration import errors
+from nutmegtrail.configuration import settings
+from nutmegtrail.contracts import credentials
+
+application = typer.Typer(
+    help='Load balancer for expert-parallel model groups.',
+    epilog=(
+        'Exit codes: 0 done, 2 faulty settings or usage, 3 conflicting edit, '
+        '4 service not available, 5 outcome unknown, 6 an entry is behind.'
+    ),
+    no_args_is_help=True,
+)
+application.add_typer(contract.application, name='contract')
+application.add_typer(config.application, name='config')
+_KEY_BYTES = 32
+_TIMEOUT_SECONDS = 3.0
+
+
+@application.command('entry')
+def run_entry(file: options.File) -> None:
+    """Run an entry until it is stopped.
+
+    Example: nutmegtrail entry entry.toml
+    """
+    try:
+        configured = settings.load(file, settings.EntrySettings)
+    except errors.SettingsError as error:
+        output.fail(error)
+    bootstrap.run(
+        bootstrap.create_entry(configured),
+        configured.process.log_format,
+    )
+
+
+@application.command('sidecar')
+def run_sidecar(file: options.File) -> None:
+    """Run the sidecar of an upstream until it is stopped.
+
+    Example: nutmegtrail sidecar sidecar.toml
+    """
+    try:
+        configured = settings.load(file, settings.SidecarSettings)
+    except errors.SettingsError as error:
+        output.fail(error)
+    bootstrap.run(
+        bootstrap.create_sidecar(configured),
+        configured.process.log_format,
+    )
+
+
+@application.command('stop')
+def stop(address: str, token: options.Token) -> None:
+    """Begin the planned stop of the process at an HTTP address.
+
+    Example: nutmegtrail stop 127.0.0.1:8001
+    """
+    _ask_operator('POST', address, '/operator/stop', token)
+    typer.echo(f'{address}: stopping; open requests are completed first')
+
+
+@application.command('status')
+def status(
+    address: str,
+    token: options.Token,
+    as_json: options.AsJson = False,
+) -> None:
+    """Show the state of the process at an HTTP address.
+
+    Example: nutmegtrail status 127.0.0.1:8001 --json
+    """
+    answer = _ask_operator('GET', address, '/operator/status', token)
+    text = '\n'.join(f'{name}: {shown}' for name, shown in answer.items())
+    output.show(answer, as_json=as_json, text=text)
+
+
+@application.command('new-key')
+def new_key() -> None:
+    """Print a new key and the digest that a contract holds for it.
+
+    Example: nutmegtrail new-key
+    """
+    key = secrets.token_urlsafe(_KEY_BYTES)
+    typer.echo(f'key:    {key}\ndigest: {credentials.digest_of(key)}')
+
+
+def _ask_operator(
+    method: str,
+    address: str,
+    path: str,
+    token: str,
+) -> dict[str, object]:
+    """Return the answer of a process; end the command where there is none."""
+    try:
+        models.parse_address(address)
+        response = httpx.request(
+            method,
+            f'http://{address}{path}',
+            headers={'authorization': f'Bearer {token}'},
+            timeout=_TIMEOUT_SECONDS,
+        )
+        response.raise_for_status()
+    except (httpx.HTTPError, ValueError) as error:
+        typer.echo(f'error: {address}: {error}', err=True)
+        raise typer.Exit(const.EXIT_UNAVAILABLE) from error
+    answer: dict[str, object] = response.json()
+    return answer
+
+
+def run() -> None:
+    """Run the command line."""
+    application()
--- /dev/null
+++ b/nutmegtrail/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration documents, their revisions and their spread."""
--- /dev/null
+++ b/nutmegtrail/configuration/editing.py
@@ -0,0 +1,161 @@
+"""Operators' edits: compare-and-swap, lost answers and conflicts."""
+
+import collections.abc
+import datetime
+import typing
+import uuid
+
+import expression
+import pydantic
+
+from nutmegtrail.configuration import const
+from nutmegtrail.configuration import documents
+from nutmegtrail.configuration import errors
+from nutmegtrail.configuration import models
+from nutmegtrail.contracts import models as contract_models
+from nutmegtrail.ports import key_value
+
+_READ_BACK_ATTEMPTS: typing.Final = 5
+Stored: typing.TypeAlias = models.DeploymentDocument | models.ContractDocument
+Revision: typing.TypeAlias = expression.Result[int, errors.ConfigurationError]
+
+
+class Edit(typing.NamedTuple):
+    """A new content of a document, based on the one at a revision."""
+
+    name: str
+    base_revision: int
+    document: Stored
+    change: models.Change
+
+
+def new_change(operator: str, subject: str) -> models.Change:
+    """Return the record of an edit made now."""
+    return models.Change(
+        edit_id=uuid.uuid4().hex,
+        operator=operator,
+        time=datetime.datetime.now(datetime.UTC).isoformat(),
+        subject=subject,
+    )
+
+
+def with_contracts(
+    bucket: models.ContractDocument,
+    contracts_by_account: collections.abc.Mapping[
+        str, contract_models.Contract
+    ],
+    change: models.Change,
+) -> models.ContractDocument:
+    """Return a bucket with contracts added or replaced."""
+    return models.ContractDocument(
+        contracts_by_account={
+            **bucket.contracts_by_account,
+            **contracts_by_account,
+        },
+        history=_with_change(bucket.history, change),
+    )
+
+
+def with_deployment(
+    stored: models.DeploymentDocument | None,
+    deployment: models.Deployment,
+    change: models.Change,
+) -> models.DeploymentDocument:
+    """Return the deployment document with a new content."""
+    history = () if stored is None else stored.history
+    return models.DeploymentDocument(
+        deployment=deployment,
+        history=_with_change(history, change),
+    )
+
+
+async def commit(store: key_value.KeyValueStore, edit: Edit) -> Revision:
+    """Store an edit; return the revision at which it was accepted."""
+    key = documents.key_of(edit.name)
+    content = edit.document.model_dump_json().encode()
+    swapped = await store.swap(key, edit.base_revision, content)
+    if swapped.is_ok():
+        return expression.Ok(swapped.ok)
+    error = swapped.error
+    if isinstance(error, key_value.CompareFailed):
+        return expression.Error(
+            errors.EditConflict(
+                f'{edit.name} was changed by another operator since revision '
+                f'{edit.base_revision}; look at it and apply your edit again',
+            ),
+        )
+    if isinstance(error, key_value.Unavailable):
+        return expression.Error(
+            errors.EditRefused(
+                'the key-value service is not available; nothing was changed',
+            ),
+        )
+    return await _read_back(store, edit)
+
+
+async def read(
+    store: key_value.KeyValueStore,
+    name: str,
+) -> expression.Result[models.Document | None, errors.ConfigurationError]:
+    """Return a stored document, None where there is none."""
+    found = await store.get(documents.key_of(name))
+    if found.is_error():
+        return expression.Error(
+            errors.EditRefused('the key-value service is not available'),
+        )
+    entry = found.ok
+    if entry is None:
+        return expression.Ok(None)
+    return expression.Ok(models.Document(name, entry.revision, entry.content))
+
+
+def history_of(document: models.Document | None) -> tuple[models.Change, ...]:
+    """Return the latest edits of a document, newest first."""
+    if document is None:
+        return ()
+    return documents.parse_stored(document.content, _History).history
+
+
+class _History(pydantic.BaseModel):
+    """The edits of any stored document."""
+
+    history: tuple[models.Change, ...] = ()
+
+
+async def _read_back(store: key_value.KeyValueStore, edit: Edit) -> Revision:
+    """Learn whether an edit with a lost answer took effect.
+
+    The edit stays in the document's history after later edits.
+    """
+    for _ in range(_READ_BACK_ATTEMPTS):
+        found = await read(store, edit.name)
+        if found.is_error():
+            continue
+        document = found.ok
+        known_ids = {change.edit_id for change in history_of(document)}
+        if document is not None and edit.change.edit_id in known_ids:
+            return expression.Ok(document.revision)
+        if document is not None and document.revision == edit.base_revision:
+            return expression.Error(
+                errors.EditUnknown(
+                    'the answer was lost and the edit is not stored yet; '
+                    'look at the history before you apply it again',
+                ),
+            )
+        return expression.Error(
+            errors.EditConflict(f'{edit.name} was changed by another operator'),
+        )
+    return expression.Error(
+        errors.EditUnknown(
+            'the answer was lost and the service can not be read; '
+            'look at the history before you apply the edit again',
+        ),
+    )
+
+
+def _with_change(
+    history: tuple[models.Change, ...],
+    change: models.Change,
+) -> tuple[models.Change, ...]:
+    """Return a history with a new edit first."""
+    return (change, *history)[: const.HISTORY_LIMIT]
--- /dev/null
+++ b/nutmegtrail/configuration/models.py
@@ -0,0 +1,83 @@
+"""Configuration documents and the schema of the deployment document."""
+
+import typing
+
+import pydantic
+
+from nutmegtrail.contracts import models as contract_models
+
+_STRICT: typing.Final = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class Document(typing.NamedTuple):
+    """A named document at a revision of the key-value service."""
+
+    name: str
+    revision: int
+    content: bytes
+
+
+class Service(pydantic.BaseModel):
+    """A plain service; only the named methods may be repeated."""
+
+    model_config = _STRICT
+
+    idempotent_methods: tuple[str, ...] = ('GET', 'HEAD')
+
+
+class Model(pydantic.BaseModel):
+    """A model; the two bounds are the load that one engine carries."""
+
+    model_config = _STRICT
+
+    concurrency_per_engine: int = pydantic.Field(ge=1, le=100_000)
+    experts_per_layer: int = pydantic.Field(default=256, ge=1, le=65_536)
+
+
+class Rebalancing(pydantic.BaseModel):
+    """Weights of step-time skew and of moved experts."""
+
+    model_config = _STRICT
+
+    skew_weight: float = pydantic.Field(gt=0)
+    move_weight: float = pydantic.Field(gt=0)
+    horizon_seconds: float = pydantic.Field(gt=0)
+
+
+class Deployment(pydantic.BaseModel):
+    """All that is not granted to a client account."""
+
+    model_config = _STRICT
+
+    models: dict[contract_models.Name, Model] = {}
+    services: dict[contract_models.Name, Service] = {}
+    rebalancing: Rebalancing
+
+
+class Change(pydantic.BaseModel):
+    """One accepted edit of a document."""
+
+    model_config = _STRICT
+
+    edit_id: str
+    operator: str
+    time: str
+    subject: str
+
+
+class DeploymentDocument(pydantic.BaseModel):
+    """Stored form of the deployment with its latest edits, newest first."""
+
+    model_config = _STRICT
+
+    deployment: Deployment
+    history: tuple[Change, ...] = ()
+
+
+class ContractDocument(pydantic.BaseModel):
+    """Stored form of one bucket of contracts with its latest edits."""
+
+    model_config = _STRICT
+
+    contracts_by_account: dict[str, contract_models.Contract] = {}
+    history: tuple[Change, ...] = ()
--- /dev/null
+++ b/nutmegtrail/configuration/settings.py
@@ -0,0 +1,143 @@
+"""Settings of a process, read from TOML and checked by a schema."""
+
+import pathlib
+import tomllib
+import typing
+
+import pydantic
+
+from nutmegtrail import models as shared_models
+from nutmegtrail.configuration import errors
+from nutmegtrail.contracts import models as contract_models
+
+_STRICT: typing.Final = pydantic.ConfigDict(extra='forbid', frozen=True)
+Schema = typing.TypeVar('Schema', bound=pydantic.BaseModel)
+
+
+def _check_address(text: str) -> str:
+    """Return the text where it is an address."""
+    shared_models.parse_address(text)
+    return text
+
+
+AddressText = typing.Annotated[str, pydantic.AfterValidator(_check_address)]
+
+
+class Process(pydantic.BaseModel):
+    """Where a process runs and listens."""
+
+    model_config = _STRICT
+
+    host: contract_models.Name
+    failure_domain: contract_models.Name
+    peer_listen: AddressText
+    http_listen: AddressText
+    operator_token_digest: contract_models.Digest
+    log_format: typing.Literal['json', 'text'] = 'json'
+
+
+class Platform(pydantic.BaseModel):
+    """Addresses of the platform's services."""
+
+    model_config = _STRICT
+
+    key_value: AddressText
+    host_list: AddressText
+
+
+class UpstreamSettings(pydantic.BaseModel):
+    """The upstream beside a sidecar and the target that it serves."""
+
+    model_config = _STRICT
+
+    name: contract_models.Name
+    kind: typing.Literal['model-engine', 'plain-service']
+    target: contract_models.Name
+    address: AddressText
+    checks_fencing: bool = False
+    group: str = ''
+    concurrency: int = pydantic.Field(default=64, ge=1, le=100_000)
+
+
+class EntrySettings(pydantic.BaseModel):
+    """Settings of an entry."""
+
+    model_config = _STRICT
+
+    process: Process
+    platform: Platform
+
+
+class SidecarSettings(pydantic.BaseModel):
+    """Settings of a sidecar."""
+
+    model_config = _STRICT
+
+    process: Process
+    platform: Platform
+    upstream: UpstreamSettings
+
+
+def load(path: pathlib.Path, schema: type[Schema]) -> Schema:
+    """Return the checked settings; raise SettingsError at the first fault."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except OSError as error:
+        raise errors.SettingsError(
+            f'{path}: can not be read ({error.strerror}); check the path',
+        ) from error
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise errors.SettingsError(f'{path}: not TOML: {error}') from error
+    try:
+        return schema.model_validate(raw)
+    except pydantic.ValidationError as error:
+        raise errors.SettingsError(_explain(path, text, error)) from error
+
+
+def _explain(
+    path: pathlib.Path,
+    text: str,
+    error: pydantic.ValidationError,
+) -> str:
+    """Return one line for each fault with file, line, key and allowance."""
+    return '\n'.join(
+        _explain_fault(path, text, fault['loc'], fault['msg'])
+        for fault in error.errors()
+    )
+
+
+def _explain_fault(
+    path: pathlib.Path,
+    text: str,
+    location: tuple[str | int, ...],
+    message: str,
+) -> str:
+    """Return the line for one fault."""
+    keys = tuple(part for part in location if isinstance(part, str))
+    line = line_of(text, keys)
+    return f'{path}:{line}: {".".join(keys)}: {message}'
+
+
+def line_of(text: str, keys: tuple[str, ...]) -> int:
+    """Return the line of a key, of its table, or the first line."""
+    found = 1
+    table: tuple[str, ...] = ()
+    for number, line in enumerate(text.splitlines(), start=1):
+        stripped = line.strip()
+        if stripped.startswith('['):
+            table = _split_key(stripped.strip('[]'))
+            path = table
+        else:
+            path = table + _split_key(stripped.partition('=')[0])
+        if path == keys:
+            return number
+        if path == keys[: len(path)] and path == table:
+            found = number
+    return found
+
+
+def _split_key(dotted: str) -> tuple[str, ...]:
+    """Return the parts of a dotted TOML key."""
+    return tuple(part.strip(' "\'') for part in dotted.split('.'))
--- /dev/null
+++ b/nutmegtrail/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Contracts of the client accounts."""
--- /dev/null
+++ b/nutmegtrail/contracts/credentials.py
@@ -0,0 +1,77 @@
+"""Recognition of a caller by the key that it presents."""
+
+import collections.abc
+import hashlib
+import hmac
+import typing
+
+import expression
+
+from nutmegtrail import const as shared_const
+from nutmegtrail.contracts import const
+from nutmegtrail.contracts import errors
+from nutmegtrail.contracts import models
+
+_SCHEME: typing.Final = 'bearer '
+
+
+class Caller(typing.NamedTuple):
+    """A client account and its contract."""
+
+    client_account: str
+    contract: models.Contract
+
+
+def digest_of(key: str) -> str:
+    """Return the digest that a contract holds for a key."""
+    return const.DIGEST_PREFIX + hashlib.sha256(key.encode()).hexdigest()
+
+
+def index_by_digest(
+    contracts_by_account: collections.abc.Mapping[str, models.Contract],
+) -> dict[str, Caller]:
+    """Return the callers by each digest of their keys."""
+    return {
+        digest: Caller(client_account, contract)
+        for client_account, contract in contracts_by_account.items()
+        for digest in contract.key_digests
+    }
+
+
+def authenticate(
+    authorization: str,
+    callers_by_digest: collections.abc.Mapping[str, Caller],
+) -> expression.Result[Caller, errors.ContractError]:
+    """Return the caller that an Authorization header names.
+
+    Only digests are compared, so the time taken tells nothing of a key.
+    """
+    if len(authorization) > shared_const.CREDENTIAL_LENGTH_LIMIT:
+        return expression.Error(errors.UnknownCredential('key is too long'))
+    if not authorization.lower().startswith(_SCHEME):
+        return expression.Error(errors.UnknownCredential('send a bearer key'))
+    digest = digest_of(authorization[len(_SCHEME) :].strip())
+    caller = callers_by_digest.get(digest)
+    if caller is None:
+        return expression.Error(errors.UnknownCredential('unknown key'))
+    if not any(
+        hmac.compare_digest(digest, known)
+        for known in caller.contract.key_digests
+    ):
+        return expression.Error(errors.UnknownCredential('unknown key'))
+    return expression.Ok(caller)
+
+
+def check_target(
+    caller: Caller,
+    target: str,
+) -> expression.Result[Caller, errors.ContractError]:
+    """Return the caller where its contract grants the target."""
+    contract = caller.contract
+    if target in contract.models or target in contract.services:
+        return expression.Ok(caller)
+    return expression.Error(
+        errors.NotGranted(
+            f'the contract of {caller.client_account} does not name {target}',
+        ),
+    )
--- /dev/null
+++ b/nutmegtrail/contracts/models.py
@@ -0,0 +1,53 @@
+"""The contract of a client account, checked by its schema."""
+
+import typing
+
+import pydantic
+
+from nutmegtrail.contracts import const
+
+Name = typing.Annotated[str, pydantic.Field(pattern=const.NAME_PATTERN)]
+Digest = typing.Annotated[str, pydantic.Field(pattern=const.DIGEST_PATTERN)]
+
+
+class Contract(pydantic.BaseModel):
+    """All that a client account is granted; nothing else grants anything.
+
+    Rates are per second over the whole deployment. The burst is the number
+    of seconds of the rate that may be used at once.
+    """
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    key_digests: tuple[Digest, ...] = pydantic.Field(min_length=1)
+    requests_per_second: float = pydantic.Field(gt=0, le=1_000_000)
+    tokens_per_second: float = pydantic.Field(gt=0, le=100_000_000)
+    burst_seconds: float = pydantic.Field(default=2.0, ge=1, le=60)
+    concurrency: int = pydantic.Field(default=64, ge=1, le=100_000)
+    share_weight: float = pydantic.Field(default=1.0, gt=0, le=1_000)
+    priority: int = pydantic.Field(
+        default=const.PRIORITY_LOWEST // 2,
+        ge=const.PRIORITY_HIGHEST,
+        le=const.PRIORITY_LOWEST,
+    )
+    models: tuple[Name, ...] = ()
+    services: tuple[Name, ...] = ()
+
+    @pydantic.model_validator(mode='after')
+    def _check_consistent(self) -> typing.Self:
+        """Refuse a contract whose limits contradict one another."""
+        if self.tokens_per_second < self.requests_per_second:
+            raise ValueError(
+                'tokens_per_second must be at least requests_per_second',
+            )
+        if not self.models and not self.services:
+            raise ValueError('name at least one entry in models or services')
+        return self
+
+
+class ContractFile(pydantic.BaseModel):
+    """A TOML file of contracts by client account."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    client_account: dict[Name, Contract]
--- /dev/null
+++ b/nutmegtrail/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The long-running processes."""
--- /dev/null
+++ b/nutmegtrail/daemons/admission_control.py
@@ -0,0 +1,187 @@
+"""Admission of requests under the contracts, across all entries."""
+
+import time
+
+import anyio
+
+from nutmegtrail import const as shared_const
+from nutmegtrail.contracts import credentials
+from nutmegtrail.daemons import const
+from nutmegtrail.daemons import entry_mesh
+from nutmegtrail.limits import allowance
+from nutmegtrail.limits import const as limit_const
+from nutmegtrail.limits import models
+from nutmegtrail.routing import candidates
+from nutmegtrail.wire import models as wire_models
+
+
+class AdmissionControl:
+    """Leases from the owners of other accounts, owner of its own ones."""
+
+    def __init__(self, host: str, mesh: entry_mesh.EntryMesh) -> None:
+        """Keep the collaborators; nothing is leased yet."""
+        self.callers_by_account: dict[str, credentials.Caller] = {}
+        self._host = host
+        self._mesh = mesh
+        self._allowances_by_account: dict[str, models.Allowance] = {}
+        self._ledgers_by_account: dict[str, models.Ledger] = {}
+        self._in_flight_by_account: dict[str, int] = {}
+        self._silent_until_by_host: dict[str, float] = {}
+        self._granted_by_account: dict[str, anyio.Event] = {}
+
+    async def admit(
+        self,
+        caller: credentials.Caller,
+        cost: models.Amount,
+    ) -> bool:
+        """Return whether the contract covers a request now."""
+        account = caller.client_account
+        held = self._allowances_by_account.get(account, models.Allowance())
+        held = allowance.demanded(held, cost)
+        self._allowances_by_account[account] = held
+        if self._spend(account, cost):
+            return True
+        heard = await self._ask(caller, cost)
+        if heard:
+            return self._spend(account, cost)
+        return self._spend_alone(account, cost)
+
+    def started(self, account: str) -> None:
+        """Count a request of an account that was admitted."""
+        running = self._in_flight_by_account.get(account, 0)
+        self._in_flight_by_account[account] = running + 1
+
+    def ended(self, account: str) -> None:
+        """Count the end of a request."""
+        running = self._in_flight_by_account.get(account, 0) - 1
+        if running > 0:
+            self._in_flight_by_account[account] = running
+        else:
+            self._in_flight_by_account.pop(account, None)
+
+    def lease(
+        self,
+        message: wire_models.LeaseRequest,
+        post: entry_mesh.Post,
+    ) -> None:
+        """Lease from an account that this entry owns."""
+        caller = self.callers_by_account.get(message.client_account)
+        if caller is None:
+            return
+        contract = caller.contract
+        now_seconds = time.monotonic()
+        ledger = self._ledgers_by_account.get(message.client_account)
+        if ledger is None or _rates_changed(ledger, caller):
+            ledger = allowance.open_ledger(contract, now_seconds)
+        ledger, given = allowance.lease(
+            ledger,
+            message.sender,
+            models.Amount(message.requests, message.tokens),
+            message.in_flight,
+            contract.concurrency,
+            now_seconds,
+        )
+        self._ledgers_by_account[message.client_account] = ledger
+        valid_ms = round(
+            limit_const.LEASE_SECONDS * shared_const.MILLISECONDS_PER_SECOND,
+        )
+        grant = wire_models.LeaseGrant(
+            message.client_account,
+            int(given.requests),
+            int(given.tokens),
+            valid_ms,
+        )
+        post(grant)
+
+    def grant(self, message: wire_models.LeaseGrant) -> None:
+        """Take a lease over and wake who waits for it."""
+        account = message.client_account
+        held = self._allowances_by_account.get(account, models.Allowance())
+        self._allowances_by_account[account] = allowance.granted(
+            held,
+            models.Amount(message.requests, message.tokens),
+            message.valid_ms / shared_const.MILLISECONDS_PER_SECOND,
+            time.monotonic(),
+        )
+        waiting = self._granted_by_account.pop(account, None)
+        if waiting is not None:
+            waiting.set()
+
+    def _spend(self, account: str, cost: models.Amount) -> bool:
+        """Admit from the lease that is held."""
+        held = self._allowances_by_account[account]
+        spent = allowance.spend(held, cost, time.monotonic())
+        if spent is None:
+            return False
+        self._allowances_by_account[account] = spent
+        return True
+
+    def _spend_alone(self, account: str, cost: models.Amount) -> bool:
+        """Admit from the last share; the owner was silent."""
+        held = self._allowances_by_account[account]
+        spent = allowance.spend_alone(held, cost, time.monotonic())
+        if spent is None:
+            return False
+        self._allowances_by_account[account] = spent
+        return True
+
+    async def _ask(
+        self,
+        caller: credentials.Caller,
+        cost: models.Amount,
+    ) -> bool:
+        """Ask the owner for a lease; return whether it answered."""
+        account = caller.client_account
+        waiting = self._granted_by_account.get(account)
+        if waiting is None:
+            waiting = anyio.Event()
+            self._granted_by_account[account] = waiting
+            self._send_request(account, cost)
+        with anyio.move_on_after(const.GRANT_TIMEOUT_SECONDS):
+            await waiting.wait()
+            return True
+        self._granted_by_account.pop(account, None)
+        until = time.monotonic() + limit_const.OWNER_SILENCE_SECONDS
+        self._silent_until_by_host[self._owner(account)] = until
+        return False
+
+    def _send_request(self, account: str, cost: models.Amount) -> None:
+        """Send the account's owner a request for what is demanded."""
+        held = self._allowances_by_account[account]
+        request = wire_models.LeaseRequest(
+            self._host,
+            account,
+            int(max(held.demand.requests, cost.requests)),
+            int(max(held.demand.tokens, cost.tokens)),
+            self._in_flight_by_account.get(account, 0),
+        )
+        owner = self._owner(account)
+        if owner == self._host:
+            self.lease(request, self._take_own)
+        else:
+            self._mesh.send(owner, request)
+
+    def _take_own(self, message: wire_models.Message) -> None:
+        """Take a lease from this entry's own ledger."""
+        if isinstance(message, wire_models.LeaseGrant):
+            self.grant(message)
+
+    def _owner(self, account: str) -> str:
+        """Return the first entry in the account's order that answers."""
+        now_seconds = time.monotonic()
+        answering = [
+            host
+            for host in self._mesh.hosts
+            if self._silent_until_by_host.get(host, 0) <= now_seconds
+        ]
+        return candidates.rank(account, (self._host, *answering))[0]
+
+
+def _rates_changed(
+    ledger: models.Ledger,
+    caller: credentials.Caller,
+) -> bool:
+    """Return whether a contract was changed since its ledger was opened."""
+    rates = (ledger.requests.rate, ledger.tokens.rate)
+    contract = caller.contract
+    return rates != (contract.requests_per_second, contract.tokens_per_second)
--- /dev/null
+++ b/nutmegtrail/daemons/const.py
@@ -0,0 +1,12 @@
+"""Intervals of the daemons."""
+
+import typing
+
+UPSTREAM_PROBE_SECONDS: typing.Final = 1.0
+UPSTREAM_PROBE_TIMEOUT_SECONDS: typing.Final = 2.0
+DRAIN_POLL_SECONDS: typing.Final = 0.1
+DRAIN_GRACE_SECONDS: typing.Final = 3.0
+GRANT_TIMEOUT_SECONDS: typing.Final = 0.25
+TOMBSTONE_TIMEOUT_SECONDS: typing.Final = 2.0
+TOMBSTONE_ATTEMPTS: typing.Final = 3
+NO_UPSTREAM_WAIT_SECONDS: typing.Final = 0.2
--- /dev/null
+++ b/nutmegtrail/daemons/inbound.py
@@ -0,0 +1,194 @@
+"""Requests of callers, read from HTTP and checked against the contract."""
+
+import typing
+import urllib.parse
+import uuid
+
+import expression
+
+from nutmegtrail import const as shared_const
+from nutmegtrail.adapters.http import asgi
+from nutmegtrail.adapters.http import const as http_const
+from nutmegtrail.adapters.http import errors as http_errors
+from nutmegtrail.contracts import credentials
+from nutmegtrail.contracts import errors as contract_errors
+from nutmegtrail.configuration import models as configuration_models
+from nutmegtrail.limits import const as limit_const
+from nutmegtrail.limits import models as limit_models
+from nutmegtrail.retries import models as retry_models
+from nutmegtrail.wire import models
+
+CHAT_PATH: typing.Final = '/v1/chat/completions'
+_SERVICE_PREFIX: typing.Final = '/services/'
+_TARGET_PLACE: typing.Final = 2
+
+
+class Inbound(typing.NamedTuple):
+    """A request that its contract grants; `cost` is charged on admission."""
+
+    request_id: str
+    caller: credentials.Caller
+    target: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    idempotency_key: str
+    idempotent: bool
+    cost: limit_models.Amount
+
+
+class Rejection(typing.NamedTuple):
+    """A request that is refused before anything is sent."""
+
+    reason: retry_models.Reason
+    detail: str
+
+
+Read: typing.TypeAlias = expression.Result[Inbound, Rejection]
+
+
+async def read(
+    exchange: asgi.Exchange,
+    caller: credentials.Caller,
+    deployment: configuration_models.Deployment,
+) -> Read:
+    """Return the request; raise RequestError where it is malformed."""
+    if exchange.path == CHAT_PATH:
+        return await _read_chat(exchange, caller, deployment)
+    if exchange.path.startswith(_SERVICE_PREFIX):
+        return await _read_service(exchange, caller, deployment)
+    detail = f'use {CHAT_PATH} or {_SERVICE_PREFIX}SERVICE/PATH'
+    return _rejected(retry_models.Reason.UNKNOWN_TARGET, detail)
+
+
+def call_of(
+    inbound: Inbound,
+    attempt: int,
+    offset: int,
+    deadline_ms: int,
+    *,
+    suspect: bool,
+) -> models.Call:
+    """Return the message for an attempt of a request."""
+    contract = inbound.caller.contract
+    return models.Call(
+        request_id=inbound.request_id,
+        attempt=attempt,
+        client_account=inbound.caller.client_account,
+        target=inbound.target,
+        method=inbound.method,
+        path=inbound.path,
+        content_type=inbound.content_type,
+        body=inbound.body,
+        idempotency_key=inbound.idempotency_key,
+        idempotent=inbound.idempotent,
+        priority=contract.priority,
+        deadline_ms=deadline_ms,
+        offset=offset,
+        share_weight=contract.share_weight,
+        suspect=suspect,
+    )
+
+
+async def _read_chat(
+    exchange: asgi.Exchange,
+    caller: credentials.Caller,
+    deployment: configuration_models.Deployment,
+) -> Read:
+    """Read a request for a model."""
+    document = await exchange.json()
+    target = document.get('model')
+    if not isinstance(target, str):
+        raise http_errors.RequestError(
+            http_const.HTTP_BAD_REQUEST,
+            'model must be the name of a model',
+        )
+    rejection = _check(caller, target, target in deployment.models)
+    if rejection is not None:
+        return expression.Error(rejection)
+    body = await exchange.body()
+    answer_tokens = document.get('max_tokens')
+    if not isinstance(answer_tokens, int):
+        answer_tokens = limit_const.DEFAULT_ANSWER_TOKENS
+    tokens = len(body) // limit_const.CHARACTERS_PER_TOKEN + answer_tokens
+    return expression.Ok(
+        Inbound(
+            request_id=uuid.uuid4().hex,
+            caller=caller,
+            target=target,
+            method='POST',
+            path=CHAT_PATH,
+            content_type=http_const.CONTENT_TYPE_JSON,
+            body=body,
+            idempotency_key='',
+            idempotent=True,
+            cost=limit_models.Amount(1, max(tokens, 0)),
+        ),
+    )
+
+
+async def _read_service(
+    exchange: asgi.Exchange,
+    caller: credentials.Caller,
+    deployment: configuration_models.Deployment,
+) -> Read:
+    """Read a request for a plain service."""
+    _, _, target, *rest = exchange.path.split('/', _TARGET_PLACE + 1)
+    service = deployment.services.get(target)
+    rejection = _check(caller, target, service is not None)
+    if rejection is not None or service is None:
+        return expression.Error(rejection or _unknown(target))
+    key = exchange.header('idempotency-key')
+    if len(key) > shared_const.IDEMPOTENCY_KEY_LENGTH_LIMIT:
+        raise http_errors.RequestError(
+            http_const.HTTP_BAD_REQUEST,
+            'the idempotency key is too long',
+        )
+    idempotent = exchange.method in service.idempotent_methods
+    body = await exchange.body()
+    path = urllib.parse.quote(f'/{"".join(rest)}')
+    if exchange.query:
+        path = f'{path}?{exchange.query.decode("latin-1")}'
+    return expression.Ok(
+        Inbound(
+            request_id=uuid.uuid4().hex,
+            caller=caller,
+            target=target,
+            method=exchange.method,
+            path=path,
+            content_type=exchange.header('content-type'),
+            body=body,
+            idempotency_key='' if idempotent else key,
+            idempotent=idempotent,
+            cost=limit_models.Amount(1, 0),
+        ),
+    )
+
+
+def _check(
+    caller: credentials.Caller,
+    target: str,
+    known: bool,
+) -> Rejection | None:
+    """Return why a caller may not use a target, None if it may."""
+    granted = credentials.check_target(caller, target)
+    if granted.is_error():
+        return _forbidden(granted.error)
+    return None if known else _unknown(target)
+
+
+def _forbidden(error: contract_errors.ContractError) -> Rejection:
+    """Return the refusal of what a contract does not grant."""
+    return Rejection(retry_models.Reason.FORBIDDEN, str(error))
+
+
+def _unknown(target: str) -> Rejection:
+    """Return the refusal of a target that the deployment does not name."""
+    detail = f'the deployment has no model or service {target}'
+    return Rejection(retry_models.Reason.UNKNOWN_TARGET, detail)
+
+
+def _rejected(reason: retry_models.Reason, detail: str) -> Read:
+    """Return a refusal as the outcome of reading."""
+    return expression.Error(Rejection(reason, detail))
--- /dev/null
+++ b/nutmegtrail/daemons/operator_port.py
@@ -0,0 +1,79 @@
+"""Paths that every daemon serves to operators and scrapers."""
+
+import collections.abc
+import hmac
+import typing
+
+from nutmegtrail.adapters.http import asgi
+from nutmegtrail.adapters.http import const as http_const
+from nutmegtrail.contracts import credentials
+from nutmegtrail.observability import metrics
+
+_BEARER: typing.Final = 'Bearer '
+_UNAUTHORIZED: typing.Final = 401
+_ACCEPTED: typing.Final = 202
+_UNAVAILABLE: typing.Final = 503
+
+
+class OperatorPort(typing.NamedTuple):
+    """Health and metrics for all, status and stop with the token."""
+
+    token_digest: str
+    readings: metrics.Metrics
+    stop: collections.abc.Callable[[], None]
+
+    async def serve(
+        self,
+        exchange: asgi.Exchange,
+        *,
+        ready: bool,
+        status: dict[str, object],
+    ) -> bool:
+        """Answer an operator's request; return False if it is none."""
+        if exchange.path == '/health/ready':
+            code = http_const.HTTP_OK if ready else _UNAVAILABLE
+            await exchange.answer_json(code, {'ready': ready})
+        elif exchange.path == '/metrics':
+            text = self.readings.render().encode()
+            await exchange.answer(
+                http_const.HTTP_OK,
+                text,
+                http_const.CONTENT_TYPE_TEXT,
+            )
+        elif exchange.path.startswith('/operator/'):
+            await self._serve_operator(exchange, ready, status)
+        else:
+            return False
+        return True
+
+    async def _serve_operator(
+        self,
+        exchange: asgi.Exchange,
+        ready: bool,
+        status: dict[str, object],
+    ) -> None:
+        """Answer a request that needs the token."""
+        presented = exchange.header('authorization').removeprefix(_BEARER)
+        digest = credentials.digest_of(presented)
+        if hmac.compare_digest(digest, self.token_digest):
+            await self._serve_trusted(exchange, ready, status)
+        else:
+            detail = {'detail': 'send the operator token as bearer key'}
+            await exchange.answer_json(_UNAUTHORIZED, detail)
+
+    async def _serve_trusted(
+        self,
+        exchange: asgi.Exchange,
+        ready: bool,
+        status: dict[str, object],
+    ) -> None:
+        """Answer a request that carries the token."""
+        if exchange.path == '/operator/stop' and exchange.method == 'POST':
+            self.stop()
+            await exchange.answer_json(_ACCEPTED, {'stopping': True})
+        elif exchange.path == '/operator/status':
+            full = {'ready': ready, **status}
+            await exchange.answer_json(http_const.HTTP_OK, full)
+        else:
+            detail = {'detail': 'no such operator path'}
+            await exchange.answer_json(http_const.HTTP_NOT_FOUND, detail)
--- /dev/null
+++ b/nutmegtrail/daemons/request_flow.py
@@ -0,0 +1,312 @@
+"""The way of one request from its caller to an upstream and back."""
+
+import random
+import time
+import typing
+
+import anyio
+
+from nutmegtrail import const as shared_const
+from nutmegtrail.adapters.http import asgi
+from nutmegtrail.adapters.http import errors as http_errors
+from nutmegtrail.daemons import const
+from nutmegtrail.daemons import inbound
+from nutmegtrail.daemons import sidecar_pool
+from nutmegtrail.daemons import upstream_selector
+from nutmegtrail.delivery import attempts
+from nutmegtrail.delivery import models as delivery_models
+from nutmegtrail.observability import logs
+from nutmegtrail.observability import metrics
+from nutmegtrail.ports import host_list
+from nutmegtrail.retries import models as retry_models
+from nutmegtrail.retries import problems
+from nutmegtrail.wire import errors as wire_errors
+from nutmegtrail.wire import models
+
+_MILLISECONDS: typing.Final = 1_000
+
+
+class Collaborators(typing.NamedTuple):
+    """What the flows of an entry share."""
+
+    pool: sidecar_pool.SidecarPool
+    selector: upstream_selector.UpstreamSelector
+    readings: metrics.Metrics
+    generator: random.Random
+
+
+class RequestFlow:
+    """Delivers one request; every path ends in exactly one answer."""
+
+    def __init__(
+        self,
+        request: inbound.Inbound,
+        exchange: asgi.Exchange,
+        shared: Collaborators,
+    ) -> None:
+        """Start without an attempt."""
+        self._request = request
+        self._exchange = exchange
+        self._shared = shared
+        self._pending = shared.pool.open(request.request_id)
+        self._began_at_seconds = time.monotonic()
+        self._deadline_seconds = (
+            self._began_at_seconds + shared_const.REQUEST_TIMEOUT_SECONDS
+        )
+        self._written_at_seconds = 0.0
+        self._delivery = delivery_models.Delivery(
+            idempotent=request.idempotent,
+            keyed=bool(request.idempotency_key),
+        )
+
+    async def run(self) -> None:
+        """Deliver the answer, or cancel the work if the caller hangs up."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._watch_caller, tasks.cancel_scope)
+                await self._deliver()
+                tasks.cancel_scope.cancel()
+        except* http_errors.ClientGone:
+            self._shared.pool.cancel(self._pending)
+        finally:
+            self._shared.pool.close(self._pending)
+
+    async def _watch_caller(self, scope: anyio.CancelScope) -> None:
+        """Cancel the request when its caller hangs up."""
+        await self._exchange.wait_disconnect()
+        self._shared.pool.cancel(self._pending)
+        self._shared.readings.count('callers_gone')
+        scope.cancel()
+
+    async def _deliver(self) -> None:
+        """Ask upstreams until the request has its final answer."""
+        action: delivery_models.Action = delivery_models.Ask()
+        while isinstance(action, delivery_models.Ask):
+            event = await self._attempt(action)
+            if event is None:
+                self._shared.selector.succeeded(self._request)
+                return
+            decision = attempts.decide(event, self._delivery)
+            self._delivery = decision.delivery
+            action = decision.action
+            self._log_failure(event, action)
+        if isinstance(action, delivery_models.Prove):
+            await self._prove()
+        else:
+            await self._give_up(action.reason)
+
+    async def _attempt(
+        self,
+        ask: delivery_models.Ask,
+    ) -> delivery_models.Event | None:
+        """Send one attempt; return why it failed, None if it did not."""
+        if ask.from_budget and not self._shared.selector.spend_retry(
+            self._request.target,
+        ):
+            return delivery_models.NoUpstream()
+        host = await self._select(ask.upstream)
+        if host is None:
+            return delivery_models.NoUpstream()
+        self._delivery = attempts.sent(self._delivery, host.upstream)
+        call = inbound.call_of(
+            self._request,
+            self._delivery.attempts,
+            self._delivery.next_offset,
+            max(round(self._remaining_seconds() * _MILLISECONDS), 0),
+            suspect=self._shared.selector.is_suspect(self._request),
+        )
+        try:
+            await self._shared.pool.send(host, self._pending, call)
+        except wire_errors.ConnectionLost:
+            self._shared.selector.refused(host.upstream)
+            return delivery_models.NotSent()
+        self._shared.selector.started(host.upstream)
+        try:
+            return await self._receive_in_time()
+        finally:
+            self._shared.selector.ended(host.upstream)
+
+    async def _select(self, preferred: str) -> host_list.Host | None:
+        """Return the sidecar to ask; wait a little where there is none."""
+        for _ in range(2):
+            host = self._shared.selector.select(
+                self._request,
+                preferred,
+                self._delivery.failed_upstreams,
+            )
+            if host is not None:
+                return host
+            await anyio.sleep(const.NO_UPSTREAM_WAIT_SECONDS)
+        return None
+
+    async def _receive_in_time(self) -> delivery_models.Event | None:
+        """Forward the answer until its end or the deadline."""
+        with anyio.move_on_after(self._remaining_seconds()):
+            return await self._receive()
+        return delivery_models.Expired()
+
+    async def _receive(self) -> delivery_models.Event | None:
+        """Forward the answer; return why it was cut, None at its end."""
+        while True:
+            reply = await self._pending.get()
+            if isinstance(reply, models.Head):
+                await self._forward_head(reply)
+            elif isinstance(reply, models.Chunk):
+                if reply.offset > self._delivery.next_offset:
+                    return delivery_models.Lost()
+                if reply.final:
+                    await self._exchange.write(b'', more=False)
+                    return None
+                await self._forward_chunk(reply)
+            else:
+                return self._failure(reply)
+
+    async def _forward_head(self, head: models.Head) -> None:
+        """Send the caller the status, once."""
+        if self._delivery.started:
+            return
+        self._delivery = self._delivery._replace(started=True)
+        request_id = ('x-request-id', self._request.request_id)
+        await self._exchange.start(
+            head.status,
+            head.content_type,
+            (request_id,),
+        )
+
+    async def _forward_chunk(self, first: models.Chunk) -> None:
+        """Send the caller new events; those that wait go in one write."""
+        payload = bytearray()
+        chunk: sidecar_pool.Reply | None = first
+        while isinstance(chunk, models.Chunk) and not chunk.final:
+            if chunk.offset == self._delivery.next_offset:
+                payload += chunk.payload
+                self._delivery = self._delivery._replace(
+                    next_offset=chunk.offset + 1,
+                )
+            chunk = self._pending.get_nowait()
+        if payload:
+            await self._exchange.write(bytes(payload), more=True)
+            self._observe_write()
+        if chunk is not None:
+            self._pending.put(chunk)
+
+    def _failure(
+        self,
+        reply: models.Refusal | delivery_models.Lost,
+    ) -> delivery_models.Event:
+        """Return a failed attempt as an event; note what it tells."""
+        if isinstance(reply, models.Refusal):
+            self._shared.selector.note_refusal(
+                self._request,
+                self._delivery.upstream,
+                reply,
+            )
+        return sidecar_pool.as_event(reply)
+
+    async def _prove(self) -> None:
+        """Obtain proof that the request was not run, or give its answer."""
+        for _ in range(const.TOMBSTONE_ATTEMPTS):
+            host = await self._select('')
+            if host is None:
+                break
+            event = await self._ask_tombstone(host)
+            if event is None:
+                return
+            if isinstance(event, delivery_models.Refused):
+                if event.reason is not retry_models.Reason.MOVED:
+                    await self._give_up(event.reason)
+                    return
+        await self._give_up(retry_models.Reason.OUTCOME_UNKNOWN)
+
+    async def _ask_tombstone(
+        self,
+        host: host_list.Host,
+    ) -> delivery_models.Event | None:
+        """Ask a sidecar for a tombstone; return None for a whole answer."""
+        self._delivery = attempts.sent(self._delivery, host.upstream)
+        tombstone = models.Tombstone(
+            self._request.request_id,
+            self._delivery.attempts,
+            self._request.caller.client_account,
+            self._request.target,
+            self._request.idempotency_key,
+        )
+        try:
+            await self._shared.pool.send(host, self._pending, tombstone)
+        except wire_errors.ConnectionLost:
+            self._shared.selector.refused(host.upstream)
+            return delivery_models.NotSent()
+        with anyio.move_on_after(const.TOMBSTONE_TIMEOUT_SECONDS):
+            return await self._receive()
+        return delivery_models.Lost()
+
+    async def _give_up(self, reason: retry_models.Reason) -> None:
+        """Give the caller its final answer at once."""
+        self._shared.pool.cancel(self._pending)
+        self._shared.readings.count('given_up', reason.value)
+        if self._delivery.started:
+            raise http_errors.ClientGone('the answer was cut')
+        await refuse(
+            self._exchange,
+            reason,
+            f'{self._request.target} gave no answer',
+            self._request.request_id,
+            self._shared.generator,
+        )
+
+    def _remaining_seconds(self) -> float:
+        """Return the time left until the deadline."""
+        return self._deadline_seconds - time.monotonic()
+
+    def _observe_write(self) -> None:
+        """Record the time to the first event or between events."""
+        now_seconds = time.monotonic()
+        if self._written_at_seconds:
+            self._shared.readings.observe_seconds(
+                'between_events',
+                now_seconds - self._written_at_seconds,
+            )
+        else:
+            self._shared.readings.observe_seconds(
+                'first_event',
+                now_seconds - self._began_at_seconds,
+            )
+        self._written_at_seconds = now_seconds
+
+    def _log_failure(
+        self,
+        event: delivery_models.Event,
+        action: delivery_models.Action,
+    ) -> None:
+        """Log why an attempt failed and what follows."""
+        self._shared.readings.count('failed_attempts', type(event).__name__)
+        logs.decision(
+            'delivery:attempt-failed',
+            request_id=self._request.request_id,
+            client_account=self._request.caller.client_account,
+            upstream=self._delivery.upstream,
+            attempt=self._delivery.attempts,
+            event=type(event).__name__,
+            reason=getattr(event, 'reason', ''),
+            next=type(action).__name__,
+        )
+
+
+async def refuse(
+    exchange: asgi.Exchange,
+    reason: retry_models.Reason,
+    detail: str,
+    request_id: str,
+    generator: random.Random,
+) -> None:
+    """Answer a request with a problem document."""
+    problem = problems.problem(reason, detail, request_id, generator)
+    headers: tuple[tuple[str, str], ...] = ()
+    if problem.retry_after_seconds:
+        headers = (('retry-after', str(problem.retry_after_seconds)),)
+    await exchange.answer(
+        problem.status,
+        problem.body,
+        'application/problem+json',
+        headers,
+    )
--- /dev/null
+++ b/nutmegtrail/daemons/shard_driver.py
@@ -0,0 +1,223 @@
+"""Carries out the decisions on the shards of one service's keys."""
+
+import collections.abc
+import functools
+import time
+import typing
+
+import anyio
+import anyio.abc
+
+from nutmegtrail.daemons import lease_keeper
+from nutmegtrail.idempotency import const
+from nutmegtrail.idempotency import keys
+from nutmegtrail.idempotency import models
+from nutmegtrail.idempotency import serialization
+from nutmegtrail.idempotency import shard as shard_decisions
+from nutmegtrail.limits import bucket
+from nutmegtrail.ports import key_value
+
+
+class Outlet(typing.NamedTuple):
+    """Where a shard's runs, answers and refusals go."""
+
+    run: collections.abc.Callable[[models.Run], None]
+    answer: collections.abc.Callable[[models.Answer], None]
+    refuse: collections.abc.Callable[[models.Refuse], None]
+
+
+class ShardDriver:
+    """Holds the state of each shard and performs its actions."""
+
+    def __init__(
+        self,
+        target: str,
+        me: models.Owner,
+        store: key_value.KeyValueStore,
+        lease: lease_keeper.LeaseKeeper,
+        outlet: Outlet,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Keep the collaborators; no shard is owned yet."""
+        self._target = target
+        self._me = me
+        self._store = store
+        self._lease = lease
+        self._outlet = outlet
+        self._tasks = tasks
+        self._shards_by_number: dict[int, models.Shard] = {}
+        self._budget = bucket.Bucket(
+            const.WRITES_PER_SECOND,
+            const.WRITE_BURST,
+            const.WRITE_BURST,
+            time.monotonic(),
+        )
+
+    @property
+    def settled(self) -> bool:
+        """Return whether no shard is owned and nothing is under way."""
+        return all(
+            shard.role is models.Role.UNOWNED and shard.in_flight is None
+            for shard in self._shards_by_number.values()
+        )
+
+    def submit(self, record_id: str, event: models.Event) -> None:
+        """Apply an event to the shard that holds a record."""
+        self._apply(keys.shard_of(record_id), event)
+
+    def lease_lapsed(self) -> None:
+        """Tell every shard that its ownership is no longer certain."""
+        for number in tuple(self._shards_by_number):
+            self._apply(number, models.LeaseLapsed())
+
+    def release(self) -> None:
+        """Hand all shards over."""
+        for number in tuple(self._shards_by_number):
+            self._apply(number, models.ReleaseRequested())
+
+    def resume(self) -> None:
+        """Take calls again after a release."""
+        self._shards_by_number = {
+            number: shard._replace(releasing=False)
+            for number, shard in self._shards_by_number.items()
+        }
+
+    def _apply(self, number: int, event: models.Event) -> None:
+        """Decide on an event and perform the actions."""
+        shard = self._shards_by_number.get(number, models.Shard(self._me))
+        context = models.Context(time.time(), self._lease.valid)
+        decision = shard_decisions.decide(event, shard, context)
+        self._shards_by_number[number] = decision.shard
+        for action in decision.actions:
+            _perform(action, self, number)
+
+    async def _read(self, number: int) -> None:
+        """Read a shard's log and whether its owner's lease lives."""
+        found = await self._store.get(keys.shard_key(self._target, number))
+        if found.is_error():
+            self._apply(number, models.ReadFailed())
+            return
+        entry = found.ok
+        if entry is None:
+            absent = models.ShardRead(
+                key_value.ABSENT_REVISION,
+                models.Log(),
+                owner_live=False,
+            )
+            self._apply(number, absent)
+            return
+        log = serialization.decode_log(entry.content)
+        live = await self._owner_live(log.owner)
+        if live is None:
+            self._apply(number, models.ReadFailed())
+            return
+        self._apply(number, models.ShardRead(entry.revision, log, live))
+
+    async def _owner_live(self, owner: models.Owner) -> bool | None:
+        """Return whether an owner's lease lives, None if not to be learned."""
+        if not owner.upstream:
+            return False
+        found = await self._store.get(keys.owner_key(owner.upstream))
+        if found.is_error():
+            return None
+        entry = found.ok
+        return entry is not None and entry.content == owner.incarnation.encode()
+
+    async def _append(self, number: int, action: models.Append) -> None:
+        """Store a log by compare-and-swap and report how it went."""
+        stored = await self._store.swap(
+            keys.shard_key(self._target, number),
+            action.expected_revision,
+            action.content,
+        )
+        if stored.is_ok():
+            self._apply(number, models.AppendConfirmed(stored.ok))
+            return
+        self._apply(number, _append_failure(stored.error))
+
+    async def _schedule(self, number: int, delay_seconds: float) -> None:
+        """Report that an append is due when the write budget allows one."""
+        await anyio.sleep(delay_seconds)
+        while True:
+            refilled = bucket.refill(self._budget, time.monotonic())
+            taken = bucket.take(refilled, 1)
+            if taken is not None:
+                self._budget = taken
+                break
+            await anyio.sleep(bucket.seconds_until(refilled, 1))
+        self._apply(number, models.AppendDue())
+
+
+def _append_failure(error: key_value.SwapError) -> models.Event:
+    """Return the event for a failed append."""
+    if isinstance(error, key_value.CompareFailed):
+        return models.AppendConflict()
+    if isinstance(error, key_value.Unavailable):
+        return models.AppendUnavailable()
+    return models.AppendUnknown()
+
+
+@functools.singledispatch
+def _perform(action: models.Action, driver: ShardDriver, number: int) -> None:
+    """Perform an action of a shard."""
+    raise TypeError(f'unknown action {action!r}')
+
+
+@_perform.register
+def _perform_read(
+    action: models.ReadShard,
+    driver: ShardDriver,
+    number: int,
+) -> None:
+    """Read the stored log."""
+    driver._tasks.start_soon(driver._read, number)
+
+
+@_perform.register
+def _perform_append(
+    action: models.Append,
+    driver: ShardDriver,
+    number: int,
+) -> None:
+    """Store a log."""
+    driver._tasks.start_soon(driver._append, number, action)
+
+
+@_perform.register
+def _perform_schedule(
+    action: models.ScheduleAppend,
+    driver: ShardDriver,
+    number: int,
+) -> None:
+    """Wait for the write budget."""
+    driver._tasks.start_soon(driver._schedule, number, action.delay_seconds)
+
+
+@_perform.register
+def _perform_run(
+    action: models.Run,
+    driver: ShardDriver,
+    number: int,
+) -> None:
+    """Hand a claimed call to the upstream."""
+    driver._outlet.run(action)
+
+
+@_perform.register
+def _perform_answer(
+    action: models.Answer,
+    driver: ShardDriver,
+    number: int,
+) -> None:
+    """Hand an answer to its entry."""
+    driver._outlet.answer(action)
+
+
+@_perform.register
+def _perform_refuse(
+    action: models.Refuse,
+    driver: ShardDriver,
+    number: int,
+) -> None:
+    """Hand a refusal to its entry."""
+    driver._outlet.refuse(action)
--- /dev/null
+++ b/nutmegtrail/daemons/sidecar_calls.py
@@ -0,0 +1,285 @@
+"""The calls of a sidecar: queued, run at the upstream and recorded."""
+
+import time
+import typing
+
+import anyio
+import anyio.abc
+
+from nutmegtrail.daemons import shard_driver
+from nutmegtrail.delivery import answers
+from nutmegtrail.delivery import const as delivery_const
+from nutmegtrail.idempotency import keys
+from nutmegtrail.idempotency import models as idempotency_models
+from nutmegtrail.limits import fair_queue
+from nutmegtrail.observability import logs
+from nutmegtrail.observability import metrics
+from nutmegtrail.ports import upstream as upstream_port
+from nutmegtrail.retries import models as retry_models
+from nutmegtrail.retries import const as retry_const
+from nutmegtrail.wire import models
+
+_Reason: typing.TypeAlias = retry_models.Reason
+_MILLISECONDS: typing.Final = 1_000
+
+
+class Calls:
+    """Runs calls; each is known by its request identifier."""
+
+    def __init__(
+        self,
+        name: str,
+        slots: int,
+        upstream: upstream_port.Upstream,
+        readings: metrics.Metrics,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Keep the collaborators; nothing runs yet."""
+        self.store = answers.AnswerStore()
+        self.shards: shard_driver.ShardDriver | None = None
+        self._name = name
+        self._upstream = upstream
+        self._metrics = readings
+        self._tasks = tasks
+        self._queue = fair_queue.Queue(slots)
+        self._calls_by_id: dict[str, models.Call] = {}
+        self._scopes_by_id: dict[str, anyio.CancelScope] = {}
+        self._crashes = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of calls that run or wait."""
+        return len(self._calls_by_id)
+
+    def accept(self, call: models.Call, post: answers.Post) -> None:
+        """Take a call, or join the recording of an earlier attempt."""
+        recording = self.store.get(call.request_id)
+        subscriber = answers.Subscriber(post, call.attempt)
+        if recording is not None:
+            recording.subscribe(subscriber, call.offset)
+            return
+        recording = self.store.open(call.request_id, call.offset)
+        recording.subscribe(subscriber, call.offset)
+        refusal = self._refusal(call)
+        if refusal is not None:
+            self._refuse(call.request_id, refusal)
+            return
+        self._calls_by_id[call.request_id] = call
+        if call.idempotency_key and self.shards is not None:
+            self._claim(call, self.shards)
+        else:
+            self._enqueue(call)
+
+    def bury(self, tombstone: models.Tombstone, post: answers.Post) -> None:
+        """Prove that a request is never run, or give its answer."""
+        recording = self.store.get(tombstone.request_id)
+        if recording is None:
+            recording = self.store.open(tombstone.request_id, 0)
+        recording.subscribe(answers.Subscriber(post, tombstone.attempt), 0)
+        if self.shards is None:
+            self._refuse(tombstone.request_id, _Reason.OUTCOME_UNKNOWN)
+            return
+        record_id = keys.record_id(
+            tombstone.client_account,
+            tombstone.target,
+            tombstone.idempotency_key,
+        )
+        buried = idempotency_models.TombstoneCall(
+            record_id,
+            tombstone.request_id,
+            tombstone.attempt,
+        )
+        event = idempotency_models.TombstoneRequested(buried)
+        self.shards.submit(record_id, event)
+
+    def cancel(self, request_id: str) -> None:
+        """Stop an idempotent call that nobody waits for any more."""
+        call = self._calls_by_id.get(request_id)
+        if call is None or not call.idempotent or call.idempotency_key:
+            return
+        scope = self._scopes_by_id.get(request_id)
+        if scope is not None:
+            scope.cancel()
+        self._leave(request_id)
+        self.store.drop(request_id)
+
+    def connection_lost(self, post: answers.Post) -> None:
+        """Forget a connection; what ran for it may still be picked up."""
+        for request_id in self.store.unsubscribe(post):
+            self._tasks.start_soon(self._cancel_later, request_id)
+
+    def run_claimed(self, run: idempotency_models.Run) -> None:
+        """Send a call whose claim is stored."""
+        call = self._calls_by_id[run.request_id]
+        self._tasks.start_soon(self._run_claimed, call, run.record_id)
+
+    def answer_claimed(self, action: idempotency_models.Answer) -> None:
+        """Give an attempt the answer of a claimed call."""
+        request_id = action.waiter.request_id
+        recording = self.store.get(request_id)
+        self._calls_by_id.pop(request_id, None)
+        if recording is not None and not recording.ended:
+            recording.start(action.answer.status, action.answer.content_type)
+            recording.append(action.answer.body)
+            recording.finish(time.monotonic())
+
+    def refuse_claimed(self, action: idempotency_models.Refuse) -> None:
+        """Refuse an attempt of a claimed call."""
+        self._calls_by_id.pop(action.waiter.request_id, None)
+        self._refuse(action.waiter.request_id, action.reason, action.owner)
+
+    def _refusal(self, call: models.Call) -> retry_models.Reason | None:
+        """Return why a call must not start here, None if it may."""
+        unkeyed = not call.idempotent and not call.idempotency_key
+        if unkeyed and call.attempt > 1:
+            return _Reason.OUTCOME_UNKNOWN
+        if call.suspect and self._runs_suspect():
+            return _Reason.OVERLOADED
+        return None
+
+    def _runs_suspect(self) -> bool:
+        """Return whether a request that was in flight at a crash runs."""
+        return any(call.suspect for call in self._calls_by_id.values())
+
+    def _claim(
+        self,
+        call: models.Call,
+        shards: shard_driver.ShardDriver,
+    ) -> None:
+        """Ask the shard of a keyed call for its claim."""
+        record_id = keys.record_id(
+            call.client_account,
+            call.target,
+            call.idempotency_key,
+        )
+        keyed = idempotency_models.KeyedCall(
+            record_id,
+            call.request_id,
+            call.attempt,
+            keys.body_digest(call),
+            time.time() + call.deadline_ms / _MILLISECONDS,
+        )
+        shards.submit(record_id, idempotency_models.CallArrived(keyed))
+
+    def _enqueue(self, call: models.Call) -> None:
+        """Queue a call for a slot of the upstream."""
+        arrival = fair_queue.Arrival(
+            call.request_id,
+            call.client_account,
+            call.priority,
+            call.share_weight,
+        )
+        self._follow(fair_queue.arrive(self._queue, arrival))
+
+    def _leave(self, request_id: str) -> None:
+        """Free a call's slot and start the next."""
+        if self._calls_by_id.pop(request_id, None) is not None:
+            self._follow(fair_queue.leave(self._queue, request_id))
+
+    def _follow(self, outcome: fair_queue.Outcome) -> None:
+        """Start and refuse what the queue decided."""
+        self._queue = outcome.queue
+        for request_id in outcome.started_ids:
+            call = self._calls_by_id[request_id]
+            self._tasks.start_soon(self._run, call)
+        for refused_id in outcome.refused_ids:
+            self._calls_by_id.pop(refused_id)
+            self._refuse(refused_id, _Reason.OVERLOADED)
+
+    async def _run(self, call: models.Call) -> None:
+        """Run a call that may be cancelled and repeated."""
+        recording = self.store.get(call.request_id)
+        if recording is None:
+            return
+        with anyio.CancelScope() as scope:
+            self._scopes_by_id[call.request_id] = scope
+            reason = await self._record(call, recording)
+            if reason is not None:
+                self._refuse(call.request_id, reason, self._crash_id(reason))
+        self._scopes_by_id.pop(call.request_id, None)
+        self._leave(call.request_id)
+
+    async def _record(
+        self,
+        call: models.Call,
+        recording: answers.Recording,
+    ) -> retry_models.Reason | None:
+        """Record the upstream's answer; return why it was cut, if it was."""
+        try:
+            async with self._upstream.open(call) as answer:
+                recording.start(answer.status, answer.content_type)
+                async for event in answer.events:
+                    recording.append(event)
+        except upstream_port.NotSent:
+            return _Reason.UNREACHABLE
+        except upstream_port.Interrupted:
+            return _Reason.CRASHED
+        recording.finish(time.monotonic())
+        return None
+
+    async def _run_claimed(self, call: models.Call, record_id: str) -> None:
+        """Run a call at most once; its claim is stored."""
+        event = await self._collect(call, record_id)
+        if self.shards is not None:
+            self.shards.submit(record_id, event)
+
+    async def _collect(
+        self,
+        call: models.Call,
+        record_id: str,
+    ) -> idempotency_models.Event:
+        """Return what became of a claimed call."""
+        body = bytearray()
+        try:
+            async with self._upstream.open(call) as answer:
+                status = answer.status
+                content_type = answer.content_type
+                async for part in answer.events:
+                    body.extend(part)
+        except upstream_port.NotSent:
+            return idempotency_models.UpstreamNotSent(record_id)
+        except upstream_port.Interrupted:
+            return idempotency_models.UpstreamInterrupted(record_id)
+        stored = idempotency_models.StoredAnswer(
+            status,
+            content_type,
+            bytes(body),
+        )
+        return idempotency_models.UpstreamAnswered(record_id, stored)
+
+    async def _cancel_later(self, request_id: str) -> None:
+        """Cancel a call unless an attempt asks for it again soon."""
+        await anyio.sleep(delivery_const.PICK_UP_SECONDS)
+        recording = self.store.get(request_id)
+        if recording is None or recording.ended or recording.watched:
+            return
+        self.cancel(request_id)
+
+    def _crash_id(self, reason: retry_models.Reason) -> str:
+        """Return the name under which a crash is counted once."""
+        if reason is not _Reason.CRASHED:
+            return ''
+        return f'{self._name}@{int(time.time())}'
+
+    def _refuse(
+        self,
+        request_id: str,
+        reason: retry_models.Reason,
+        owner: str = '',
+    ) -> None:
+        """Refuse a request; only a refusal for good is kept."""
+        self._metrics.count('refusals', reason.value)
+        logs.decision(
+            'sidecar:refused',
+            request_id=request_id,
+            upstream=self._name,
+            reason=reason.value,
+        )
+        recording = self.store.get(request_id)
+        if recording is None:
+            return
+        base_ms = round(retry_const.RETRY_AFTER_BASE_SECONDS * _MILLISECONDS)
+        recording.refuse(reason, time.monotonic(), base_ms, owner)
+        call = self._calls_by_id.get(request_id)
+        if call is None or call.idempotent or call.idempotency_key:
+            self.store.drop(request_id)
--- /dev/null
+++ b/nutmegtrail/daemons/sidecar_pool.py
@@ -0,0 +1,173 @@
+"""An entry's links to the sidecars and the calls that wait on them."""
+
+import collections.abc
+import functools
+import math
+import typing
+
+import anyio
+import anyio.abc
+import anyio.streams.memory
+
+from nutmegtrail import models as shared_models
+from nutmegtrail.adapters.peers import link
+from nutmegtrail.delivery import models as delivery_models
+from nutmegtrail.ports import host_list
+from nutmegtrail.retries import models as retry_models
+from nutmegtrail.wire import models
+
+Reply: typing.TypeAlias = (
+    models.Head | models.Chunk | models.Refusal | delivery_models.Lost
+)
+OnAck: typing.TypeAlias = collections.abc.Callable[
+    [str, models.HeartbeatAck], None
+]
+
+
+class PendingCall:
+    """The replies to the present attempt of a request."""
+
+    def __init__(self, request_id: str) -> None:
+        """Start without an attempt."""
+        self.request_id = request_id
+        self.attempt = 0
+        self.address: shared_models.Address | None = None
+        streams = anyio.create_memory_object_stream[Reply](math.inf)
+        self._sender = streams[0]
+        self._receiver = streams[1]
+
+    def put(self, reply: Reply) -> None:
+        """Queue a reply of the present attempt; drop a late one."""
+        lost = isinstance(reply, delivery_models.Lost)
+        if lost or getattr(reply, 'attempt', 0) == self.attempt:
+            self._sender.send_nowait(reply)
+
+    async def get(self) -> Reply:
+        """Return the next reply."""
+        return await self._receiver.receive()
+
+    def get_nowait(self) -> Reply | None:
+        """Return a reply that has arrived, or None."""
+        try:
+            return self._receiver.receive_nowait()
+        except anyio.WouldBlock:
+            return None
+
+    def restart(self, attempt: int, address: shared_models.Address) -> None:
+        """Forget the replies of earlier attempts."""
+        self.attempt = attempt
+        self.address = address
+        stale = self.get_nowait()
+        while stale is not None:
+            stale = self.get_nowait()
+
+    def close(self) -> None:
+        """Close the queue."""
+        self._sender.close()
+        self._receiver.close()
+
+
+class SidecarPool:
+    """Opens links as needed and matches replies to calls."""
+
+    def __init__(self, on_ack: OnAck, tasks: anyio.abc.TaskGroup) -> None:
+        """Start without links."""
+        self._on_ack = on_ack
+        self._tasks = tasks
+        self._links_by_address: dict[shared_models.Address, link.Link] = {}
+        self._pending_by_id: dict[str, PendingCall] = {}
+
+    def open(self, request_id: str) -> PendingCall:
+        """Return a pending call for a request."""
+        pending = PendingCall(request_id)
+        self._pending_by_id[request_id] = pending
+        return pending
+
+    def close(self, pending: PendingCall) -> None:
+        """Forget a request; later replies are dropped."""
+        self._pending_by_id.pop(pending.request_id, None)
+        pending.close()
+
+    async def send(
+        self,
+        host: host_list.Host,
+        pending: PendingCall,
+        message: models.Call | models.Tombstone,
+    ) -> None:
+        """Send an attempt; raise ConnectionLost where nothing was sent."""
+        chosen = self._link(host)
+        await chosen.start()
+        pending.restart(message.attempt, host.address)
+        chosen.post(message)
+
+    def cancel(self, pending: PendingCall) -> None:
+        """Tell the sidecar that nobody waits for a request any more."""
+        address = pending.address
+        chosen = None
+        if address is not None:
+            chosen = self._links_by_address.get(address)
+        if chosen is not None:
+            chosen.post(models.Cancel(pending.request_id, pending.attempt))
+
+    async def retain(
+        self,
+        addresses: collections.abc.Collection[shared_models.Address],
+    ) -> None:
+        """Close idle links to sidecars that are no longer listed."""
+        for address in tuple(self._links_by_address):
+            if address not in addresses and not self._is_busy(address):
+                await self._links_by_address.pop(address).close()
+
+    def _link(self, host: host_list.Host) -> link.Link:
+        """Return the link to a sidecar."""
+        present = self._links_by_address.get(host.address)
+        if present is not None:
+            return present
+        created = link.Link(
+            host.address,
+            functools.partial(self._receive, host.upstream),
+            functools.partial(self._lost, host.address),
+            functools.partial(self._is_busy, host.address),
+            self._tasks,
+        )
+        self._links_by_address[host.address] = created
+        return created
+
+    def _receive(self, upstream: str, message: models.Message) -> None:
+        """Match a reply to its call."""
+        if isinstance(message, models.HeartbeatAck):
+            self._on_ack(upstream, message)
+        elif isinstance(message, models.Head | models.Chunk | models.Refusal):
+            pending = self._pending_by_id.get(message.request_id)
+            if pending is not None:
+                pending.put(message)
+
+    def _lost(self, address: shared_models.Address) -> None:
+        """Wake the calls of a lost connection."""
+        for pending in self._pending_by_id.values():
+            if pending.address == address:
+                pending.put(delivery_models.Lost())
+
+    def _is_busy(self, address: shared_models.Address) -> bool:
+        """Return whether a call waits on a sidecar."""
+        return any(
+            pending.address == address
+            for pending in self._pending_by_id.values()
+        )
+
+
+def reason_of(refusal: models.Refusal) -> retry_models.Reason:
+    """Return the reason of a refusal; an unknown one proves nothing."""
+    try:
+        return retry_models.Reason(refusal.reason)
+    except ValueError:
+        return retry_models.Reason.OUTCOME_UNKNOWN
+
+
+def as_event(
+    reply: models.Refusal | delivery_models.Lost,
+) -> delivery_models.Event:
+    """Return a failed attempt as an event of its delivery."""
+    if isinstance(reply, delivery_models.Lost):
+        return reply
+    return delivery_models.Refused(reason_of(reply), reply.owner)
--- /dev/null
+++ b/nutmegtrail/daemons/upstream_selector.py
@@ -0,0 +1,207 @@
+"""An entry's choice of an upstream and what it learns from replies."""
+
+import collections.abc
+import time
+import typing
+
+from nutmegtrail.daemons import inbound
+from nutmegtrail.membership import view as membership_view
+from nutmegtrail.observability import logs
+from nutmegtrail.ports import host_list
+from nutmegtrail.retries import budget
+from nutmegtrail.retries import models as retry_models
+from nutmegtrail.retries import quarantine
+from nutmegtrail.routing import candidates
+from nutmegtrail.routing import load as load_estimate
+from nutmegtrail.routing import models as routing_models
+from nutmegtrail.wire import models
+
+OnMark: typing.TypeAlias = collections.abc.Callable[[models.CrashMark], None]
+
+
+class UpstreamSelector:
+    """Holds membership, load, retry budgets and crash marks."""
+
+    def __init__(
+        self,
+        revision: collections.abc.Callable[[], int],
+        on_mark: OnMark,
+    ) -> None:
+        """Start knowing no upstream."""
+        self.view = membership_view.View()
+        self._revision = revision
+        self._on_mark = on_mark
+        self._load = routing_models.Load()
+        self._quarantine = quarantine.Quarantine()
+        self._budgets_by_target: dict[str, budget.Budget] = {}
+
+    def select(
+        self,
+        request: inbound.Inbound,
+        preferred: str,
+        failed: frozenset[str],
+    ) -> host_list.Host | None:
+        """Return the sidecar to ask next and log why; None if none is left."""
+        now_seconds = time.monotonic()
+        hosts_by_upstream = {
+            host.upstream: host
+            for host in membership_view.upstreams_for(
+                self.view,
+                request.target,
+                now_seconds,
+            )
+            if host.upstream not in failed
+        }
+        choice = self._choose(
+            request,
+            preferred,
+            hosts_by_upstream,
+            now_seconds,
+        )
+        if choice is None:
+            return None
+        logs.decision(
+            'routing:chosen',
+            request_id=request.request_id,
+            client_account=request.caller.client_account,
+            target=request.target,
+            upstream=choice.upstream,
+            candidates=list(choice.candidates),
+            reason=choice.reason,
+            revision=self._revision(),
+        )
+        return hosts_by_upstream[choice.upstream]
+
+    def started(self, upstream: str) -> None:
+        """Count a request that was sent."""
+        self._load = load_estimate.started(self._load, upstream)
+
+    def ended(self, upstream: str) -> None:
+        """Count the end of a request."""
+        self._load = load_estimate.ended(self._load, upstream)
+
+    def refused(self, upstream: str) -> None:
+        """Avoid an upstream whose sidecar refused a connection."""
+        self.view = membership_view.refused(
+            self.view,
+            upstream,
+            time.monotonic(),
+        )
+
+    def acknowledged(self, upstream: str, ack: models.HeartbeatAck) -> None:
+        """Take a sidecar's report over."""
+        self._load = load_estimate.reported(
+            self._load,
+            upstream,
+            ack.in_flight,
+            time.monotonic(),
+        )
+        if ack.draining:
+            self.view = membership_view.drained(self.view, upstream)
+
+    def note_refusal(
+        self,
+        request: inbound.Inbound,
+        upstream: str,
+        refusal: models.Refusal,
+    ) -> None:
+        """Learn from a refusal about the upstream and the request."""
+        if refusal.reason == retry_models.Reason.DRAINING:
+            self.view = membership_view.drained(self.view, upstream)
+        elif refusal.reason == retry_models.Reason.UNREACHABLE:
+            self.refused(upstream)
+        elif refusal.reason == retry_models.Reason.CRASHED:
+            self.refused(upstream)
+            mark = models.CrashMark(_fingerprint(request), refusal.owner)
+            self.mark(mark)
+            self._on_mark(mark)
+
+    def mark(self, mark: models.CrashMark) -> None:
+        """Count a crash against a request."""
+        self._quarantine = quarantine.mark(
+            self._quarantine,
+            mark.fingerprint,
+            mark.crash_id,
+            time.monotonic(),
+        )
+
+    def is_suspect(self, request: inbound.Inbound) -> bool:
+        """Return whether a request was in flight at a crash."""
+        return quarantine.is_marked(
+            self._quarantine,
+            _fingerprint(request),
+            time.monotonic(),
+        )
+
+    def is_quarantined(self, request: inbound.Inbound) -> bool:
+        """Return whether a request is refused after its crashes."""
+        return quarantine.is_refused(
+            self._quarantine,
+            _fingerprint(request),
+            time.monotonic(),
+        )
+
+    def succeeded(self, request: inbound.Inbound) -> None:
+        """Learn from a whole answer."""
+        earned = self._budget(request.target)
+        self._budgets_by_target[request.target] = budget.succeeded(earned)
+        self._quarantine = quarantine.clear(
+            self._quarantine,
+            _fingerprint(request),
+        )
+
+    def spend_retry(self, target: str) -> bool:
+        """Return whether the budget allows a retry, and spend it."""
+        spent = budget.spend(self._budget(target))
+        if spent is None:
+            return False
+        self._budgets_by_target[target] = spent
+        return True
+
+    def sweep(self) -> None:
+        """Drop crash marks that have aged out."""
+        self._quarantine = quarantine.sweep(
+            self._quarantine,
+            time.monotonic(),
+        )
+
+    def _choose(
+        self,
+        request: inbound.Inbound,
+        preferred: str,
+        hosts_by_upstream: dict[str, host_list.Host],
+        now_seconds: float,
+    ) -> routing_models.Choice | None:
+        """Return the named upstream or the best candidate."""
+        if preferred in hosts_by_upstream:
+            return routing_models.Choice(preferred, (preferred,), 'named')
+        key = _routing_key(request)
+        if self.is_suspect(request):
+            key = _fingerprint(request)
+        return candidates.choose(
+            key,
+            tuple(hosts_by_upstream),
+            self._load,
+            now_seconds,
+        )
+
+    def _budget(self, target: str) -> budget.Budget:
+        """Return the retry budget of a target."""
+        return self._budgets_by_target.get(target, budget.Budget())
+
+
+def _routing_key(request: inbound.Inbound) -> str:
+    """Return the key by which like requests meet at an upstream."""
+    account = request.caller.client_account
+    if request.idempotency_key:
+        return f'{account}/{request.target}/{request.idempotency_key}'
+    return candidates.prefix_key(account, request.target, request.body)
+
+
+def _fingerprint(request: inbound.Inbound) -> str:
+    """Return the identity of a request across its repetitions."""
+    return quarantine.fingerprint(
+        request.caller.client_account,
+        request.target,
+        request.body,
+    )
--- /dev/null
+++ b/nutmegtrail/delivery/__init__.py
@@ -0,0 +1,1 @@
+"""Whole answers: kept by request, resumed at an offset, matched by attempt."""
--- /dev/null
+++ b/nutmegtrail/delivery/attempts.py
@@ -0,0 +1,147 @@
+"""Decisions on the next attempt of a request after a failed one."""
+
+import functools
+import typing
+
+from nutmegtrail.delivery import const
+from nutmegtrail.delivery import models
+from nutmegtrail.retries import models as retry_models
+
+_Reason: typing.TypeAlias = retry_models.Reason
+_FINAL: typing.Final = frozenset(
+    (_Reason.OUTCOME_UNKNOWN, _Reason.KEY_REUSED, _Reason.ALREADY_RUN),
+)
+_ELSEWHERE: typing.Final = frozenset(
+    (_Reason.DRAINING, _Reason.UNREACHABLE),
+)
+_FAILING: typing.Final = frozenset((_Reason.CRASHED, _Reason.INTERRUPTED))
+
+
+@functools.singledispatch
+def decide(
+    event: models.Event,
+    delivery: models.Delivery,
+) -> models.Decision:
+    """Return the next state of a delivery and the action to take."""
+    raise TypeError(f'unknown event {event!r}')
+
+
+def sent(delivery: models.Delivery, upstream: str) -> models.Delivery:
+    """Return the delivery after an attempt has been handed to a connection."""
+    return delivery._replace(
+        attempts=delivery.attempts + 1,
+        upstream=upstream,
+    )
+
+
+@decide.register
+def _not_sent(
+    event: models.NotSent,
+    delivery: models.Delivery,
+) -> models.Decision:
+    """Try elsewhere what can not have run."""
+    failed = _exclude(delivery)
+    if delivery.unresolved and not _repeatable(delivery):
+        return _give_up(failed, _Reason.NOT_RUN)
+    return _ask_again(failed, models.Ask(from_budget=True))
+
+
+@decide.register
+def _lost(
+    event: models.Lost,
+    delivery: models.Delivery,
+) -> models.Decision:
+    """Ask the same sidecar, which keeps its answers for pick-up."""
+    unresolved = delivery._replace(unresolved=True)
+    return _ask_again(unresolved, models.Ask(delivery.upstream))
+
+
+@decide.register
+def _refused(
+    event: models.Refused,
+    delivery: models.Delivery,
+) -> models.Decision:
+    """Follow the reason of a refusal."""
+    if event.reason in _FINAL:
+        return models.Decision(delivery, models.GiveUp(event.reason))
+    if event.reason in _FAILING:
+        return _after_failure(delivery)
+    if event.reason is _Reason.MOVED:
+        return _ask_again(delivery, models.Ask(event.owner))
+    if event.reason in _ELSEWHERE:
+        return _after_draining(delivery)
+    if event.reason is _Reason.OVERLOADED:
+        failed = _exclude(delivery)
+        return _ask_again(failed, models.Ask(from_budget=True), event.reason)
+    return _give_up(delivery, _Reason.NOT_RUN)
+
+
+@decide.register
+def _no_upstream(
+    event: models.NoUpstream,
+    delivery: models.Delivery,
+) -> models.Decision:
+    """Give up when nobody is left to ask."""
+    return _give_up(delivery, _Reason.NOT_RUN)
+
+
+@decide.register
+def _expired(
+    event: models.Expired,
+    delivery: models.Delivery,
+) -> models.Decision:
+    """Give up at the deadline; an attempt may still run."""
+    return _give_up(delivery._replace(unresolved=True), _Reason.NOT_RUN)
+
+
+def _after_failure(delivery: models.Delivery) -> models.Decision:
+    """Repeat an interrupted call only where that is harmless."""
+    if not delivery.idempotent:
+        unknown = models.GiveUp(_Reason.OUTCOME_UNKNOWN)
+        return models.Decision(delivery, unknown)
+    failed = _exclude(delivery)._replace(unresolved=True)
+    return _ask_again(failed, models.Ask(from_budget=True))
+
+
+def _after_draining(delivery: models.Delivery) -> models.Decision:
+    """Try elsewhere; the refusing sidecar did not run the attempt."""
+    failed = _exclude(delivery)
+    if delivery.unresolved and not _repeatable(delivery):
+        return _give_up(failed, _Reason.NOT_RUN)
+    return _ask_again(failed, models.Ask())
+
+
+def _ask_again(
+    delivery: models.Delivery,
+    ask: models.Ask,
+    reason: retry_models.Reason = retry_models.Reason.NOT_RUN,
+) -> models.Decision:
+    """Ask again unless the request has had all its attempts."""
+    if delivery.attempts >= const.ATTEMPT_LIMIT:
+        return _give_up(delivery, reason)
+    return models.Decision(delivery, ask)
+
+
+def _give_up(
+    delivery: models.Delivery,
+    reason: retry_models.Reason,
+) -> models.Decision:
+    """Say only what is certain; a keyed call can be proved not run."""
+    if delivery.started:
+        return models.Decision(delivery, models.GiveUp(_Reason.INTERRUPTED))
+    if not delivery.unresolved:
+        return models.Decision(delivery, models.GiveUp(reason))
+    if delivery.keyed:
+        return models.Decision(delivery, models.Prove())
+    return models.Decision(delivery, models.GiveUp(_Reason.OUTCOME_UNKNOWN))
+
+
+def _repeatable(delivery: models.Delivery) -> bool:
+    """Return whether a second attempt can not run the call twice."""
+    return delivery.idempotent or delivery.keyed
+
+
+def _exclude(delivery: models.Delivery) -> models.Delivery:
+    """Return the delivery without the upstream that failed."""
+    failed = delivery.failed_upstreams | {delivery.upstream}
+    return delivery._replace(failed_upstreams=failed)
--- /dev/null
+++ b/nutmegtrail/expert_map/__init__.py
@@ -0,0 +1,1 @@
+"""Expert placement and the agreed switch between expert maps."""
--- /dev/null
+++ b/nutmegtrail/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of non-idempotent calls."""
--- /dev/null
+++ b/nutmegtrail/idempotency/errors.py
@@ -0,0 +1,7 @@
+"""Errors of the claim logs."""
+
+from nutmegtrail import errors
+
+
+class LogDamaged(errors.NutmegtrailError):
+    """A stored claim log can not be read."""
--- /dev/null
+++ b/nutmegtrail/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits and shares that hold across all entries."""
--- /dev/null
+++ b/nutmegtrail/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live and leaving upstreams."""
--- /dev/null
+++ b/nutmegtrail/membership/view.py
@@ -0,0 +1,104 @@
+"""A node's view of the entries and upstreams that take work.
+
+The host list lags, so what the node itself has met goes before it: a
+draining reply removes an upstream at once, a refused connection removes
+it for a while.
+"""
+
+import typing
+
+import pyrsistent
+import pyrsistent.typing
+
+from nutmegtrail.membership import const
+from nutmegtrail.ports import host_list
+
+HostsByName: typing.TypeAlias = pyrsistent.typing.PMap[str, host_list.Host]
+TimesByName: typing.TypeAlias = pyrsistent.typing.PMap[str, float]
+
+
+class View(typing.NamedTuple):
+    """Listed hosts, draining upstreams and when suspicion of one ends."""
+
+    entries_by_host: HostsByName = pyrsistent.pmap()
+    sidecars_by_upstream: HostsByName = pyrsistent.pmap()
+    draining: frozenset[str] = frozenset()
+    suspected_until_by_upstream: TimesByName = pyrsistent.pmap()
+
+
+def listed(view: View, hosts: typing.Iterable[host_list.Host]) -> View:
+    """Return the view after a reading of the host list.
+
+    A draining upstream is forgotten once the list names another address.
+    """
+    entries = {}
+    sidecars = {}
+    for host in hosts:
+        if host.role == 'entry':
+            entries[host.host] = host
+        else:
+            sidecars[host.upstream] = host
+    replaced = frozenset(
+        upstream
+        for upstream in view.draining
+        if _address_changed(view, sidecars.get(upstream), upstream)
+    )
+    return view._replace(
+        entries_by_host=pyrsistent.pmap(entries),
+        sidecars_by_upstream=pyrsistent.pmap(sidecars),
+        draining=view.draining - replaced,
+    )
+
+
+def drained(view: View, upstream: str) -> View:
+    """Return the view after a sidecar said that it is draining."""
+    return view._replace(draining=view.draining | {upstream})
+
+
+def answered(view: View, upstream: str) -> View:
+    """Return the view after a sidecar took work again."""
+    if upstream not in view.draining:
+        return view
+    return view._replace(draining=view.draining - {upstream})
+
+
+def refused(view: View, upstream: str, now_seconds: float) -> View:
+    """Return the view after a connection to a sidecar failed."""
+    until = now_seconds + const.SUSPECT_SECONDS
+    suspected = view.suspected_until_by_upstream.set(upstream, until)
+    return view._replace(suspected_until_by_upstream=suspected)
+
+
+def upstreams_for(
+    view: View,
+    target: str,
+    now_seconds: float,
+) -> tuple[host_list.Host, ...]:
+    """Return the sidecars whose upstreams take work for a target."""
+    return tuple(
+        host
+        for upstream, host in view.sidecars_by_upstream.items()
+        if host.target == target
+        and not host.leaving
+        and upstream not in view.draining
+        and view.suspected_until_by_upstream.get(upstream, 0) <= now_seconds
+    )
+
+
+def serves(view: View, target: str) -> bool:
+    """Return whether any upstream of the target is listed."""
+    return any(
+        host.target == target for host in view.sidecars_by_upstream.values()
+    )
+
+
+def _address_changed(
+    view: View,
+    host: host_list.Host | None,
+    upstream: str,
+) -> bool:
+    """Return whether the list names a new process for an upstream."""
+    before = view.sidecars_by_upstream.get(upstream)
+    if host is None or before is None:
+        return True
+    return host.address != before.address
--- /dev/null
+++ b/nutmegtrail/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/nutmegtrail/observability/metrics.py
@@ -0,0 +1,82 @@
+"""Counters and histograms of a process, printed as text."""
+
+import collections
+
+import hdrh.histogram
+
+from nutmegtrail.observability import const
+
+
+class Metrics:
+    """Counters by name and label, and histograms of durations by name."""
+
+    def __init__(self) -> None:
+        """Start with everything at zero."""
+        self._counts_by_name: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._gauges_by_name: dict[str, float] = {}
+        self._histograms_by_name: dict[str, hdrh.histogram.HdrHistogram] = {}
+
+    def count(self, name: str, label: str = '', amount: int = 1) -> None:
+        """Add to a counter."""
+        self._counts_by_name[name, label] += amount
+
+    def gauge(self, name: str, reading: float) -> None:
+        """Set a gauge."""
+        self._gauges_by_name[name] = reading
+
+    def observe_seconds(self, name: str, seconds: float) -> None:
+        """Add a duration to a histogram."""
+        histogram = self._histograms_by_name.get(name)
+        if histogram is None:
+            histogram = hdrh.histogram.HdrHistogram(
+                const.LOWEST_MICROSECONDS,
+                const.HIGHEST_MICROSECONDS,
+                const.SIGNIFICANT_DIGITS,
+            )
+            self._histograms_by_name[name] = histogram
+        microseconds = int(seconds * const.MICROSECONDS_PER_SECOND)
+        histogram.record_value(max(microseconds, const.LOWEST_MICROSECONDS))
+
+    def render(self) -> str:
+        """Return all readings in the Prometheus text format."""
+        lines = [
+            *self._render_counters(),
+            *(
+                f'nutmegtrail_{name} {reading}'
+                for name, reading in sorted(self._gauges_by_name.items())
+            ),
+        ]
+        for name, histogram in sorted(self._histograms_by_name.items()):
+            lines.extend(_render_histogram(name, histogram))
+        return ''.join(f'{line}\n' for line in lines)
+
+    def _render_counters(self) -> list[str]:
+        """Return a line for each counter."""
+        return [
+            f'nutmegtrail_{name}_total{_label(label)} {count}'
+            for (name, label), count in sorted(self._counts_by_name.items())
+        ]
+
+
+def _label(label: str) -> str:
+    """Return a counter's label in braces."""
+    return f'{{kind="{label}"}}' if label else ''
+
+
+def _render_histogram(
+    name: str,
+    histogram: hdrh.histogram.HdrHistogram,
+) -> list[str]:
+    """Return a line for each percentile and one for the count."""
+    lines = []
+    for percentile in const.PERCENTILES:
+        microseconds = histogram.get_value_at_percentile(percentile)
+        seconds = microseconds / const.MICROSECONDS_PER_SECOND
+        quantile = percentile / const.PERCENT
+        lines.append(
+            f'nutmegtrail_{name}_seconds{{quantile="{quantile}"}} {seconds}',
+        )
+    lines.append(f'nutmegtrail_{name}_seconds_count {histogram.total_count}')
+    return lines
--- /dev/null
+++ b/nutmegtrail/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to everything outside the decisions."""
--- /dev/null
+++ b/nutmegtrail/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets, delivery state and quarantine of crashing requests."""
--- /dev/null
+++ b/nutmegtrail/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of an upstream for a request."""
--- /dev/null
+++ b/nutmegtrail/routing/candidates.py
@@ -0,0 +1,55 @@
+"""Choice of an upstream by prompt prefix under a load bound."""
+
+import typing
+
+import xxhash
+
+from nutmegtrail.routing import const
+from nutmegtrail.routing import load as load_estimate
+from nutmegtrail.routing import models
+
+
+def prefix_key(client_account: str, target: str, prompt: bytes) -> str:
+    """Return the key under which requests share a cached prefix."""
+    prefix = prompt[: const.PREFIX_BYTES]
+    digest = xxhash.xxh3_64_hexdigest(prefix)
+    return f'{client_account}/{target}/{digest}'
+
+
+def rank(key: str, names: typing.Iterable[str]) -> tuple[str, ...]:
+    """Return names by rendezvous hash, the same order in every process."""
+    return tuple(
+        sorted(
+            names,
+            key=lambda name: xxhash.xxh3_64_intdigest(f'{key}|{name}'.encode()),
+            reverse=True,
+        ),
+    )
+
+
+def choose(
+    key: str,
+    upstreams: typing.Collection[str],
+    load: models.Load,
+    now_seconds: float,
+) -> models.Choice | None:
+    """Return the first candidate within the load bound, or None if none.
+
+    A hot prefix spills to its next candidate; where all candidates are
+    over the bound, the least loaded upstream of all is taken.
+    """
+    if not upstreams:
+        return None
+    load_by_upstream = {
+        upstream: load_estimate.estimate(load, upstream, now_seconds)
+        for upstream in upstreams
+    }
+    mean = sum(load_by_upstream.values()) / len(load_by_upstream)
+    bound = mean * const.LOAD_BOUND + const.LOAD_SLACK
+    candidates = rank(key, upstreams)[: const.CANDIDATES]
+    for place, candidate in enumerate(candidates):
+        if load_by_upstream[candidate] <= bound:
+            reason = 'prefix' if place == 0 else 'spill'
+            return models.Choice(candidate, candidates, reason)
+    least = min(upstreams, key=load_by_upstream.__getitem__)
+    return models.Choice(least, candidates, 'least-loaded')
--- /dev/null
+++ b/nutmegtrail/routing/const.py
@@ -0,0 +1,9 @@
+"""Parameters of the choice of an upstream."""
+
+import typing
+
+CANDIDATES: typing.Final = 3
+PREFIX_BYTES: typing.Final = 512
+LOAD_BOUND: typing.Final = 1.25
+LOAD_SLACK: typing.Final = 1.0
+REPORT_LAG_SECONDS: typing.Final = 2.0
--- /dev/null
+++ b/nutmegtrail/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Small replacements of the platform for tests and demonstrations."""
--- /dev/null
+++ b/nutmegtrail/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the processes of the system."""
