--- a/nutmegtrail/daemons/sidecar_calls.py
+++ b/nutmegtrail/daemons/sidecar_calls.py
@@ -72,12 +72,18 @@
 
     def bury(self, tombstone: models.Tombstone, post: answers.Post) -> None:
         """Prove that a request is never run, or give its answer."""
-        recording = self.store.get(tombstone.request_id)
-        if recording is None:
-            recording = self.store.open(tombstone.request_id, 0)
+        waiter = idempotency_models.Waiter(
+            tombstone.request_id,
+            tombstone.attempt,
+        )
+        recording = self.store.open(
+            tombstone.request_id,
+            0,
+            _tombstone_name(waiter),
+        )
         recording.subscribe(answers.Subscriber(post, tombstone.attempt), 0)
         if self.shards is None:
-            self._refuse(tombstone.request_id, _Reason.OUTCOME_UNKNOWN)
+            self._refuse_waiter(waiter, _Reason.OUTCOME_UNKNOWN)
             return
         record_id = keys.record_id(
             tombstone.client_account,
@@ -115,9 +121,8 @@
 
     def answer_claimed(self, action: idempotency_models.Answer) -> None:
         """Give an attempt the answer of a claimed call."""
-        request_id = action.waiter.request_id
-        recording = self.store.get(request_id)
-        self._calls_by_id.pop(request_id, None)
+        recording = self._recording_for(action.waiter)
+        self._calls_by_id.pop(action.waiter.request_id, None)
         if recording is not None and not recording.ended:
             recording.start(action.answer.status, action.answer.content_type)
             recording.append(action.answer.body)
@@ -125,8 +130,31 @@
 
     def refuse_claimed(self, action: idempotency_models.Refuse) -> None:
         """Refuse an attempt of a claimed call."""
-        self._calls_by_id.pop(action.waiter.request_id, None)
-        self._refuse(action.waiter.request_id, action.reason, action.owner)
+        self._refuse_waiter(action.waiter, action.reason, action.owner)
+
+    def _recording_for(
+        self,
+        waiter: idempotency_models.Waiter,
+    ) -> answers.Recording | None:
+        """Return the recording of a demand for a tombstone or of a call."""
+        buried = self.store.get(_tombstone_name(waiter))
+        return buried or self.store.get(waiter.request_id)
+
+    def _refuse_waiter(
+        self,
+        waiter: idempotency_models.Waiter,
+        reason: retry_models.Reason,
+        owner: str = '',
+    ) -> None:
+        """Refuse a demand for a tombstone, or a call with all its attempts."""
+        name = _tombstone_name(waiter)
+        buried = self.store.get(name)
+        if buried is None:
+            self._calls_by_id.pop(waiter.request_id, None)
+            self._refuse(waiter.request_id, reason, owner)
+            return
+        buried.refuse(reason, time.monotonic(), 0, owner)
+        self.store.drop(name)
 
     def _refusal(self, call: models.Call) -> retry_models.Reason | None:
         """Return why a call must not start here, None if it may."""
@@ -283,3 +311,8 @@
         call = self._calls_by_id.get(request_id)
         if call is None or call.idempotent or call.idempotency_key:
             self.store.drop(request_id)
+
+
+def _tombstone_name(waiter: idempotency_models.Waiter) -> str:
+    """Return the name under which a tombstone's outcome is recorded."""
+    return f'{waiter.request_id}#{waiter.attempt}'
--- a/nutmegtrail/delivery/answers.py
+++ b/nutmegtrail/delivery/answers.py
@@ -145,15 +145,20 @@
         """Return the recording of a request."""
         return self._recordings_by_id.get(request_id)
 
-    def open(self, request_id: str, first_offset: int) -> Recording:
-        """Return a new recording of a request."""
+    def open(
+        self,
+        request_id: str,
+        first_offset: int,
+        name: str = '',
+    ) -> Recording:
+        """Return a new recording, by default under the request's name."""
         recording = Recording(request_id, first_offset)
-        self._recordings_by_id[request_id] = recording
+        self._recordings_by_id[name or request_id] = recording
         return recording
 
-    def drop(self, request_id: str) -> None:
-        """Forget a request, so that a later attempt starts afresh."""
-        self._recordings_by_id.pop(request_id, None)
+    def drop(self, name: str) -> None:
+        """Forget a recording, so that a later attempt starts afresh."""
+        self._recordings_by_id.pop(name, None)
 
     def unsubscribe(self, post: Post) -> tuple[str, ...]:
         """Forget a lost connection; return the requests nobody waits for."""
@@ -171,13 +176,13 @@
             recording.size_bytes
             for recording in self._recordings_by_id.values()
         )
-        for recording in tuple(self._recordings_by_id.values()):
+        for name, recording in tuple(self._recordings_by_id.items()):
             ended_at = recording.ended_at_seconds
             if ended_at is None:
                 continue
             if ended_at < oldest or total > const.ANSWER_BYTES_LIMIT:
                 total -= recording.size_bytes
-                self.drop(recording.request_id)
+                self.drop(name)
 
 
 def _readdress(message: models.Message, attempt: int) -> models.Message:
--- a/nutmegtrail/idempotency/admission.py
+++ b/nutmegtrail/idempotency/admission.py
@@ -17,6 +17,8 @@
     waiter = models.Waiter(call.request_id, call.attempt)
     if call.request_id in shard.log.tombstones_by_request_id:
         return _refused(shard, waiter, retry_models.Reason.NOT_RUN)
+    if _is_being_buried(shard, call.request_id):
+        return _refused(shard, waiter, retry_models.Reason.OUTCOME_UNKNOWN)
     record = shard.log.records_by_id.get(call.record_id)
     pending = _pending_claim(shard, call.record_id)
     known_digest = _known_digest(record, pending)
@@ -174,6 +176,15 @@
     return answer._replace(body=b'', kept=False)
 
 
+def _is_being_buried(shard: models.Shard, request_id: str) -> bool:
+    """Return whether a tombstone for a request waits or is being stored."""
+    in_flight = () if shard.in_flight is None else shard.in_flight.tombstones
+    return any(
+        tombstone.request_id == request_id
+        for tombstone in (*in_flight, *shard.tombstones)
+    )
+
+
 def _known_digest(
     record: models.Record | None,
     pending: models.KeyedCall | None,
