Answer known keys from memory in an outage; say not-run of keys, not calls

Cause: (1) a sidecar cut off from the key-value service with a valid lease refused every waiting call as not-run, also one whose key its memory held; (2) a stored tombstone answered not-run although another request had claimed the same key in the same batch. Found by the pair {answer lost, cut off} and the triple {killed after, upstream refused, cut off} once the matrix had a fault that cuts off one sidecar while its lease lives. Ruled out: shorter leases (the lease was truly valid); refusing all calls in an outage as unknown (it would be untrue caution where proof exists). Change: calls in an outage are recalled from the log, the completions that wait and the calls that run; a tombstone's answer follows the key's record. benchmarks/guards.py removes ten guards one by one in scratch copies.

--- /dev/null
+++ b/benchmarks/guards.py
@@ -0,0 +1,144 @@
+"""Removes guards one by one in a scratch copy and runs the tests there.
+
+A guard whose removal leaves the tests green is not proved by them.
+"""
+
+import concurrent.futures
+import pathlib
+import shutil
+import subprocess  # noqa: S404
+import sys
+import tempfile
+import typing
+
+_ROOT: typing.Final = pathlib.Path(__file__).parents[1]
+_SHARD: typing.Final = 'nutmegtrail/idempotency/shard.py'
+_ADMISSION: typing.Final = 'nutmegtrail/idempotency/admission.py'
+_CLAIMS: typing.Final = 'tests/idempotency'
+_WORKERS: typing.Final = 4
+
+
+class Guard(typing.NamedTuple):
+    """A line that upholds a promise, and what stands in its place."""
+
+    name: str
+    file: str
+    present: str
+    removed: str
+    tests: str
+
+
+_WORLD: typing.Final = 'tests/idempotency/world.py'
+GUARDS: typing.Final = (
+    Guard(
+        'compare of the stored log',
+        _WORLD,
+        'matches = action.expected_revision == self._revision',
+        'matches = True',
+        _CLAIMS,
+    ),
+    Guard(
+        'lease of the present owner',
+        _SHARD,
+        'if event.owner_live:',
+        'if False:',
+        _CLAIMS,
+    ),
+    Guard(
+        'lease before not-run in an outage',
+        _SHARD,
+        'if owned and context.lease_valid:',
+        'if True:',
+        _CLAIMS,
+    ),
+    Guard(
+        'certainty after a lapse',
+        _SHARD,
+        'owned = shard.certain and',
+        'owned =',
+        _CLAIMS,
+    ),
+    Guard(
+        'waiter and deadline before a run',
+        _ADMISSION,
+        'if waiters and claim.deadline_seconds > context.now_seconds:',
+        'if True:',
+        _CLAIMS,
+    ),
+    Guard(
+        'batch identifier after a lost answer',
+        _SHARD,
+        'if admission.took_effect(batch, event.log, shard.me):',
+        'if True:',
+        _CLAIMS,
+    ),
+    Guard(
+        'stored claim before a new one',
+        _ADMISSION,
+        'if record is not None and record.status is not '
+        'models.Status.ABANDONED:\n        return _answer_from(shard, record, '
+        'waiter)\n    claimed',
+        'claimed',
+        _CLAIMS,
+    ),
+    Guard(
+        'stored tombstone before a claim',
+        _ADMISSION,
+        'if call.request_id in shard.log.tombstones_by_request_id:',
+        'if False:',
+        _CLAIMS,
+    ),
+    Guard(
+        'tombstone in the same batch',
+        _ADMISSION,
+        'if _is_being_buried(shard, call.request_id):',
+        'if False:',
+        _CLAIMS,
+    ),
+    Guard(
+        'read back after a lost answer',
+        _SHARD,
+        'shard._replace(role=models.Role.READING),\n'
+        '        (models.ReadShard(),),\n    )\n\n\n'
+        '@decide.register\ndef _upstream_answered',
+        'shard._replace(role=models.Role.READING),\n'
+        '        (),\n    )\n\n\n'
+        '@decide.register\ndef _upstream_answered',
+        _CLAIMS,
+    ),
+)
+
+
+def main() -> int:
+    """Print a line for each guard; return 1 if a removal stays green."""
+    with concurrent.futures.ThreadPoolExecutor(_WORKERS) as pool:
+        outcomes = list(pool.map(_is_red, GUARDS))
+    for guard, red in zip(GUARDS, outcomes, strict=True):
+        print(f'{"red" if red else "GREEN"}: without {guard.name}')
+    return 0 if all(outcomes) else 1
+
+
+def _is_red(guard: Guard) -> bool:
+    """Return whether the tests fail without a guard."""
+    with tempfile.TemporaryDirectory() as folder:
+        scratch = pathlib.Path(folder)
+        for name in ('nutmegtrail', 'tests'):
+            shutil.copytree(_ROOT / name, scratch / name)
+        shutil.copy(_ROOT / 'pyproject.toml', scratch)
+        path = scratch / guard.file
+        text = path.read_text()
+        if guard.present not in text:
+            raise LookupError(f'{guard.name}: not found in {guard.file}')
+        path.write_text(text.replace(guard.present, guard.removed, 1))
+        done = subprocess.run(  # noqa: S603
+            (sys.executable, '-m', 'pytest', '-x', guard.tests),
+            cwd=scratch,
+            env={'PYTHONPATH': str(scratch)},
+            check=False,
+            capture_output=True,
+        )
+    return done.returncode == 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/nutmegtrail/idempotency/admission.py
+++ b/nutmegtrail/idempotency/admission.py
@@ -19,7 +19,7 @@
         return _refused(shard, waiter, retry_models.Reason.NOT_RUN)
     if _is_being_buried(shard, call.request_id):
         return _refused(shard, waiter, retry_models.Reason.OUTCOME_UNKNOWN)
-    record = shard.log.records_by_id.get(call.record_id)
+    record = _latest_record(shard, call.record_id)
     pending = _pending_claim(shard, call.record_id)
     known_digest = _known_digest(record, pending)
     if known_digest not in {'', call.body_digest}:
@@ -32,13 +32,30 @@
     return models.Decision(claimed._replace(claims=(*shard.claims, call)))
 
 
+def recall(
+    shard: models.Shard,
+    call: models.KeyedCall,
+    reason: retry_models.Reason,
+) -> models.Decision:
+    """Answer a call from memory while the log can not be reached."""
+    waiter = models.Waiter(call.request_id, call.attempt)
+    record = _latest_record(shard, call.record_id)
+    if record is None or record.status is models.Status.ABANDONED:
+        return _refused(shard, waiter, reason)
+    if record.body_digest != call.body_digest:
+        return _refused(shard, waiter, retry_models.Reason.KEY_REUSED)
+    if call.record_id in shard.running_by_id:
+        return models.Decision(_add_waiter(shard, call.record_id, waiter))
+    return _answer_from(shard, record, waiter)
+
+
 def bury(
     shard: models.Shard,
     tombstone: models.TombstoneCall,
 ) -> models.Decision:
     """Answer from the log, or queue proof that a request never runs."""
     waiter = models.Waiter(tombstone.request_id, tombstone.attempt)
-    record = shard.log.records_by_id.get(tombstone.record_id)
+    record = _latest_record(shard, tombstone.record_id)
     in_flight = () if shard.in_flight is None else shard.in_flight.claims
     if any(claim.record_id == tombstone.record_id for claim in in_flight):
         return _refused(shard, waiter, retry_models.Reason.OUTCOME_UNKNOWN)
@@ -56,6 +73,26 @@
     return models.Decision(buried)
 
 
+def answer_tombstones(
+    shard: models.Shard,
+    tombstones: tuple[models.TombstoneCall, ...],
+) -> tuple[models.Action, ...]:
+    """Return the answers to stored tombstones.
+
+    A key that another request has claimed meanwhile is not "not run".
+    """
+    actions: list[models.Action] = []
+    for tombstone in tombstones:
+        waiter = models.Waiter(tombstone.request_id, tombstone.attempt)
+        record = _latest_record(shard, tombstone.record_id)
+        if record is None or record.status is models.Status.ABANDONED:
+            refusal = models.Refuse(waiter, retry_models.Reason.NOT_RUN)
+            actions.append(refusal)
+        else:
+            actions.extend(_answer_from(shard, record, waiter).actions)
+    return tuple(actions)
+
+
 def has_work(shard: models.Shard) -> bool:
     """Return whether anything waits for an append."""
     return bool(shard.claims or shard.tombstones or shard.updates)
@@ -176,6 +213,18 @@
     return answer._replace(body=b'', kept=False)
 
 
+def _latest_record(
+    shard: models.Shard,
+    record_id: str,
+) -> models.Record | None:
+    """Return what is known of a key, stored or still to be stored."""
+    in_flight = () if shard.in_flight is None else shard.in_flight.updates
+    for update in (*shard.updates, *in_flight):
+        if update.record_id == record_id:
+            return update
+    return shard.log.records_by_id.get(record_id)
+
+
 def _is_being_buried(shard: models.Shard, request_id: str) -> bool:
     """Return whether a tombstone for a request waits or is being stored."""
     in_flight = () if shard.in_flight is None else shard.in_flight.tombstones
--- a/nutmegtrail/idempotency/shard.py
+++ b/nutmegtrail/idempotency/shard.py
@@ -81,20 +81,12 @@
     shard: models.Shard,
     context: models.Context,
 ) -> models.Decision:
-    """Refuse what waits; an append with a lost answer stays unresolved."""
-    reason = _outage_reason(shard, context)
-    refusals = _refuse_all(shard, reason)
-    emptied = shard._replace(
-        role=models.Role.UNOWNED,
-        calls=(),
-        claims=(),
-        tombstones=(),
-        waiters_by_id=_running_waiters(shard),
-    )
+    """Answer what waits; an append with a lost answer stays unresolved."""
+    decision = _answer_in_outage(shard, context)
+    emptied = decision.shard._replace(role=models.Role.UNOWNED)
     if shard.in_flight is None and not shard.updates:
-        return models.Decision(emptied, refusals)
-    retry = models.ScheduleAppend(const.APPEND_BACKOFF_SECONDS)
-    return models.Decision(emptied._replace(scheduled=True), (*refusals, retry))
+        return models.Decision(emptied, decision.actions)
+    return _retry_later(emptied, decision.actions)
 
 
 @decide.register
@@ -144,21 +136,15 @@
     shard: models.Shard,
     context: models.Context,
 ) -> models.Decision:
-    """Refuse the calls that wait for a claim; retry completions later."""
+    """Answer the calls that wait for a claim; retry completions later."""
     acquiring = shard.role is models.Role.ACQUIRING
-    requeued = _requeue(shard)
-    refusals = _refuse_all(requeued, _outage_reason(shard, context))
-    emptied = requeued._replace(
-        role=models.Role.UNOWNED if acquiring else requeued.role,
-        calls=(),
-        claims=(),
-        tombstones=(),
-        waiters_by_id=_running_waiters(requeued),
-    )
+    decision = _answer_in_outage(_requeue(shard), context)
+    emptied = decision.shard
+    if acquiring:
+        emptied = emptied._replace(role=models.Role.UNOWNED)
     if not emptied.updates:
-        return models.Decision(emptied, refusals)
-    retry = models.ScheduleAppend(const.APPEND_BACKOFF_SECONDS)
-    return models.Decision(emptied._replace(scheduled=True), (*refusals, retry))
+        return models.Decision(emptied, decision.actions)
+    return _retry_later(emptied, decision.actions)
 
 
 @decide.register
@@ -329,13 +315,7 @@
             models.Decision(stored._replace(role=models.Role.UNOWNED)),
         )
     started = admission.start_claims(stored, batch.claims, context)
-    buried = _refuse(
-        tuple(
-            models.Waiter(tombstone.request_id, tombstone.attempt)
-            for tombstone in batch.tombstones
-        ),
-        retry_models.Reason.NOT_RUN,
-    )
+    buried = admission.answer_tombstones(stored, batch.tombstones)
     served = _serve(started.shard, context)
     return models.Decision(
         served.shard,
@@ -415,6 +395,40 @@
     )
 
 
+def _answer_in_outage(
+    shard: models.Shard,
+    context: models.Context,
+) -> models.Decision:
+    """Answer from memory what is known and refuse the rest."""
+    reason = _outage_reason(shard, context)
+    refusals = _refuse_all(shard._replace(calls=()), reason)
+    refused = {refusal.waiter for refusal in refusals}
+    emptied = shard._replace(
+        calls=(),
+        claims=(),
+        tombstones=(),
+        waiters_by_id=_running_waiters(shard),
+    )
+    actions: tuple[models.Action, ...] = refusals
+    for call in shard.calls:
+        if models.Waiter(call.request_id, call.attempt) in refused:
+            continue
+        decision = admission.recall(emptied, call, reason)
+        emptied = decision.shard
+        actions += decision.actions
+    return models.Decision(emptied, actions)
+
+
+def _retry_later(
+    shard: models.Shard,
+    actions: tuple[models.Action, ...],
+) -> models.Decision:
+    """Ask for another append after a pause."""
+    retry = models.ScheduleAppend(const.APPEND_BACKOFF_SECONDS)
+    scheduled = shard._replace(scheduled=True)
+    return models.Decision(scheduled, (*actions, retry))
+
+
 def _outage_reason(
     shard: models.Shard,
     context: models.Context,
--- a/tests/idempotency/test_matrix.py
+++ b/tests/idempotency/test_matrix.py
@@ -38,11 +38,11 @@
 
 def fault_pairs() -> list[dict[int, str]]:
     """Return all pairs of faults at two steps."""
+    steps = itertools.combinations(range(1, _STEPS + 1), 2)
+    faults = tuple(itertools.product(world.FAULTS[1:], repeat=2))
     return [
-        {first: one, second: two}
-        for first, second in itertools.combinations(range(1, _STEPS + 1), 2)
-        for one in world.FAULTS[1:]
-        for two in world.FAULTS[1:]
+        dict(zip(pair, kinds, strict=True))
+        for pair, kinds in itertools.product(steps, faults)
     ]
 
 
--- a/tests/idempotency/world.py
+++ b/tests/idempotency/world.py
@@ -21,6 +21,7 @@
     'request-lost',
     'unavailable',
     'outage',
+    'cut-off',
     'late',
     'killed-before',
     'killed-after',
@@ -170,6 +171,7 @@
         self._queue: collections.deque[Pending] = collections.deque()
         self._paused: list[Pending] = []
         self._paused_names: set[str] = set()
+        self._cut_names: set[str] = set()
         self._callers_by_id: dict[str, Caller] = {}
         self._ran_requests: set[str] = set()
         self._not_run_requests: set[str] = set()
@@ -199,6 +201,7 @@
         """End all faults, wake the paused, finish what is left."""
         self._calm = True
         self._outage = False
+        self._cut_names.clear()
         self.run()
         self._paused_names.clear()
         self._queue.extend(self._paused)
@@ -258,6 +261,8 @@
             self._entry_notices(name)
             return
         self._outage = self._outage or fault == 'outage'
+        if fault == 'cut-off':
+            self._cut_names.add(name)
         _perform(pending.action, self, name, fault)
         if fault == 'killed-after':
             self._kill(name)
@@ -297,9 +302,13 @@
         incarnation = self._shards_by_name[name].me.incarnation
         self._paused.append(Pending(name, incarnation, action))
 
+    def _is_cut(self, name: str) -> bool:
+        """Return whether a sidecar can not reach the stored log."""
+        return self._outage or name in self._cut_names
+
     def _read(self, name: str, fault: str) -> None:
         """Read the stored log."""
-        if self._outage or fault in _READ_FAULTS:
+        if self._is_cut(name) or fault in _READ_FAULTS:
             self._apply(name, models.ReadFailed())
             return
         log = models.Log()
@@ -315,7 +324,7 @@
 
     def _append(self, name: str, action: models.Append, fault: str) -> None:
         """Store a log by compare-and-swap."""
-        if self._outage or fault == 'unavailable':
+        if self._is_cut(name) or fault == 'unavailable':
             self._apply(name, models.AppendUnavailable())
             return
         if fault == 'request-lost':
