--- a/nutmegtrail/configuration/editing.py
+++ b/nutmegtrail/configuration/editing.py
@@ -132,10 +132,11 @@
         if found.is_error():
             continue
         document = found.ok
+        revision = 0 if document is None else document.revision
         known_ids = {change.edit_id for change in history_of(document)}
-        if document is not None and edit.change.edit_id in known_ids:
-            return expression.Ok(document.revision)
-        if document is not None and document.revision == edit.base_revision:
+        if edit.change.edit_id in known_ids:
+            return expression.Ok(revision)
+        if revision == edit.base_revision:
             return expression.Error(
                 errors.EditUnknown(
                     'the answer was lost and the edit is not stored yet; '
--- a/nutmegtrail/delivery/attempts.py
+++ b/nutmegtrail/delivery/attempts.py
@@ -41,8 +41,6 @@
 ) -> models.Decision:
     """Try elsewhere what can not have run."""
     failed = _exclude(delivery)
-    if delivery.unresolved and not _repeatable(delivery):
-        return _give_up(failed, _Reason.NOT_RUN)
     return _ask_again(failed, models.Ask(from_budget=True))
 
 
@@ -69,7 +67,7 @@
     if event.reason is _Reason.MOVED:
         return _ask_again(delivery, models.Ask(event.owner))
     if event.reason in _ELSEWHERE:
-        return _after_draining(delivery)
+        return _ask_again(_exclude(delivery), models.Ask())
     if event.reason is _Reason.OVERLOADED:
         failed = _exclude(delivery)
         return _ask_again(failed, models.Ask(from_budget=True), event.reason)
@@ -103,21 +101,15 @@
     return _ask_again(failed, models.Ask(from_budget=True))
 
 
-def _after_draining(delivery: models.Delivery) -> models.Decision:
-    """Try elsewhere; the refusing sidecar did not run the attempt."""
-    failed = _exclude(delivery)
-    if delivery.unresolved and not _repeatable(delivery):
-        return _give_up(failed, _Reason.NOT_RUN)
-    return _ask_again(failed, models.Ask())
-
-
 def _ask_again(
     delivery: models.Delivery,
     ask: models.Ask,
     reason: retry_models.Reason = retry_models.Reason.NOT_RUN,
 ) -> models.Decision:
-    """Ask again unless the request has had all its attempts."""
-    if delivery.attempts >= const.ATTEMPT_LIMIT:
+    """Ask again where another attempt is left and can not run it twice."""
+    elsewhere = ask.upstream != delivery.upstream
+    doubtful = delivery.unresolved and not _repeatable(delivery)
+    if delivery.attempts >= const.ATTEMPT_LIMIT or (doubtful and elsewhere):
         return _give_up(delivery, reason)
     return models.Decision(delivery, ask)
 
