--- a/nutmegtrail/configuration/documents.py
+++ b/nutmegtrail/configuration/documents.py
@@ -1,6 +1,5 @@
 """Names and stored forms of the configuration documents."""
 
-import collections.abc
 import typing
 
 import pydantic
@@ -8,9 +7,7 @@
 
 from nutmegtrail.configuration import const
 from nutmegtrail.configuration import errors
-from nutmegtrail.configuration import models
 from nutmegtrail.contracts import const as contract_const
-from nutmegtrail.contracts import models as contract_models
 
 Schema = typing.TypeVar('Schema', bound=pydantic.BaseModel)
 
@@ -40,26 +37,3 @@
         raise errors.ConfigurationError(
             f'stored document is damaged: {error}',
         ) from error
-
-
-def contracts_in(
-    documents: collections.abc.Iterable[models.Document],
-) -> dict[str, contract_models.Contract]:
-    """Return the contracts of all buckets by client account."""
-    contracts_by_account: dict[str, contract_models.Contract] = {}
-    for document in documents:
-        if document.name.startswith(const.CONTRACT_NAME_PREFIX):
-            bucket = parse_stored(document.content, models.ContractDocument)
-            contracts_by_account.update(bucket.contracts_by_account)
-    return contracts_by_account
-
-
-def deployment_in(
-    documents: collections.abc.Iterable[models.Document],
-) -> models.Deployment | None:
-    """Return the deployment, None where none has been applied."""
-    for document in documents:
-        if document.name == const.DEPLOYMENT_NAME:
-            stored = parse_stored(document.content, models.DeploymentDocument)
-            return stored.deployment
-    return None
--- a/nutmegtrail/daemons/admission_control.py
+++ b/nutmegtrail/daemons/admission_control.py
@@ -1,5 +1,6 @@
 """Admission of requests under the contracts, across all entries."""
 
+import collections.abc
 import time
 
 import anyio
@@ -18,9 +19,14 @@
 class AdmissionControl:
     """Leases from the owners of other accounts, owner of its own ones."""
 
-    def __init__(self, host: str, mesh: entry_mesh.EntryMesh) -> None:
+    def __init__(
+        self,
+        host: str,
+        mesh: entry_mesh.EntryMesh,
+        callers_by_account: collections.abc.Mapping[str, credentials.Caller],
+    ) -> None:
         """Keep the collaborators; nothing is leased yet."""
-        self.callers_by_account: dict[str, credentials.Caller] = {}
+        self._callers_by_account = callers_by_account
         self._host = host
         self._mesh = mesh
         self._allowances_by_account: dict[str, models.Allowance] = {}
@@ -39,12 +45,14 @@
         held = self._allowances_by_account.get(account, models.Allowance())
         held = allowance.demanded(held, cost)
         self._allowances_by_account[account] = held
-        if self._spend(account, cost):
-            return True
-        heard = await self._ask(caller, cost)
-        if heard:
-            return self._spend(account, cost)
-        return self._spend_alone(account, cost)
+        for _ in range(const.LEASE_ATTEMPTS):
+            if self._spend(account, cost):
+                return True
+            if not await self._ask(caller, cost):
+                return self._spend_alone(account, cost)
+            if self._allowances_by_account[account].short:
+                break
+        return self._spend(account, cost)
 
     def started(self, account: str) -> None:
         """Count a request of an account that was admitted."""
@@ -65,7 +73,7 @@
         post: entry_mesh.Post,
     ) -> None:
         """Lease from an account that this entry owns."""
-        caller = self.callers_by_account.get(message.client_account)
+        caller = self._callers_by_account.get(message.client_account)
         if caller is None:
             return
         contract = caller.contract
@@ -147,12 +155,13 @@
 
     def _send_request(self, account: str, cost: models.Amount) -> None:
         """Send the account's owner a request for what is demanded."""
-        held = self._allowances_by_account[account]
+        held = allowance.asking(self._allowances_by_account[account], cost)
+        self._allowances_by_account[account] = held
         request = wire_models.LeaseRequest(
             self._host,
             account,
-            int(max(held.demand.requests, cost.requests)),
-            int(max(held.demand.tokens, cost.tokens)),
+            int(held.asked.requests),
+            int(held.asked.tokens),
             self._in_flight_by_account.get(account, 0),
         )
         owner = self._owner(account)
--- a/nutmegtrail/daemons/configuration_sync.py
+++ b/nutmegtrail/daemons/configuration_sync.py
@@ -20,7 +20,7 @@
 from nutmegtrail.ports import key_value
 from nutmegtrail.wire import models as wire_models
 
-OnChange: typing.TypeAlias = collections.abc.Callable[[], None]
+OnChange: typing.TypeAlias = collections.abc.Callable[[models.Document], None]
 
 
 class ConfigurationSync:
@@ -124,7 +124,7 @@
             source=source,
             at_seconds=time.time(),
         )
-        self._on_change()
+        self._on_change(document)
         if source != 'read':
             for host in self._mesh.sample(const.PUSH_FANOUT):
                 self._mesh.send(host, _push(document))
--- /dev/null
+++ b/nutmegtrail/daemons/contract_index.py
@@ -0,0 +1,46 @@
+"""Contracts in force, by account and by key digest.
+
+A changed document replaces only its own accounts, so a change costs the
+same whatever the number of accounts.
+"""
+
+from nutmegtrail.configuration import const
+from nutmegtrail.configuration import documents
+from nutmegtrail.configuration import models
+from nutmegtrail.contracts import credentials
+
+
+class ContractIndex:
+    """The contracts of all documents that were put."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.callers_by_account: dict[str, credentials.Caller] = {}
+        self.callers_by_digest: dict[str, credentials.Caller] = {}
+        self._accounts_by_document: dict[str, tuple[str, ...]] = {}
+
+    def put(self, document: models.Document) -> None:
+        """Put a document's contracts in force; ignore other documents."""
+        if not document.name.startswith(const.CONTRACT_NAME_PREFIX):
+            return
+        bucket = documents.parse_stored(
+            document.content,
+            models.ContractDocument,
+        )
+        for account in self._accounts_by_document.get(document.name, ()):
+            self._drop(account)
+        contracts_by_account = bucket.contracts_by_account
+        callers = credentials.index_by_digest(contracts_by_account)
+        self.callers_by_digest.update(callers)
+        for caller in callers.values():
+            self.callers_by_account[caller.client_account] = caller
+        accounts = tuple(contracts_by_account)
+        self._accounts_by_document[document.name] = accounts
+
+    def _drop(self, account: str) -> None:
+        """Take an account's contract out of force."""
+        caller = self.callers_by_account.pop(account, None)
+        if caller is None:
+            return
+        for digest in caller.contract.key_digests:
+            self.callers_by_digest.pop(digest, None)
--- a/nutmegtrail/daemons/entry.py
+++ b/nutmegtrail/daemons/entry.py
@@ -21,6 +21,7 @@
 from nutmegtrail.daemons import admission_control
 from nutmegtrail.daemons import configuration_sync
 from nutmegtrail.daemons import const
+from nutmegtrail.daemons import contract_index
 from nutmegtrail.daemons import entry_mesh
 from nutmegtrail.daemons import inbound
 from nutmegtrail.daemons import operator_port
@@ -67,7 +68,7 @@
         self._generator = generator
         self._stopped = anyio.Event()
         self._open_requests = 0
-        self._callers_by_digest: dict[str, credentials.Caller] = {}
+        self._index = contract_index.ContractIndex()
         self._deployment: configuration_models.Deployment | None = None
         self._parts: Parts | None = None
 
@@ -133,21 +134,25 @@
             self._spread_mark,
         )
         pool = sidecar_pool.SidecarPool(selector.acknowledged, tasks)
-        control = admission_control.AdmissionControl(host, mesh)
+        control = admission_control.AdmissionControl(
+            host,
+            mesh,
+            self._index.callers_by_account,
+        )
         return Parts(mesh, sync, control, selector, pool)
 
-    def _configuration_changed(self) -> None:
-        """Put the contracts and the deployment of the replica in force."""
-        held = self.parts.sync.replica.documents_by_name.values()
-        contracts_by_account = documents.contracts_in(held)
-        self._callers_by_digest = credentials.index_by_digest(
-            contracts_by_account,
-        )
-        self.parts.control.callers_by_account = {
-            caller.client_account: caller
-            for caller in self._callers_by_digest.values()
-        }
-        self._deployment = documents.deployment_in(held)
+    def _configuration_changed(
+        self,
+        document: configuration_models.Document,
+    ) -> None:
+        """Put a document's contracts or the deployment in force."""
+        self._index.put(document)
+        if document.name == configuration_const.DEPLOYMENT_NAME:
+            stored = documents.parse_stored(
+                document.content,
+                configuration_models.DeploymentDocument,
+            )
+            self._deployment = stored.deployment
 
     def _revision(self) -> int:
         """Return the configuration's revision in force."""
@@ -225,7 +230,7 @@
             return
         caller = credentials.authenticate(
             exchange.header('authorization'),
-            self._callers_by_digest,
+            self._index.callers_by_digest,
         )
         if caller.is_error():
             detail = str(caller.error)
--- a/nutmegtrail/expert_map/search.py
+++ b/nutmegtrail/expert_map/search.py
@@ -3,6 +3,7 @@
 import typing
 
 import numpy as np
+import numpy.typing as npt
 
 from nutmegtrail.expert_map import placement
 
@@ -16,7 +17,11 @@
 
 
 class _Situation(typing.NamedTuple):
-    """What the search for a change looks at."""
+    """What the search for a change looks at.
+
+    `held` tells by rank and expert what a rank has; `peaks` is the slowest
+    holder's time if an expert lost a replica.
+    """
 
     slots: placement.Slots
     loads: placement.Loads
@@ -26,6 +31,8 @@
     times: placement.Loads
     slowest: int
     fast: placement.Slots
+    held: npt.NDArray[np.bool_]
+    peaks: placement.Loads
 
 
 _SPARE_SLOTS: typing.Final = 8
@@ -62,7 +69,8 @@
     counts = placement.replicas(slots, loads)
     share = loads / np.maximum(counts, 1)
     times = share[slots].sum(axis=1) / speeds
-    fast = np.argsort(times)[:-1]
+    held = np.zeros((len(times), len(loads)), dtype=bool)
+    held[np.arange(len(times))[:, np.newaxis], slots] = True
     situation = _Situation(
         slots,
         loads,
@@ -71,15 +79,18 @@
         share,
         times,
         int(np.argmax(times)),
-        fast,
+        np.argsort(times)[:-1],
+        held,
+        _peaks(held, loads, counts, times, speeds),
     )
+    spares = _spare_slots(situation)
     options = [
         option
         for slot in range(slots.shape[1])
         for option in (
             _swap(situation, slot),
             _replicate(situation, slot),
-            _displace(situation, slot),
+            _displace(situation, slot, spares),
         )
     ]
     time, change = min(options, key=_time_of)
@@ -101,8 +112,8 @@
     relieved = situation.times[slowest] - difference / speed
     after = np.maximum(relieved, _burden(situation, difference))
     after[difference <= 0] = np.inf
-    after[np.isin(others, situation.slots[slowest])] = np.inf
-    after[(others == hot).any(axis=1)] = np.inf
+    after[situation.held[slowest][others]] = np.inf
+    after[situation.held[situation.fast, hot]] = np.inf
     row, other_slot = np.unravel_index(int(np.argmin(after)), after.shape)
     rank = int(situation.fast[row])
     cold = int(situation.slots[rank, other_slot])
@@ -122,15 +133,19 @@
     relief = situation.share[hot] - thinner
     relieved = situation.times[slowest] - relief / situation.speeds[slowest]
     burdened = _burden(situation, thinner - situation.share[others])
-    after = np.maximum(burdened, _peaks(situation)[others])
+    after = np.maximum(burdened, situation.peaks[others])
     after = np.maximum(after, relieved)
-    after[(others == hot).any(axis=1)] = np.inf
+    after[situation.held[situation.fast, hot]] = np.inf
     row, other_slot = np.unravel_index(int(np.argmin(after)), after.shape)
     rank = int(situation.fast[row])
     return float(after[row, other_slot]), (_Put(rank, int(other_slot), hot),)
 
 
-def _displace(situation: _Situation, slot: int) -> _Option:
+def _displace(
+    situation: _Situation,
+    slot: int,
+    spares: list['_Spare'],
+) -> _Option:
     """Return the best replica that sends an expert to a spare slot.
 
     The hot expert takes the slot of one without a second replica, and
@@ -143,13 +158,13 @@
     relieved = situation.times[slowest] - relief / situation.speeds[slowest]
     others = situation.slots[situation.fast]
     burdened = _burden(situation, thinner - situation.share[others])
-    burdened[(others == hot).any(axis=1)] = np.inf
+    burdened[situation.held[situation.fast, hot]] = np.inf
     best: _Option = (np.inf, ())
-    for spare in _spare_slots(situation):
+    for spare in spares:
         moved = situation.share[others] / situation.speeds[spare.rank]
         after = np.maximum(burdened, spare.time + moved)
         after = np.maximum(after, max(relieved, spare.peak))
-        after[np.isin(others, situation.slots[spare.rank])] = np.inf
+        after[situation.held[spare.rank][others]] = np.inf
         after[situation.fast == spare.rank] = np.inf
         row, other_slot = np.unravel_index(int(np.argmin(after)), after.shape)
         if after[row, other_slot] < best[0]:
@@ -173,7 +188,7 @@
 
 def _spare_slots(situation: _Situation) -> list[_Spare]:
     """Return the few slots that are spared at the least cost."""
-    peaks = _peaks(situation)[situation.slots]
+    peaks = situation.peaks[situation.slots]
     released = (
         situation.share[situation.slots] / situation.speeds[:, np.newaxis]
     )
@@ -204,14 +219,16 @@
     return burdened
 
 
-def _peaks(situation: _Situation) -> placement.Loads:
+def _peaks(
+    held: npt.NDArray[np.bool_],
+    loads: placement.Loads,
+    counts: placement.Slots,
+    times: placement.Loads,
+    speeds: placement.Loads,
+) -> placement.Loads:
     """Return the slowest holder's time if an expert lost a replica."""
-    spare = np.maximum(situation.counts - 1, 1)
-    rise = situation.loads / spare - situation.share
-    peaks = np.full(len(situation.loads), np.inf)
-    replicated = np.flatnonzero(situation.counts > 1)
-    for expert in replicated.tolist():
-        holders = (situation.slots == expert).any(axis=1)
-        times = situation.times + rise[expert] / situation.speeds
-        peaks[expert] = times[holders].max()
+    rise = loads / np.maximum(counts - 1, 1) - loads / np.maximum(counts, 1)
+    after = times[:, np.newaxis] + rise / speeds[:, np.newaxis]
+    peaks: placement.Loads = np.where(held, after, 0).max(axis=0)
+    peaks[counts < 2] = np.inf
     return peaks
--- a/nutmegtrail/limits/allowance.py
+++ b/nutmegtrail/limits/allowance.py
@@ -37,6 +37,18 @@
     return allowance._replace(demand=_add(allowance.demand, cost))
 
 
+def asking(
+    allowance: models.Allowance,
+    cost: models.Amount,
+) -> models.Allowance:
+    """Return the allowance after its demand was sent to the owner."""
+    asked = models.Amount(
+        max(allowance.demand.requests, cost.requests),
+        max(allowance.demand.tokens, cost.tokens),
+    )
+    return allowance._replace(demand=models.Amount(), asked=asked)
+
+
 def granted(
     allowance: models.Allowance,
     amount: models.Amount,
@@ -55,7 +67,8 @@
     return allowance._replace(
         left=_add(rest, amount),
         valid_until_seconds=now_seconds + valid_seconds,
-        demand=models.Amount(),
+        short=amount < allowance.asked
+        or amount.tokens < allowance.asked.tokens,
         share=share,
         asked_at_seconds=now_seconds,
         fallback=None,
--- a/nutmegtrail/limits/models.py
+++ b/nutmegtrail/limits/models.py
@@ -18,13 +18,16 @@
 class Allowance(typing.NamedTuple):
     """What an entry may admit for an account without asking.
 
-    `demand` counts what was asked for since the last lease; `fallback` is
-    used while the owner is silent.
+    `demand` counts what callers asked for since the owner was asked last,
+    `asked` is what it was asked for then; `short` is True where it gave
+    less. `fallback` is used while the owner is silent.
     """
 
     left: Amount = Amount()
     valid_until_seconds: float = 0
     demand: Amount = Amount()
+    asked: Amount = Amount()
+    short: bool = False
     share: Amount = Amount()
     asked_at_seconds: float = 0
     fallback: tuple[bucket.Bucket, bucket.Bucket] | None = None
--- a/tests/limits/test_allowance.py
+++ b/tests/limits/test_allowance.py
@@ -45,10 +45,11 @@
 
     def _lease(self, entry, held, now):
         """Return the allowance after a lease from the owner."""
+        held = allowance.asking(held, _COST)
         self.ledger, given = allowance.lease(
             self.ledger,
             str(entry),
-            held.demand,
+            held.asked,
             0,
             _CONTRACT.concurrency,
             now,
