Let a planned stop end its HTTP server before the other tasks

Cause: a stopped daemon cancelled its server while callers' idle connections were open; hypercorn raised InvalidStateError and the process ended with a traceback and a failure code. Found while profiling the path. Ruled out: a longer grace period (the cancellation came at its end too). Change: closing the server waits until it has ended. Calls that may be repeated reuse connections to the upstream; others never do, since on a kept connection a failure would not tell whether the call arrived. Before: exit with a traceback.

--- a/nutmegtrail/adapters/http/server.py
+++ b/nutmegtrail/adapters/http/server.py
@@ -24,6 +24,7 @@
         """Keep the address and the handler; nothing listens yet."""
         self._handler = handler
         self._stopping = anyio.Event()
+        self._ended = anyio.Event()
         self._config = hypercorn.config.Config()
         self._config.bind = [str(address)]
         self._config.graceful_timeout = const.GRACEFUL_TIMEOUT_SECONDS
@@ -33,15 +34,19 @@
 
     async def serve(self) -> None:
         """Serve until closed."""
-        await hypercorn.asyncio.serve(
-            typing.cast('typing.Any', self._application),
-            self._config,
-            shutdown_trigger=self._stopping.wait,
-        )
+        try:
+            await hypercorn.asyncio.serve(
+                typing.cast('typing.Any', self._application),
+                self._config,
+                shutdown_trigger=self._stopping.wait,
+            )
+        finally:
+            self._ended.set()
 
-    def close(self) -> None:
-        """End the server after the answers under way."""
+    async def close(self) -> None:
+        """Return when the answers under way have ended."""
         self._stopping.set()
+        await self._ended.wait()
 
     async def _application(
         self,
--- a/nutmegtrail/adapters/upstream_http/client.py
+++ b/nutmegtrail/adapters/upstream_http/client.py
@@ -14,6 +14,7 @@
 _EVENT_END: typing.Final = b'\n\n'
 _EVENT_STREAM: typing.Final = 'text/event-stream'
 _CONNECT_TIMEOUT_SECONDS: typing.Final = 1.0
+_KEPT_CONNECTIONS: typing.Final = 64
 _PROBE_TIMEOUT_SECONDS: typing.Final = 2.0
 _NOT_SENT: typing.Final = (httpx.ConnectError, httpx.ConnectTimeout)
 
@@ -22,22 +23,18 @@
     """Implements `ports.upstream.Upstream`."""
 
     def __init__(self, address: shared_models.Address) -> None:
-        """Keep the address; nothing is connected yet."""
-        self._client = httpx.AsyncClient(
-            base_url=f'http://{address}',
-            timeout=httpx.Timeout(
-                shared_const.REQUEST_TIMEOUT_SECONDS,
-                connect=_CONNECT_TIMEOUT_SECONDS,
-            ),
-            limits=httpx.Limits(
-                max_connections=None,
-                max_keepalive_connections=0,
-            ),
-        )
+        """Keep the address; nothing is connected yet.
+
+        A call that must not be repeated gets a connection of its own: on a
+        kept one it could not be told from its failure whether it arrived.
+        """
+        self._client = _create_client(address, _KEPT_CONNECTIONS)
+        self._fresh_client = _create_client(address, 0)
 
     async def close(self) -> None:
         """Close the connections."""
         await self._client.aclose()
+        await self._fresh_client.aclose()
 
     async def probe(self) -> bool:
         """Return whether the upstream answers its health path."""
@@ -56,14 +53,15 @@
         call: models.Call,
     ) -> collections.abc.AsyncIterator[upstream.Answer]:
         """Send a call; leaving the context cancels what still runs."""
-        request = self._client.build_request(
+        client = self._client if call.idempotent else self._fresh_client
+        request = client.build_request(
             call.method,
             call.path,
             content=call.body,
             headers=_headers(call),
         )
         try:
-            response = await self._client.send(request, stream=True)
+            response = await client.send(request, stream=True)
         except _NOT_SENT as error:
             raise upstream.NotSent(str(error)) from error
         except httpx.HTTPError as error:
@@ -74,6 +72,24 @@
             await response.aclose()
 
 
+def _create_client(
+    address: shared_models.Address,
+    kept_connections: int,
+) -> httpx.AsyncClient:
+    """Return a client that keeps some connections open between calls."""
+    return httpx.AsyncClient(
+        base_url=f'http://{address}',
+        timeout=httpx.Timeout(
+            shared_const.REQUEST_TIMEOUT_SECONDS,
+            connect=_CONNECT_TIMEOUT_SECONDS,
+        ),
+        limits=httpx.Limits(
+            max_connections=None,
+            max_keepalive_connections=kept_connections,
+        ),
+    )
+
+
 def _headers(call: models.Call) -> dict[str, str]:
     """Return the headers that an upstream is given."""
     headers = {
--- a/nutmegtrail/daemons/entry.py
+++ b/nutmegtrail/daemons/entry.py
@@ -89,7 +89,7 @@
             tasks.start_soon(http.serve)
             await self._stopped.wait()
             await self._drain()
-            http.close()
+            await http.close()
             tasks.cancel_scope.cancel()
 
     def close(self) -> None:
--- a/nutmegtrail/daemons/sidecar.py
+++ b/nutmegtrail/daemons/sidecar.py
@@ -74,7 +74,7 @@
                 tasks.start_soon(self._lease.run, self._on_lapsed)
             await self._stopped.wait()
             await self._drain(self._calls)
-            http.close()
+            await http.close()
             tasks.cancel_scope.cancel()
 
     def close(self) -> None:
--- a/tests/daemons/test_admission.py
+++ b/tests/daemons/test_admission.py
@@ -54,16 +54,17 @@
 async def _admit(control, count):
     """Return how many of several requests at once are admitted."""
     admitted = []
-
-    async def ask():
-        admitted.append(await control.admit(_CALLER, _COST))
-
     async with anyio.create_task_group() as tasks:
         for _ in range(count):
-            tasks.start_soon(ask)
+            tasks.start_soon(_ask, control, admitted)
     return sum(admitted)
 
 
+async def _ask(control, admitted):
+    """Note whether a request is admitted."""
+    admitted.append(await control.admit(_CALLER, _COST))
+
+
 class AdmissionTest(testtools.TestCase):
     """Requests that arrive at once."""
 
