Prove promises with real processes; mend four broken ones

Cause, each found by tests/daemons/test_processes.py failing first: (1) A caller that returned with its key while the key's owner was dead was told not-run although the key had run: the entry had reached nobody, and said so of the key. (2) A request that crashes engines took a third one: the retry did not look at the marks of the same request. (3) After the stop of the entry that owned an account, the next request of that account was refused: nobody asked the successor. (4) An entry was ready before it knew any host, so its first requests were refused. Ruled out: a shorter lease for (1) (the answer would be wrong for less time); a longer wait for the owner's grant for (3). Change: of a keyed call an entry says not-run only on a sidecar's word; marks are looked at before each attempt; a silent owner is succeeded at once, and an entry that hears nobody goes on with its last or an even share; ready needs the host list.

--- a/nutmegtrail/daemons/admission_control.py
+++ b/nutmegtrail/daemons/admission_control.py
@@ -48,9 +48,10 @@
         for _ in range(const.LEASE_ATTEMPTS):
             if self._spend(account, cost):
                 return True
-            if not await self._ask(caller, cost):
-                return self._spend_alone(account, cost)
-            if self._allowances_by_account[account].short:
+            if self._is_cut_off():
+                return self._spend_alone(caller, cost)
+            heard = await self._ask(caller, cost)
+            if heard and self._allowances_by_account[account].short:
                 break
         return self._spend(account, cost)
 
@@ -124,10 +125,20 @@
         self._allowances_by_account[account] = spent
         return True
 
-    def _spend_alone(self, account: str, cost: models.Amount) -> bool:
-        """Admit from the last share; the owner was silent."""
+    def _spend_alone(
+        self,
+        caller: credentials.Caller,
+        cost: models.Amount,
+    ) -> bool:
+        """Admit from the last share, or an even one if there was none."""
+        account = caller.client_account
         held = self._allowances_by_account[account]
-        spent = allowance.spend_alone(held, cost, time.monotonic())
+        entries = len(self._mesh.hosts) + 1
+        even = models.Amount(
+            caller.contract.requests_per_second / entries,
+            caller.contract.tokens_per_second / entries,
+        )
+        spent = allowance.spend_alone(held, cost, even, time.monotonic())
         if spent is None:
             return False
         self._allowances_by_account[account] = spent
@@ -177,13 +188,21 @@
 
     def _owner(self, account: str) -> str:
         """Return the first entry in the account's order that answers."""
+        answering = (self._host, *self._answering())
+        return candidates.rank(account, answering)[0]
+
+    def _answering(self) -> list[str]:
+        """Return the other entries that were not silent lately."""
         now_seconds = time.monotonic()
-        answering = [
+        return [
             host
             for host in self._mesh.hosts
             if self._silent_until_by_host.get(host, 0) <= now_seconds
         ]
-        return candidates.rank(account, (self._host, *answering))[0]
+
+    def _is_cut_off(self) -> bool:
+        """Return whether every other entry was silent lately."""
+        return bool(self._mesh.hosts) and not self._answering()
 
 
 def _rates_changed(
--- a/nutmegtrail/daemons/entry.py
+++ b/nutmegtrail/daemons/entry.py
@@ -68,6 +68,7 @@
         self._generator = generator
         self._stopped = anyio.Event()
         self._open_requests = 0
+        self._hosts_known = False
         self._index = contract_index.ContractIndex()
         self._deployment: configuration_models.Deployment | None = None
         self._parts: Parts | None = None
@@ -180,6 +181,7 @@
         while True:
             listed = await self._hosts.hosts()
             if listed.is_ok():
+                self._hosts_known = bool(listed.ok)
                 selector = self.parts.selector
                 selector.view = membership_view.listed(
                     selector.view,
@@ -204,7 +206,8 @@
             self.metrics,
             self.close,
         )
-        ready = self.parts.sync.ready and not self.draining
+        known = self.parts.sync.ready and self._hosts_known
+        ready = known and not self.draining
         status = self._status()
         if await port.serve(exchange, ready=ready, status=status):
             return
--- a/nutmegtrail/daemons/request_flow.py
+++ b/nutmegtrail/daemons/request_flow.py
@@ -100,6 +100,8 @@
         ask: delivery_models.Ask,
     ) -> delivery_models.Event | None:
         """Send one attempt; return why it failed, None if it did not."""
+        if self._shared.selector.is_quarantined(self._request):
+            return delivery_models.Refused(retry_models.Reason.QUARANTINED)
         if ask.from_budget and not self._shared.selector.spend_retry(
             self._request.target,
         ):
--- a/nutmegtrail/delivery/attempts.py
+++ b/nutmegtrail/delivery/attempts.py
@@ -9,7 +9,12 @@
 
 _Reason: typing.TypeAlias = retry_models.Reason
 _FINAL: typing.Final = frozenset(
-    (_Reason.OUTCOME_UNKNOWN, _Reason.KEY_REUSED, _Reason.ALREADY_RUN),
+    (
+        _Reason.OUTCOME_UNKNOWN,
+        _Reason.KEY_REUSED,
+        _Reason.ALREADY_RUN,
+        _Reason.QUARANTINED,
+    ),
 )
 _ELSEWHERE: typing.Final = frozenset(
     (_Reason.DRAINING, _Reason.UNREACHABLE),
@@ -71,6 +76,8 @@
     if event.reason is _Reason.OVERLOADED:
         failed = _exclude(delivery)
         return _ask_again(failed, models.Ask(from_budget=True), event.reason)
+    if event.reason is _Reason.NOT_RUN and not delivery.unresolved:
+        return models.Decision(delivery, models.GiveUp(event.reason))
     return _give_up(delivery, _Reason.NOT_RUN)
 
 
@@ -118,13 +125,17 @@
     delivery: models.Delivery,
     reason: retry_models.Reason,
 ) -> models.Decision:
-    """Say only what is certain; a keyed call can be proved not run."""
+    """Say only what is certain; a keyed call can be proved not run.
+
+    A key may have run for an earlier request, so for a keyed call it is
+    not enough that this request was never sent.
+    """
     if delivery.started:
         return models.Decision(delivery, models.GiveUp(_Reason.INTERRUPTED))
-    if not delivery.unresolved:
-        return models.Decision(delivery, models.GiveUp(reason))
     if delivery.keyed:
         return models.Decision(delivery, models.Prove())
+    if not delivery.unresolved:
+        return models.Decision(delivery, models.GiveUp(reason))
     return models.Decision(delivery, models.GiveUp(_Reason.OUTCOME_UNKNOWN))
 
 
--- a/nutmegtrail/limits/allowance.py
+++ b/nutmegtrail/limits/allowance.py
@@ -78,12 +78,14 @@
 def spend_alone(
     allowance: models.Allowance,
     cost: models.Amount,
+    even: models.Amount,
     now_seconds: float,
 ) -> models.Allowance | None:
-    """Admit from the last share while the owner is silent."""
+    """Admit from the last share, or an even one, while all are silent."""
+    share = allowance.share if any(allowance.share) else even
     buckets = allowance.fallback or (
-        _fallback_bucket(allowance.share.requests, now_seconds),
-        _fallback_bucket(allowance.share.tokens, now_seconds),
+        _fallback_bucket(share.requests, now_seconds),
+        _fallback_bucket(share.tokens, now_seconds),
     )
     requests = bucket.take(
         bucket.refill(buckets[0], now_seconds),
--- /dev/null
+++ b/tests/daemons/test_processes.py
@@ -0,0 +1,251 @@
+"""Real processes, real signals; the bounds are counts, not times."""
+
+import signal
+import threading
+import time
+import uuid
+
+import httpx
+import testtools
+
+from benchmarks import launcher
+from benchmarks import scene
+
+_HEADERS = {'authorization': scene.AUTHORIZATION}
+_WAIT_SECONDS = 30
+_POLL_SECONDS = 0.1
+_PLACES = range(3)
+
+
+def _wait_until(condition):
+    """Return whether a condition became true in good time."""
+    until = time.monotonic() + _WAIT_SECONDS
+    while time.monotonic() < until:
+        if condition():
+            return True
+        time.sleep(_POLL_SECONDS)
+    return False
+
+
+class _Deployment(testtools.TestCase):
+    """A deployment of its own for each test."""
+
+    token_seconds = 0.02
+    call_seconds = 0.5
+
+    def setUp(self):
+        """Start the deployment."""
+        super().setUp()
+        self.deployment = launcher.Launcher()
+        self.addCleanup(self.deployment.close)
+        scene.start(self.deployment, self.token_seconds, self.call_seconds)
+
+    def confirm(self, entry, key):
+        """Send an order confirmation."""
+        return httpx.post(
+            f'{self.deployment.url(entry)}/services/{scene.SERVICE}/orders',
+            json={'order': 1},
+            headers={**_HEADERS, 'idempotency-key': key},
+            timeout=_WAIT_SECONDS,
+        )
+
+    def chat(self, entry, prompt, tokens=20):
+        """Ask for a whole answer."""
+        return httpx.post(
+            f'{self.deployment.url(entry)}/v1/chat/completions',
+            json=_chat(prompt, tokens),
+            headers=_HEADERS,
+            timeout=_WAIT_SECONDS,
+        )
+
+    def runs(self, key):
+        """Return how often the services ran a key."""
+        return sum(
+            self.counts(f'service-{place}')['by_key'].get(key, 0)
+            for place in _PLACES
+        )
+
+    def counts(self, name):
+        """Return an upstream's own counts."""
+        return httpx.get(f'{self.deployment.url(name)}/stand-in/runs').json()
+
+    def owner_of(self, key):
+        """Return the sidecar that runs a key."""
+        for place in _PLACES:
+            if key in self.counts(f'service-{place}')['by_key']:
+                return f'service-sidecar-{place}'
+        return ''
+
+    def alive_engines(self):
+        """Return the engines that still run."""
+        return [
+            place
+            for place in _PLACES
+            if self.deployment.processes_by_name[f'engine-{place}'].popen.poll()
+            is None
+        ]
+
+
+def _chat(prompt, tokens):
+    """Return the body of a chat request."""
+    return {
+        'model': scene.MODEL,
+        'stream': True,
+        'max_tokens': tokens,
+        'messages': [{'role': 'user', 'content': prompt}],
+    }
+
+
+class AtMostOnceTest(_Deployment):
+    """Confirmations across kills, freezes and outages."""
+
+    def _strike(self, number):
+        """Signal the owner of a confirmation while it runs."""
+        key = uuid.uuid4().hex
+        answers = []
+        thread = threading.Thread(
+            target=lambda: answers.append(self.confirm('entry-a', key)),
+        )
+        thread.start()
+        self.assertTrue(_wait_until(lambda: self.owner_of(key)))
+        owner = self.owner_of(key)
+        self.deployment.signal(owner, number)
+        thread.join()
+        later = self.confirm('entry-b', key)
+        return key, owner, answers[0], later
+
+    def test_killed_owner(self):
+        """A killed sidecar's call is unknown, and is not run again."""
+        key, _, first, later = self._strike(signal.SIGKILL)
+        for answer in (first, later):
+            self.assertIn('outcome-unknown', answer.json()['type'])
+        self.assertEqual(1, self.runs(key))
+
+    def test_frozen_owner_that_wakes(self):
+        """A frozen sidecar that wakes runs nothing twice."""
+        key, owner, first, later = self._strike(signal.SIGSTOP)
+        self.deployment.signal(owner, signal.SIGCONT)
+        for answer in (first, later):
+            self.assertIn('outcome-unknown', answer.json()['type'])
+        self.assertTrue(
+            _wait_until(lambda: self.confirm('entry-c', key).is_success),
+        )
+        self.assertEqual(1, self.runs(key))
+
+    def test_outage_of_the_key_value_service(self):
+        """New keys are refused truthfully, known ones are answered."""
+        known = uuid.uuid4().hex
+        self.assertEqual(200, self.confirm('entry-a', known).status_code)
+        mode = f'http://{self.deployment.key_value}/stand-in/mode'
+        httpx.post(mode, json={'mode': 'down'})
+        fresh = uuid.uuid4().hex
+        refused = self.confirm('entry-a', fresh)
+        self.assertEqual(0, self.runs(fresh))
+        self.assertIn(refused.status_code, {502, 503})
+        self.assertIn('retry-after', refused.headers)
+        self.assertEqual(200, self.confirm('entry-b', known).status_code)
+        httpx.post(mode, json={'mode': 'up'})
+        self.assertTrue(
+            _wait_until(lambda: self.confirm('entry-a', fresh).is_success),
+        )
+        self.assertEqual(1, self.runs(fresh))
+        self.assertEqual(1, self.runs(known))
+
+
+class StopTest(_Deployment):
+    """Planned stops under load."""
+
+    def test_no_request_is_cut(self):
+        """Streams through a stopping entry and sidecar are whole."""
+        streams = []
+        threads = [
+            threading.Thread(target=self._ask, args=(streams, number))
+            for number in range(6)
+        ]
+        for thread in threads:
+            thread.start()
+        self.assertTrue(
+            _wait_until(
+                lambda: (
+                    sum(
+                        self.counts(f'engine-{place}')['running']
+                        for place in _PLACES
+                    )
+                    == 6
+                ),
+            ),
+        )
+        stopped = ('entry-a', 'engine-sidecar-0', 'engine-sidecar-1')
+        for name in stopped:
+            self.deployment.signal(name, signal.SIGTERM)
+        for thread in threads:
+            thread.join()
+        for answer in streams:
+            self.assertEqual(101, answer.text.count('data: '))
+        for name in stopped:
+            popen = self.deployment.processes_by_name[name].popen
+            self.assertEqual(0, popen.wait(_WAIT_SECONDS))
+            self.assertNotIn('Traceback', self.deployment.log(name))
+        later = self.chat('entry-b', 'after the stop')
+        self.assertEqual(21, later.text.count('data: '))
+
+    def _ask(self, streams, number):
+        """Ask for a long stream and note the answer."""
+        streams.append(self.chat('entry-a', f'prompt {number}', 100))
+
+
+class CrashTest(_Deployment):
+    """Requests that crash engines."""
+
+    def test_bounded_crashes(self):
+        """Whatever entry it returns by, a request costs two engines."""
+        for entry in ('entry-a', 'entry-b', 'entry-c', 'entry-a'):
+            answer = self.chat(entry, 'crash-the-engine')
+            self.assertIn('retry-after', answer.headers)
+        self.assertEqual(1, len(self.alive_engines()))
+        innocent = self.chat('entry-b', 'an ordinary prompt')
+        self.assertEqual(21, innocent.text.count('data: '))
+
+
+class CallerTest(_Deployment):
+    """Callers that err, hang up or go away."""
+
+    def test_faulty_requests(self):
+        """Each gets a clear answer and costs nothing."""
+        url = f'{self.deployment.url("entry-a")}/v1/chat/completions'
+        for content, headers, status in (
+            (b'{', _HEADERS, 400),
+            (b'[]', _HEADERS, 400),
+            (b'{"model": 5}', _HEADERS, 400),
+            (b'{"model": "other"}', _HEADERS, 403),
+            (b'x' * 1_100_000, _HEADERS, 413),
+            (b'{}', {}, 401),
+            (b'{}', {'authorization': 'Bearer wrong'}, 401),
+            (b'{}', {'authorization': f'Bearer {"x" * 9_000}'}, 401),
+        ):
+            answer = httpx.post(url, content=content, headers=headers)
+            self.assertEqual(status, answer.status_code, content[:20])
+        stop = f'{self.deployment.url("entry-a")}/operator/stop'
+        self.assertEqual(401, httpx.post(stop).status_code)
+
+    def test_hang_up_frees_the_engine(self):
+        """A caller that hangs up leaves no work and a quiet log."""
+        url = f'{self.deployment.url("entry-a")}/v1/chat/completions'
+        with httpx.stream(
+            'POST',
+            url,
+            json=_chat('long', 2_000),
+            headers=_HEADERS,
+        ) as response:
+            next(response.iter_lines())
+        self.assertTrue(
+            _wait_until(
+                lambda: (
+                    not any(
+                        self.counts(f'engine-{place}')['running']
+                        for place in _PLACES
+                    )
+                ),
+            ),
+        )
+        self.assertNotIn('Traceback', self.deployment.log('entry-a'))
--- a/tests/delivery/test_attempts.py
+++ b/tests/delivery/test_attempts.py
@@ -59,6 +59,19 @@
                         f'{kind} {events}',
                     )
 
+    def test_key_is_not_run_only_by_a_sidecar_s_word(self):
+        """An entry that reached nobody knows nothing of a key."""
+        proof = models.Refused(_Reason.NOT_RUN)
+        for events in itertools.product(_EVENTS, repeat=3):
+            delivery = _start((False, True))
+            for event in events:
+                decision = attempts.decide(event, delivery)
+                delivery = attempts.sent(decision.delivery, 'u2')
+                if not isinstance(decision.action, models.Ask):
+                    break
+            if decision.action == models.GiveUp(_Reason.NOT_RUN):
+                self.assertEqual(proof, event)
+
     def test_unkeyed_call_is_never_asked_of_another(self):
         """A call that may have run goes back to its own sidecar at most."""
         for events in itertools.product(_EVENTS, repeat=2):
