--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,7 +8,7 @@
 
 from benchmarks import report
 
-_EXPERIMENTS: typing.Final = ('capacity', 'path', 'rebalancing')
+_EXPERIMENTS: typing.Final = ('capacity', 'idle', 'path', 'rebalancing')
 
 
 def main(
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -94,15 +94,15 @@
 def _throughput(deployment: launcher.Launcher, streams: int) -> _Row:
     """Measure streams that run at once through one entry."""
     names = [f'engine-sidecar-{place}' for place in range(3)]
-    before = _usage(deployment, 'entry-a')
-    sidecars = sum(_usage(deployment, name).seconds for name in names)
+    before = usage(deployment, 'entry-a')
+    sidecars = sum(usage(deployment, name).seconds for name in names)
     began = time.perf_counter()
     tokens = anyio.run(_run_streams, deployment, streams)
     elapsed = time.perf_counter() - began
-    after = _usage(deployment, 'entry-a')
+    after = usage(deployment, 'entry-a')
     entry_seconds = after.seconds - before.seconds
     sidecar_seconds = (
-        sum(_usage(deployment, name).seconds for name in names) - sidecars
+        sum(usage(deployment, name).seconds for name in names) - sidecars
     )
     return (
         'streams',
@@ -152,7 +152,7 @@
     received.append(payload.count(b'data: ') - 1)
 
 
-def _usage(deployment: launcher.Launcher, name: str) -> Usage:
+def usage(deployment: launcher.Launcher, name: str) -> Usage:
     """Return what a started process has used."""
     number = deployment.processes_by_name[name].popen.pid
     stat = pathlib.Path(f'/proc/{number}/stat').read_text()
--- a/nutmegtrail/adapters/host_list/http.py
+++ b/nutmegtrail/adapters/host_list/http.py
@@ -10,6 +10,7 @@
 from nutmegtrail.ports import host_list
 
 _TIMEOUT_SECONDS: typing.Final = 1.0
+_NOT_MODIFIED: typing.Final = 304
 
 
 class _Listed(pydantic.BaseModel):
@@ -33,6 +34,8 @@
 
     def __init__(self, address: models.Address) -> None:
         """Keep the address; nothing is connected yet."""
+        self._tag = ''
+        self._listed: tuple[host_list.Host, ...] = ()
         self._client = httpx.AsyncClient(
             base_url=f'http://{address}',
             timeout=_TIMEOUT_SECONDS,
@@ -53,10 +56,15 @@
 
     async def _fetch(self) -> tuple[host_list.Host, ...]:
         """Return the listed hosts; raise the library's errors."""
-        response = await self._client.get('/hosts')
+        headers = {'if-none-match': self._tag} if self._tag else {}
+        response = await self._client.get('/hosts', headers=headers)
+        if response.status_code == _NOT_MODIFIED:
+            return self._listed
         response.raise_for_status()
         listed = _LISTED.validate_json(response.content)
-        return tuple(_host(entry) for entry in listed)
+        self._listed = tuple(_host(entry) for entry in listed)
+        self._tag = response.headers.get('etag', '')
+        return self._listed
 
 
 def _host(listed: _Listed) -> host_list.Host:
--- a/nutmegtrail/daemons/configuration_sync.py
+++ b/nutmegtrail/daemons/configuration_sync.py
@@ -36,6 +36,7 @@
     ) -> None:
         """Keep the collaborators; nothing is known yet."""
         self.replica = replica.Replica()
+        self.digest = replica.digest(self.replica)
         self.ready = False
         self._host = host
         self._store = store
@@ -55,9 +56,8 @@
         """Compare with a random entry from time to time."""
         while True:
             await anyio.sleep(const.DIGEST_INTERVAL_SECONDS)
-            digest = replica.digest(self.replica)
+            message = wire_models.DocumentDigest(self._host, self.digest)
             for host in self._mesh.sample(1):
-                message = wire_models.DocumentDigest(self._host, digest)
                 self._mesh.send(host, message)
 
     def compare_digest(
@@ -66,7 +66,7 @@
         post: entry_mesh.Post,
     ) -> None:
         """Answer a digest that differs with all revisions."""
-        if message.digest == replica.digest(self.replica):
+        if message.digest == self.digest:
             self._peer_agrees(message.sender)
         else:
             post(self._vector(reply=True))
@@ -117,6 +117,7 @@
         if applied is self.replica:
             return
         self.replica = applied
+        self.digest = replica.digest(applied)
         logs.decision(
             'configuration:applied',
             document=document.name,
--- a/nutmegtrail/daemons/entry.py
+++ b/nutmegtrail/daemons/entry.py
@@ -307,7 +307,7 @@
         return {
             'host': self._process.host,
             'revision': self._revision(),
-            'digest': replica.digest(self.parts.sync.replica).hex(),
+            'digest': self.parts.sync.digest.hex(),
             'open_requests': self._open_requests,
             'entries': sorted(view.entries_by_host),
             'upstreams': sorted(view.sidecars_by_upstream),
--- a/nutmegtrail/idempotency/const.py
+++ b/nutmegtrail/idempotency/const.py
@@ -6,7 +6,7 @@
 
 SHARD_PREFIX: typing.Final = f'{const.KEY_VALUE_PREFIX}shards/'
 OWNER_PREFIX: typing.Final = f'{const.KEY_VALUE_PREFIX}owners/'
-SHARDS_PER_SERVICE: typing.Final = 16
+SHARDS_PER_SERVICE: typing.Final = 64
 LEASE_TTL_SECONDS: typing.Final = 10
 LEASE_RENEWAL_SECONDS: typing.Final = 3.0
 LEASE_MARGIN_SECONDS: typing.Final = 2.0
--- a/nutmegtrail/stand_ins/host_list.py
+++ b/nutmegtrail/stand_ins/host_list.py
@@ -3,10 +3,15 @@
 import time
 import typing
 
+import orjson
+
 from nutmegtrail.adapters.http import asgi
 from nutmegtrail.adapters.http import const as http_const
 
 
+_NOT_MODIFIED: typing.Final = 304
+
+
 class _Version(typing.NamedTuple):
     """A list of hosts and when it shows."""
 
@@ -32,13 +37,26 @@
             self._versions.append(_Version(visible_at, document['hosts']))
             await exchange.answer_json(http_const.HTTP_OK, {})
         else:
-            await exchange.answer_json(http_const.HTTP_OK, self._visible())
-
-    def _visible(self) -> list[dict[str, typing.Any]]:
-        """Return the newest version that the lag lets show."""
+            await self._answer(exchange)
+
+    async def _answer(self, exchange: asgi.Exchange) -> None:
+        """Answer with the list, or that it has not changed."""
+        number = self._visible()
+        tag = f'"{number}"'
+        headers = (('etag', tag),)
+        if exchange.header('if-none-match') == tag:
+            await exchange.answer(_NOT_MODIFIED, b'', 'text/plain', headers)
+            return
+        hosts = self._versions[number - 1].hosts if number else []
+        await exchange.answer(
+            http_const.HTTP_OK,
+            orjson.dumps(hosts),
+            extra_headers=headers,
+        )
+
+    def _visible(self) -> int:
+        """Return the number of the newest version that the lag lets show."""
         now_seconds = time.monotonic()
-        visible: list[dict[str, typing.Any]] = []
-        for visible_at, hosts in self._versions:
-            if visible_at <= now_seconds:
-                visible = hosts
-        return visible
+        return sum(
+            version.visible_at <= now_seconds for version in self._versions
+        )
