Drive expert maps from the sidecars of a rank group

Cause: the switch was proved as a protocol only; no daemon ordered a step or a map. Ruled out: a key-value lease for the proposer (the group's first member proposes; rival ballots are harmless); handing maps out through the key-value service (768 bytes a map go with one message a member). Change: order port and its HTTP client, a stand-in group in lock-step that counts diverged steps, messages of the protocol on the wire, a driver that orders horizons and switches one by one, a proposer that observes the loads and weighs them by the deployment's weights. Steps that waited for a decision are not measured yet.

--- a/benchmarks/launcher.py
+++ b/benchmarks/launcher.py
@@ -26,6 +26,7 @@
 _READY_SECONDS: typing.Final = 20.0
 _STOP_SECONDS: typing.Final = 10.0
 _POLL_SECONDS: typing.Final = 0.05
+GROUP: typing.Final = 'group-0'
 FAILURE_DOMAINS: typing.Final = ('kandla-a', 'mundra-b', 'gandhidham-c')
 
 
@@ -83,8 +84,9 @@
         kind: str,
         target: str,
         upstream: str,
+        group: tuple[str, ...] = (),
     ) -> None:
-        """Start the sidecar of an upstream."""
+        """Start the sidecar of an upstream; `group` holds more settings."""
         http, peer = free_address(), free_address()
         text = self._process_settings(name, failure_domain, http, peer)
         upstream_name = f'{name}-upstream'
@@ -92,10 +94,22 @@
             f'[upstream]\nname = "{upstream_name}"\nkind = "{kind}"\n'
             f'target = "{target}"\naddress = "{upstream}"\n'
         )
+        text += ''.join(f'{line}\n' for line in group)
         listed = _listed(name, failure_domain, 'sidecar', http, peer)
         listed |= {'upstream': upstream_name, 'target': target}
+        if group:
+            listed['group'] = GROUP
         self._spawn_daemon('sidecar', name, text, http, listed)
 
+    def restart(self, name: str) -> None:
+        """Start a daemon that has ended again, with its settings."""
+        process = self.processes_by_name[name]
+        process.popen.wait(_STOP_SECONDS)
+        role = process.listed['role']
+        path = self.folder / f'{name}.toml'
+        arguments = ('-m', 'nutmegtrail.cli', role, str(path))
+        self._spawn(name, arguments, process.http, process.listed)
+
     def publish(self) -> None:
         """Put all started daemons on the host list."""
         hosts = [
@@ -183,7 +197,7 @@
         listed: dict[str, typing.Any],
     ) -> None:
         """Start a process with its output in a file."""
-        with (self.folder / f'{name}.log').open('wb') as output:
+        with (self.folder / f'{name}.log').open('ab') as output:
             popen = subprocess.Popen(  # noqa: S603
                 (sys.executable, *arguments),
                 stdout=output,
--- a/nutmegtrail/adapters/host_list/http.py
+++ b/nutmegtrail/adapters/host_list/http.py
@@ -24,6 +24,7 @@
     upstream: str = ''
     target: str = ''
     leaving: bool = False
+    group: str = ''
 
 
 _LISTED: typing.Final = pydantic.TypeAdapter(tuple[_Listed, ...])
@@ -78,4 +79,5 @@
         target=listed.target,
         leaving=listed.leaving,
         http_address=models.parse_address(listed.http_address),
+        group=listed.group,
     )
--- /dev/null
+++ b/nutmegtrail/adapters/rank_engine/http.py
@@ -0,0 +1,117 @@
+"""Engine orders as JSON over HTTP."""
+
+import typing
+
+import expression
+import httpx
+import numpy as np
+import pydantic
+
+from nutmegtrail import models as shared_models
+from nutmegtrail.expert_map import models
+from nutmegtrail.expert_map import placement
+from nutmegtrail.ports import rank_engine
+
+_TIMEOUT_SECONDS: typing.Final = 2.0
+
+
+class _State(pydantic.BaseModel):
+    """An engine's state as it reports it."""
+
+    map_id: str
+    since_step: int
+    horizon: int
+    completed: int
+    fence: int
+    slots: list[list[int]]
+    loads: list[float]
+    speeds: list[float]
+
+
+class HttpRankEngine:
+    """Implements `ports.rank_engine.RankEngine`."""
+
+    def __init__(self, address: shared_models.Address, rank: int) -> None:
+        """Keep the address; nothing is connected yet."""
+        self._client = httpx.AsyncClient(
+            base_url=f'http://{address}/ranks/{rank}',
+            timeout=_TIMEOUT_SECONDS,
+        )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def read(
+        self,
+    ) -> expression.Result[
+        rank_engine.EngineState, rank_engine.RankEngineError
+    ]:
+        """Return the engine's state."""
+        try:
+            response = await self._client.get('/state')
+            response.raise_for_status()
+            state = _State.model_validate_json(response.content)
+        except (httpx.HTTPError, ValueError) as error:
+            return expression.Error(rank_engine.RankEngineError(str(error)))
+        return expression.Ok(
+            rank_engine.EngineState(
+                models.MapState(state.map_id, state.since_step),
+                state.horizon,
+                state.completed,
+                state.fence,
+                placement.Placement(np.array(state.slots, dtype=np.int64)),
+                np.array(state.loads),
+                np.array(state.speeds),
+            ),
+        )
+
+    async def fence(self, number: int) -> rank_engine.Done:
+        """Refuse orders with lower numbers from now on."""
+        return await self._order({'kind': 'fence', 'fence': number})
+
+    async def stage(
+        self,
+        map_id: str,
+        staged: placement.Placement,
+        number: int,
+    ) -> rank_engine.Done:
+        """Load a map's weights beside the present ones."""
+        return await self._order(
+            {
+                'kind': 'stage',
+                'fence': number,
+                'map_id': map_id,
+                'slots': staged.slots.tolist(),
+            },
+        )
+
+    async def switch(
+        self,
+        state: models.MapState,
+        number: int,
+    ) -> rank_engine.Done:
+        """Use a staged map from a step on."""
+        return await self._order(
+            {
+                'kind': 'switch',
+                'fence': number,
+                'map_id': state.map_id,
+                'since_step': state.since_step,
+            },
+        )
+
+    async def release(self, horizon: int, number: int) -> rank_engine.Done:
+        """Allow steps up to a number."""
+        return await self._order(
+            {'kind': 'release', 'fence': number, 'horizon': horizon},
+        )
+
+    async def _order(self, order: dict[str, object]) -> rank_engine.Done:
+        """Send an order; one that may be lost is reported as failed."""
+        try:
+            response = await self._client.post('/orders', json=order)
+            response.raise_for_status()
+        except httpx.HTTPError as error:
+            return expression.Error(rank_engine.RankEngineError(str(error)))
+        return expression.Ok(None)
--- a/nutmegtrail/bootstrap.py
+++ b/nutmegtrail/bootstrap.py
@@ -11,6 +11,7 @@
 from nutmegtrail import models
 from nutmegtrail.adapters.host_list import http as host_list_http
 from nutmegtrail.adapters.key_value import etcd
+from nutmegtrail.adapters.rank_engine import http as rank_engine_http
 from nutmegtrail.adapters.upstream_http import client
 from nutmegtrail.configuration import settings
 from nutmegtrail.daemons import entry
@@ -64,9 +65,21 @@
         create_store(configured.platform),
         adapter,
         adapter.probe,
+        create_host_list(configured.platform),
+        _create_rank_engine(upstream),
     )
 
 
+def _create_rank_engine(
+    upstream: settings.UpstreamSettings,
+) -> rank_engine_http.HttpRankEngine | None:
+    """Return the order port of an engine in a rank group."""
+    if upstream.rank_address is None:
+        return None
+    address = models.parse_address(upstream.rank_address)
+    return rank_engine_http.HttpRankEngine(address, upstream.rank)
+
+
 def run(daemon: Daemon, log_format: str) -> None:
     """Run a daemon until a signal stops it."""
     logs.start(log_format)
--- a/nutmegtrail/configuration/models.py
+++ b/nutmegtrail/configuration/models.py
@@ -42,6 +42,7 @@
     skew_weight: float = pydantic.Field(gt=0)
     move_weight: float = pydantic.Field(gt=0)
     horizon_seconds: float = pydantic.Field(gt=0)
+    interval_seconds: float = pydantic.Field(default=60, gt=0)
 
 
 class Deployment(pydantic.BaseModel):
--- a/nutmegtrail/configuration/settings.py
+++ b/nutmegtrail/configuration/settings.py
@@ -56,8 +56,20 @@
     address: AddressText
     checks_fencing: bool = False
     group: str = ''
+    group_size: int = pydantic.Field(default=0, ge=0, le=4_096)
+    rank: int = pydantic.Field(default=0, ge=0)
+    rank_address: AddressText | None = None
     concurrency: int = pydantic.Field(default=64, ge=1, le=100_000)
 
+    @pydantic.model_validator(mode='after')
+    def _check_group(self) -> typing.Self:
+        """Refuse a group without its size or its order port."""
+        if self.group and not (self.group_size and self.rank_address):
+            raise ValueError('group needs group_size and rank_address')
+        if self.group and self.rank >= self.group_size:
+            raise ValueError('rank must be below group_size')
+        return self
+
 
 class EntrySettings(pydantic.BaseModel):
     """Settings of an entry."""
--- a/nutmegtrail/daemons/admission_control.py
+++ b/nutmegtrail/daemons/admission_control.py
@@ -8,7 +8,7 @@
 from nutmegtrail import const as shared_const
 from nutmegtrail.contracts import credentials
 from nutmegtrail.daemons import const
-from nutmegtrail.daemons import entry_mesh
+from nutmegtrail.daemons import peer_mesh
 from nutmegtrail.limits import allowance
 from nutmegtrail.limits import const as limit_const
 from nutmegtrail.limits import models
@@ -22,7 +22,7 @@
     def __init__(
         self,
         host: str,
-        mesh: entry_mesh.EntryMesh,
+        mesh: peer_mesh.PeerMesh,
         callers_by_account: collections.abc.Mapping[str, credentials.Caller],
     ) -> None:
         """Keep the collaborators; nothing is leased yet."""
@@ -71,7 +71,7 @@
     def lease(
         self,
         message: wire_models.LeaseRequest,
-        post: entry_mesh.Post,
+        post: peer_mesh.Post,
     ) -> None:
         """Lease from an account that this entry owns."""
         caller = self._callers_by_account.get(message.client_account)
--- a/nutmegtrail/daemons/configuration_sync.py
+++ b/nutmegtrail/daemons/configuration_sync.py
@@ -15,7 +15,7 @@
 from nutmegtrail.configuration import documents
 from nutmegtrail.configuration import models
 from nutmegtrail.configuration import replica
-from nutmegtrail.daemons import entry_mesh
+from nutmegtrail.daemons import peer_mesh
 from nutmegtrail.observability import logs
 from nutmegtrail.ports import key_value
 from nutmegtrail.wire import models as wire_models
@@ -30,7 +30,7 @@
         self,
         host: str,
         store: key_value.KeyValueStore,
-        mesh: entry_mesh.EntryMesh,
+        mesh: peer_mesh.PeerMesh,
         on_change: OnChange,
         is_reader: collections.abc.Callable[[], bool],
     ) -> None:
@@ -63,7 +63,7 @@
     def compare_digest(
         self,
         message: wire_models.DocumentDigest,
-        post: entry_mesh.Post,
+        post: peer_mesh.Post,
     ) -> None:
         """Answer a digest that differs with all revisions."""
         if message.digest == self.digest:
@@ -74,7 +74,7 @@
     def compare_vector(
         self,
         message: wire_models.DocumentVector,
-        post: entry_mesh.Post,
+        post: peer_mesh.Post,
     ) -> None:
         """Push what is newer here and ask for what is newer there."""
         revisions_by_name = dict(
--- a/nutmegtrail/daemons/entry.py
+++ b/nutmegtrail/daemons/entry.py
@@ -22,7 +22,7 @@
 from nutmegtrail.daemons import configuration_sync
 from nutmegtrail.daemons import const
 from nutmegtrail.daemons import contract_index
-from nutmegtrail.daemons import entry_mesh
+from nutmegtrail.daemons import peer_mesh
 from nutmegtrail.daemons import inbound
 from nutmegtrail.daemons import operator_port
 from nutmegtrail.daemons import request_flow
@@ -42,7 +42,7 @@
 class Parts(typing.NamedTuple):
     """The running parts of a started entry."""
 
-    mesh: entry_mesh.EntryMesh
+    mesh: peer_mesh.PeerMesh
     sync: configuration_sync.ConfigurationSync
     control: admission_control.AdmissionControl
     selector: upstream_selector.UpstreamSelector
@@ -109,7 +109,7 @@
     def receive(
         self,
         message: models.Message,
-        post: entry_mesh.Post,
+        post: peer_mesh.Post,
     ) -> None:
         """Handle a message of another entry."""
         _handle(message, self.parts, post)
@@ -117,7 +117,7 @@
     def _create_parts(self, tasks: anyio.abc.TaskGroup) -> Parts:
         """Return the wired parts."""
         host = self._process.host
-        mesh = entry_mesh.EntryMesh(
+        mesh = peer_mesh.PeerMesh(
             host,
             self.receive,
             self._generator,
@@ -187,7 +187,9 @@
                     selector.view,
                     listed.ok,
                 )
-                self.parts.mesh.follow(selector.view)
+                self.parts.mesh.follow(
+                    membership_view.entry_addresses(selector.view),
+                )
                 addresses = {host.address for host in listed.ok}
                 await self.parts.pool.retain(addresses)
             self.parts.selector.sweep()
@@ -315,7 +317,7 @@
         }
 
 
-def _ignore(_post: entry_mesh.Post) -> None:
+def _ignore(_post: peer_mesh.Post) -> None:
     """Leave a lost connection between entries to the next message."""
 
 
@@ -323,7 +325,7 @@
 def _handle(
     message: models.Message,
     parts: Parts,
-    post: entry_mesh.Post,
+    post: peer_mesh.Post,
 ) -> None:
     """Ignore a message that is not for an entry."""
 
@@ -332,7 +334,7 @@
 def _handle_digest(
     message: models.DocumentDigest,
     parts: Parts,
-    post: entry_mesh.Post,
+    post: peer_mesh.Post,
 ) -> None:
     """Compare configurations."""
     parts.sync.compare_digest(message, post)
@@ -342,7 +344,7 @@
 def _handle_vector(
     message: models.DocumentVector,
     parts: Parts,
-    post: entry_mesh.Post,
+    post: peer_mesh.Post,
 ) -> None:
     """Exchange what differs."""
     parts.sync.compare_vector(message, post)
@@ -352,7 +354,7 @@
 def _handle_push(
     message: models.DocumentPush,
     parts: Parts,
-    post: entry_mesh.Post,
+    post: peer_mesh.Post,
 ) -> None:
     """Take a document over."""
     parts.sync.take(message)
@@ -362,7 +364,7 @@
 def _handle_lease_request(
     message: models.LeaseRequest,
     parts: Parts,
-    post: entry_mesh.Post,
+    post: peer_mesh.Post,
 ) -> None:
     """Lease from an account owned here."""
     parts.control.lease(message, post)
@@ -372,7 +374,7 @@
 def _handle_lease_grant(
     message: models.LeaseGrant,
     parts: Parts,
-    post: entry_mesh.Post,
+    post: peer_mesh.Post,
 ) -> None:
     """Take a lease over."""
     parts.control.grant(message)
@@ -382,7 +384,7 @@
 def _handle_crash_mark(
     message: models.CrashMark,
     parts: Parts,
-    post: entry_mesh.Post,
+    post: peer_mesh.Post,
 ) -> None:
     """Count a crash that another entry met."""
     parts.selector.mark(message)
--- a/nutmegtrail/daemons/entry_mesh.py
+++ b/nutmegtrail/daemons/peer_mesh.py
@@ -1,4 +1,4 @@
-"""Messages between entries: configuration, leases and crash marks."""
+"""Messages to peers by name, over connections opened when needed."""
 
 import collections.abc
 import functools
@@ -9,7 +9,6 @@
 
 from nutmegtrail import models as shared_models
 from nutmegtrail.adapters.peers import link
-from nutmegtrail.membership import view as membership_view
 from nutmegtrail.wire import errors
 from nutmegtrail.wire import models
 
@@ -17,8 +16,8 @@
 Receiver = collections.abc.Callable[[models.Message, Post], None]
 
 
-class EntryMesh:
-    """Sends messages to other entries by host name; losses are tolerated."""
+class PeerMesh:
+    """Sends messages to peers by name; losses are tolerated."""
 
     def __init__(
         self,
@@ -37,24 +36,27 @@
 
     @property
     def hosts(self) -> tuple[str, ...]:
-        """Return the other entries."""
+        """Return the peers."""
         return tuple(self._addresses_by_host)
 
-    def follow(self, view: membership_view.View) -> None:
-        """Take the other entries over from the membership."""
+    def follow(
+        self,
+        addresses_by_host: collections.abc.Mapping[str, shared_models.Address],
+    ) -> None:
+        """Take the peers over from the membership."""
         self._addresses_by_host = {
-            host.host: host.address
-            for host in view.entries_by_host.values()
-            if host.host != self._host and not host.leaving
+            host: address
+            for host, address in addresses_by_host.items()
+            if host != self._host
         }
 
     def sample(self, count: int) -> tuple[str, ...]:
-        """Return random other entries."""
+        """Return random peers."""
         hosts = sorted(self._addresses_by_host)
         return tuple(self._generator.sample(hosts, min(count, len(hosts))))
 
     def send(self, host: str, message: models.Message) -> None:
-        """Send a message to an entry; it may be lost."""
+        """Send a message to a peer; it may be lost."""
         self._tasks.start_soon(self._send, host, message)
 
     async def _send(self, host: str, message: models.Message) -> None:
@@ -74,7 +76,7 @@
     def _create_link(
         self, host: str, address: shared_models.Address
     ) -> link.Link:
-        """Return a new link to an entry."""
+        """Return a new link to a peer."""
         created = link.Link(
             address,
             functools.partial(self._receive, host),
@@ -95,5 +97,5 @@
 
 
 def _never_busy() -> bool:
-    """Return that no call waits on a link between entries."""
+    """Return that no call waits on a link between peers."""
     return False
--- a/nutmegtrail/daemons/sidecar.py
+++ b/nutmegtrail/daemons/sidecar.py
@@ -1,6 +1,7 @@
 """The sidecar: the only way to one upstream."""
 
 import functools
+import random
 import time
 
 import anyio
@@ -14,15 +15,22 @@
 from nutmegtrail.configuration import settings
 from nutmegtrail.daemons import const
 from nutmegtrail.daemons import lease_keeper
+from nutmegtrail.daemons import map_driver
+from nutmegtrail.daemons import map_proposer
 from nutmegtrail.daemons import operator_port
+from nutmegtrail.daemons import peer_mesh
 from nutmegtrail.daemons import shard_driver
 from nutmegtrail.daemons import sidecar_calls
 from nutmegtrail.delivery import answers
 from nutmegtrail.delivery import const as delivery_const
 from nutmegtrail.idempotency import models as idempotency_models
+from nutmegtrail.membership import const as membership_const
+from nutmegtrail.membership import view as membership_view
 from nutmegtrail.observability import logs
 from nutmegtrail.observability import metrics
+from nutmegtrail.ports import host_list
 from nutmegtrail.ports import key_value
+from nutmegtrail.ports import rank_engine
 from nutmegtrail.ports import upstream as upstream_port
 from nutmegtrail.retries import models as retry_models
 from nutmegtrail.wire import models
@@ -38,6 +46,8 @@
         store: key_value.KeyValueStore,
         upstream: upstream_port.Upstream,
         probe: upstream_port.Probe,
+        hosts: host_list.HostList,
+        engine: rank_engine.RankEngine | None,
     ) -> None:
         """Keep the collaborators; nothing runs yet."""
         self.metrics = metrics.Metrics()
@@ -48,6 +58,9 @@
         self._store = store
         self._upstream = upstream
         self._probe = probe
+        self._hosts = hosts
+        self._engine = engine
+        self._driver: map_driver.MapDriver | None = None
         self._lease = lease_keeper.LeaseKeeper(owner, store)
         self._stopped = anyio.Event()
         self._calls: sidecar_calls.Calls | None = None
@@ -72,6 +85,8 @@
             tasks.start_soon(self._sweep)
             if self._calls.shards is not None:
                 tasks.start_soon(self._lease.run, self._on_lapsed)
+            if self._engine is not None:
+                self._start_group(self._engine, tasks)
             await self._stopped.wait()
             await self._drain(self._calls)
             await http.close()
@@ -126,8 +141,51 @@
             )
         return calls
 
+    def _start_group(
+        self,
+        engine: rank_engine.RankEngine,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Join the engine's rank group."""
+        upstream = self._configured.upstream
+        generator = random.Random(self._owner.incarnation)
+        mesh = peer_mesh.PeerMesh(
+            upstream.name,
+            self._receive,
+            generator,
+            tasks,
+        )
+        place = map_driver.Place(
+            upstream.group,
+            self._owner,
+            upstream.group_size,
+            upstream.checks_fencing,
+        )
+        driver = map_driver.MapDriver(place, engine, mesh, generator, tasks)
+        proposer = map_proposer.MapProposer(
+            driver,
+            engine,
+            self._store,
+            self.metrics,
+        )
+        self._driver = driver
+        tasks.start_soon(self._follow_group, mesh)
+        tasks.start_soon(driver.run)
+        tasks.start_soon(proposer.run)
+
+    async def _follow_group(self, mesh: peer_mesh.PeerMesh) -> None:
+        """Follow the group's sidecars on the host list."""
+        group = self._configured.upstream.group
+        while True:
+            listed = await self._hosts.hosts()
+            if listed.is_ok():
+                mesh.follow(membership_view.group_addresses(listed.ok, group))
+            await anyio.sleep(membership_const.POLL_SECONDS)
+
     def _receive(self, message: models.Message, post: answers.Post) -> None:
-        """Handle a message of an entry."""
+        """Handle a message of an entry or of the group."""
+        if self._driver is not None:
+            self._driver.receive(message)
         _handle(message, self, post)
 
     def _on_lapsed(self) -> None:
--- a/nutmegtrail/membership/view.py
+++ b/nutmegtrail/membership/view.py
@@ -10,6 +10,7 @@
 import pyrsistent
 import pyrsistent.typing
 
+from nutmegtrail import models
 from nutmegtrail.membership import const
 from nutmegtrail.ports import host_list
 
@@ -85,6 +86,25 @@
     )
 
 
+def entry_addresses(view: View) -> dict[str, models.Address]:
+    """Return the addresses of the entries that are not leaving, by host."""
+    return {
+        name: host.address
+        for name, host in view.entries_by_host.items()
+        if not host.leaving
+    }
+
+
+def group_addresses(
+    hosts: typing.Iterable[host_list.Host],
+    group: str,
+) -> dict[str, models.Address]:
+    """Return the addresses of a rank group's sidecars, by upstream."""
+    return {
+        host.upstream: host.address for host in hosts if host.group == group
+    }
+
+
 def serves(view: View, target: str) -> bool:
     """Return whether any upstream of the target is listed."""
     return any(
--- a/nutmegtrail/ports/host_list.py
+++ b/nutmegtrail/ports/host_list.py
@@ -16,7 +16,8 @@
     """A host of the platform and the process of the system on it.
 
     `role` is `entry` or `sidecar`; `upstream` and `target` (a model or a
-    service) are empty for an entry. `leaving` is set late.
+    service) are empty for an entry. `leaving` is set late. `group` names
+    the rank group of an engine.
     """
 
     host: str
@@ -27,6 +28,7 @@
     target: str
     leaving: bool
     http_address: models.Address
+    group: str = ''
 
 
 class HostList(typing.Protocol):
--- a/nutmegtrail/stand_ins/__main__.py
+++ b/nutmegtrail/stand_ins/__main__.py
@@ -11,6 +11,7 @@
 from nutmegtrail.stand_ins import key_value
 from nutmegtrail.stand_ins import model_engine
 from nutmegtrail.stand_ins import plain_service
+from nutmegtrail.stand_ins import rank_group
 
 application = typer.Typer(help='Stand-ins of the platform, on loopback.')
 Listen = typing.Annotated[str, typer.Option(help='Address as ip:port.')]
@@ -44,6 +45,25 @@
     anyio.run(_serve, listen, service.serve)
 
 
+@application.command('rank-group')
+def run_rank_group(
+    listen: Listen,
+    ranks: int = 4,
+    step_seconds: Seconds = 0.01,
+    checks_fencing: bool = True,
+) -> None:
+    """Run a group of ranks in lock-step."""
+    group = rank_group.RankGroup(ranks, step_seconds, checks_fencing)
+    anyio.run(_serve_group, listen, group)
+
+
+async def _serve_group(listen: str, group: rank_group.RankGroup) -> None:
+    """Serve the order ports and run the steps."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(group.run)
+        await _serve(listen, group.serve)
+
+
 async def _serve(listen: str, handler: server.Handler) -> None:
     """Serve a handler until the process ends."""
     await server.Server(models.parse_address(listen), handler).serve()
--- a/nutmegtrail/wire/envelope.capnp
+++ b/nutmegtrail/wire/envelope.capnp
@@ -22,6 +22,7 @@
     mapDecision @16 :MapDecision;
     mapQuery @17 :MapQuery;
     mapReport @18 :MapReport;
+    mapStage @19 :MapStage;
   }
 }
 
@@ -140,8 +141,7 @@
   counter @1 :UInt64;
   proposer @2 :Text;
   member @3 :Text;
-  incarnation @4 :Text;
-  accepted @5 :Bool;
+  accepted @4 :Bool;
 }
 
 struct MapDecision {
@@ -164,8 +164,14 @@
   counter @1 :UInt64;
   proposer @2 :Text;
   member @3 :Text;
-  incarnation @4 :Text;
-  mapId @5 :Text;
-  step @6 :UInt64;
-  phase @7 :Text;
+  promisedCounter @4 :UInt64;
+  promisedTo @5 :Text;
+  mapId @6 :Text;
+  step @7 :UInt64;
+}
+
+struct MapStage {
+  group @0 :Text;
+  mapId @1 :Text;
+  slots @2 :List(UInt32);
 }
--- a/nutmegtrail/wire/models.py
+++ b/nutmegtrail/wire/models.py
@@ -154,7 +154,6 @@
     counter: int
     proposer: str
     member: str
-    incarnation: str
     accepted: bool
 
 
@@ -184,10 +183,18 @@
     counter: int
     proposer: str
     member: str
-    incarnation: str
+    promised_counter: int
+    promised_to: str
     map_id: str
     step: int
-    phase: str
+
+
+class MapStage(typing.NamedTuple):
+    """A map to load: the experts of all ranks' slots, rank by rank."""
+
+    group: str
+    map_id: str
+    slots: tuple[int, ...]
 
 
 Message: typing.TypeAlias = (
@@ -210,4 +217,5 @@
     | MapDecision
     | MapQuery
     | MapReport
+    | MapStage
 )
--- /dev/null
+++ b/tests/daemons/test_group.py
@@ -0,0 +1,111 @@
+"""A rank group of real sidecars switches its map under kills."""
+
+import signal
+import time
+
+import httpx
+import testtools
+
+from benchmarks import launcher
+
+_RANKS = 4
+_WAIT_SECONDS = 60
+_POLL_SECONDS = 0.05
+_DEPLOYMENT = """
+[rebalancing]
+skew_weight = 4.0
+move_weight = 1.0
+horizon_seconds = 600.0
+interval_seconds = 0.3
+"""
+
+
+class GroupTest(testtools.TestCase):
+    """In every step all ranks of a group use one expert map."""
+
+    def _start(self, checks_fencing):
+        """Start a group whose loads call for another map."""
+        self.deployment = launcher.Launcher()
+        self.addCleanup(self.deployment.close)
+        self.deployment.start_platform(lag_seconds=0)
+        flag = 'checks-fencing' if checks_fencing else 'no-checks-fencing'
+        group = self.deployment.start_stand_in(
+            'rank-group',
+            'rank-group',
+            f'--ranks={_RANKS}',
+            f'--{flag}',
+        )
+        for rank in range(_RANKS):
+            self.deployment.start_sidecar(
+                f'rank-{rank}',
+                launcher.FAILURE_DOMAINS[rank % 3],
+                'model-engine',
+                'clerk-draft',
+                group,
+                (
+                    f'group = "{launcher.GROUP}"',
+                    f'group_size = {_RANKS}',
+                    f'rank = {rank}',
+                    f'rank_address = "{group}"',
+                    f'checks_fencing = {str(checks_fencing).lower()}',
+                ),
+            )
+        launcher.wait_for(f'http://{self.deployment.host_list}', '/hosts')
+        self.deployment.publish()
+        path = self.deployment.folder / 'deployment.toml'
+        path.write_text(_DEPLOYMENT)
+        done = self.deployment.command(
+            'config',
+            'apply',
+            str(path),
+            f'--key-value={self.deployment.key_value}',
+        )
+        self.assertEqual(0, done.returncode, done.stderr)
+
+    def _record(self):
+        """Return what the group has run."""
+        url = self.deployment.url('rank-group')
+        return httpx.get(f'{url}/stand-in/steps').json()
+
+    def _wait_until(self, condition):
+        """Wait until a condition on the record is true."""
+        until = time.monotonic() + _WAIT_SECONDS
+        while time.monotonic() < until:
+            if condition(self._record()):
+                return
+            time.sleep(_POLL_SECONDS)
+        self.fail(f'not reached: {self._record()}')
+
+    def _check_switch_under_kills(self, checks_fencing):
+        """Kill sidecars around the switch; the group goes on as one."""
+        self._start(checks_fencing)
+        self._wait_until(lambda record: record['completed'] > 20)
+        for rank in (1, 0, 3):
+            name = f'rank-{rank}'
+            self.deployment.signal(name, signal.SIGKILL)
+            self.deployment.restart(name)
+            reached = self._record()['completed']
+            self._wait_until(
+                lambda record, seen=reached: record['completed'] > seen + 200,
+            )
+        self._wait_until(lambda record: len(record['maps']) > 1)
+        self.assertEqual(0, self._record()['diverged'])
+
+    def test_engines_that_check_fencing(self):
+        """The group switches and never diverges."""
+        self._check_switch_under_kills(checks_fencing=True)
+
+    def test_engines_that_ignore_fencing(self):
+        """A new sidecar waits longer than an order can live."""
+        self._check_switch_under_kills(checks_fencing=False)
+
+    def test_frozen_sidecar(self):
+        """The group waits for a frozen member and goes on as one."""
+        self._start(checks_fencing=True)
+        self._wait_until(lambda record: len(record['maps']) > 1)
+        self.deployment.signal('rank-2', signal.SIGSTOP)
+        time.sleep(3)
+        self.deployment.signal('rank-2', signal.SIGCONT)
+        reached = self._record()['completed']
+        self._wait_until(lambda record: record['completed'] > reached + 200)
+        self.assertEqual(0, self._record()['diverged'])
