Prove silent connections and starts in an outage with real processes

Cause: the fault matrix had these rows as unproved. Ruled out: killing the peer instead (the kernel then ends the connection, which is another fault). Change: a relay in the tests whose open connections drop all bytes for good while new ones work; a fresh entry while the key-value service is down; an edit whose answer is lost.

--- a/tests/daemons/test_processes.py
+++ b/tests/daemons/test_processes.py
@@ -10,6 +10,7 @@
 
 from benchmarks import launcher
 from benchmarks import scene
+from tests.daemons import relay
 
 _HEADERS = {'authorization': scene.AUTHORIZATION}
 _WAIT_SECONDS = 30
@@ -249,3 +250,117 @@
             ),
         )
         self.assertNotIn('Traceback', self.deployment.log('entry-a'))
+
+
+class SilentConnectionTest(_Deployment):
+    """Connections that go silent for good while new ones work."""
+
+    def setUp(self):
+        """Put a relay before every sidecar."""
+        super().setUp()
+        self.relays = []
+        for process in self.deployment.processes_by_name.values():
+            if process.listed.get('role') == 'sidecar':
+                silent = relay.Relay(process.listed['address'])
+                self.addCleanup(silent.close)
+                process.listed['address'] = silent.address
+                self.relays.append(silent)
+        self.deployment.publish()
+        self.assertTrue(_wait_until(self._relayed))
+
+    def _relayed(self):
+        """Return whether the entries use the relays."""
+        self.chat('entry-a', 'warm-up', 1)
+        self.confirm('entry-a', uuid.uuid4().hex)
+        return sum(silent.accepted for silent in self.relays) >= 2
+
+    def _silence(self):
+        """Let all open connections go silent."""
+        for silent in self.relays:
+            silent.silence()
+
+    def test_stream_goes_on_over_a_new_connection(self):
+        """No event is lost or doubled, and the engine runs it once."""
+        url = f'{self.deployment.url("entry-a")}/v1/chat/completions'
+        events = []
+        with httpx.stream(
+            'POST',
+            url,
+            json=_chat('silent', 150),
+            headers=_HEADERS,
+            timeout=_WAIT_SECONDS,
+        ) as response:
+            for line in response.iter_lines():
+                if line.startswith('data: '):
+                    events.append(line)
+                    if len(events) == 20:
+                        self._silence()
+        self.assertEqual(151, len(events))
+        self.assertEqual(151, len(set(events)))
+        request_id = response.headers['x-request-id']
+        runs = sum(
+            self.counts(f'engine-{place}')['by_request'].get(request_id, 0)
+            for place in _PLACES
+        )
+        self.assertEqual(1, runs)
+
+    def test_confirmation_is_picked_up(self):
+        """The answer of a call whose connection went silent is not lost."""
+        key = uuid.uuid4().hex
+        answers = []
+        thread = threading.Thread(
+            target=lambda: answers.append(self.confirm('entry-a', key)),
+        )
+        thread.start()
+        self.assertTrue(_wait_until(lambda: self.owner_of(key)))
+        self._silence()
+        thread.join()
+        self.assertEqual(200, answers[0].status_code)
+        self.assertEqual(1, self.runs(key))
+
+
+class ConfigurationTest(_Deployment):
+    """Configuration across an outage and a racing edit."""
+
+    def _digests(self, *entries):
+        """Return the configuration digests of entries."""
+        token = {'authorization': f'Bearer {launcher.OPERATOR_TOKEN}'}
+        return {
+            httpx.get(
+                f'{self.deployment.url(entry)}/operator/status',
+                headers=token,
+            ).json()['digest']
+            for entry in entries
+        }
+
+    def test_start_in_an_outage(self):
+        """A fresh entry takes the configuration from the others."""
+        mode = f'http://{self.deployment.key_value}/stand-in/mode'
+        httpx.post(mode, json={'mode': 'down'})
+        self.deployment.start_entry('entry-d', launcher.FAILURE_DOMAINS[0])
+        self.deployment.publish()
+        self.deployment.wait_ready('entry-d')
+        self.assertEqual(1, len(self._digests('entry-a', 'entry-d')))
+        answer = self.chat('entry-d', 'from the fresh entry')
+        self.assertEqual(21, answer.text.count('data: '))
+
+    def test_edit_with_a_lost_answer_reaches_all(self):
+        """An edit whose answer is lost is accepted once, everywhere."""
+        before = self._digests(*scene.ENTRIES)
+        mode = f'http://{self.deployment.key_value}/stand-in/mode'
+        httpx.post(mode, json={'mode': 'lose-answers'})
+        done = self.deployment.command(
+            'config',
+            'apply',
+            str(self.deployment.folder / 'deployment.toml'),
+            f'--key-value={self.deployment.key_value}',
+        )
+        self.assertEqual(0, done.returncode, done.stderr)
+        self.assertTrue(
+            _wait_until(
+                lambda: (
+                    len(self._digests(*scene.ENTRIES)) == 1
+                    and self._digests(*scene.ENTRIES) != before
+                ),
+            ),
+        )
