Resume watches where reading stood; end a cut stream by an error event

Cause: (1) a reader's watch that ended started again above the highest revision it held, pushed ones included, so a lower change that had not been read was skipped by this watch. (2) Each end of a watch, every 15 s on a quiet service, read all documents again: at the design size 16 readers x 8.6 MB. (3) A stream that could not be resumed just ended; its caller could take it for whole. Found by reading. Ruled out: keeping the watch's answer alive by progress messages (not every gateway sends them). Change: the reader keeps the revision of what it read itself and resumes there; all documents are read each 300 s; a cut event stream ends by `event: error` with the problem document.

--- a/nutmegtrail/configuration/const.py
+++ b/nutmegtrail/configuration/const.py
@@ -14,4 +14,4 @@
 PUSH_FANOUT: typing.Final = 3
 BOOTSTRAP_PEERS: typing.Final = 3
 WATCH_RETRY_SECONDS: typing.Final = 0.5
-FULL_READ_INTERVAL_SECONDS: typing.Final = 30.0
+FULL_READ_INTERVAL_SECONDS: typing.Final = 300.0
--- a/nutmegtrail/daemons/configuration_sync.py
+++ b/nutmegtrail/daemons/configuration_sync.py
@@ -44,6 +44,7 @@
         self._on_change = on_change
         self._is_reader = is_reader
         self._complete_peers: set[str] = set()
+        self._read_revision = 0
 
     async def run_reader(self) -> None:
         """Read at the start, then watch while this entry is a reader."""
@@ -98,18 +99,28 @@
         self._apply(document, 'push')
 
     async def _read_and_watch(self) -> None:
-        """Read all documents, then follow the changes until a failure."""
+        """Read all documents, then follow the changes for a while."""
         scanned = await self._store.scan(const.DOCUMENT_PREFIX)
         if scanned.is_error():
             return
         for entry in scanned.ok:
-            self._apply(_document(entry), 'read')
+            self._take_read(entry, 'read')
         self._become_ready('key-value service')
-        if not self._is_reader():
-            return
-        start = replica.highest_revision(self.replica) + 1
+        until = time.monotonic() + const.FULL_READ_INTERVAL_SECONDS
+        while self._is_reader() and time.monotonic() < until:
+            await self._watch()
+            await anyio.sleep(const.WATCH_RETRY_SECONDS)
+
+    async def _watch(self) -> None:
+        """Follow the changes above what was read here, not pushed."""
+        start = self._read_revision + 1
         async for changed in self._store.watch(const.DOCUMENT_PREFIX, start):
-            self._apply(_document(changed), 'watch')
+            self._take_read(changed, 'watch')
+
+    def _take_read(self, entry: key_value.Entry, source: str) -> None:
+        """Apply an entry of the service and remember its revision."""
+        self._read_revision = max(self._read_revision, entry.revision)
+        self._apply(_document(entry), source)
 
     def _apply(self, document: models.Document, source: str) -> None:
         """Take a document over if it is newer, and pass it on."""
--- a/nutmegtrail/daemons/request_flow.py
+++ b/nutmegtrail/daemons/request_flow.py
@@ -8,6 +8,7 @@
 
 from nutmegtrail import const as shared_const
 from nutmegtrail.adapters.http import asgi
+from nutmegtrail.adapters.http import const as http_const
 from nutmegtrail.adapters.http import errors as http_errors
 from nutmegtrail.daemons import const
 from nutmegtrail.daemons import inbound
@@ -54,6 +55,7 @@
             self._began_at_seconds + shared_const.REQUEST_TIMEOUT_SECONDS
         )
         self._written_at_seconds = 0.0
+        self._content_type = ''
         self._delivery = delivery_models.Delivery(
             idempotent=request.idempotent,
             keyed=bool(request.idempotency_key),
@@ -168,6 +170,7 @@
         if self._delivery.started:
             return
         self._delivery = self._delivery._replace(started=True)
+        self._content_type = head.content_type
         request_id = ('x-request-id', self._request.request_id)
         await self._exchange.start(
             head.status,
@@ -247,7 +250,8 @@
         self._shared.pool.cancel(self._pending)
         self._shared.readings.count('given_up', reason.value)
         if self._delivery.started:
-            raise http_errors.ClientGone('the answer was cut')
+            await self._end_cut_answer(reason)
+            return
         await refuse(
             self._exchange,
             reason,
@@ -256,6 +260,19 @@
             self._shared.generator,
         )
 
+    async def _end_cut_answer(self, reason: retry_models.Reason) -> None:
+        """End a stream by an error event; cut any other answer."""
+        if not self._content_type.startswith(http_const.CONTENT_TYPE_EVENTS):
+            raise http_errors.ClientGone('the answer was cut')
+        problem = problems.problem(
+            reason,
+            'the answer was cut and could not be resumed',
+            self._request.request_id,
+            self._shared.generator,
+        )
+        event = b''.join((b'event: error\ndata: ', problem.body, b'\n\n'))
+        await self._exchange.write(event, more=False)
+
     def _remaining_seconds(self) -> float:
         """Return the time left until the deadline."""
         return self._deadline_seconds - time.monotonic()
@@ -309,6 +326,6 @@
     await exchange.answer(
         problem.status,
         problem.body,
-        'application/problem+json',
+        http_const.CONTENT_TYPE_PROBLEM,
         headers,
     )
--- a/tests/daemons/test_processes.py
+++ b/tests/daemons/test_processes.py
@@ -364,3 +364,27 @@
                 ),
             ),
         )
+
+
+class CutAnswerTest(_Deployment):
+    """Streams that nobody can resume."""
+
+    def test_stream_ends_by_an_error_event(self):
+        """A caller is told that its answer is not whole."""
+        url = f'{self.deployment.url("entry-a")}/v1/chat/completions'
+        lines = []
+        with httpx.stream(
+            'POST',
+            url,
+            json=_chat('cut', 300),
+            headers=_HEADERS,
+            timeout=_WAIT_SECONDS,
+        ) as response:
+            for line in response.iter_lines():
+                lines.append(line)
+                if len(lines) == 10:
+                    for place in _PLACES:
+                        name = f'engine-{place}'
+                        self.deployment.signal(name, signal.SIGKILL)
+        self.assertIn('event: error', lines)
+        self.assertIn('urn:nutmegtrail:', lines[-2])
