Share the commands' steps; end the search for proof at once

Cause: the commands on contracts and on the deployment read, stored and showed documents in copies of the same code; a request that was given up on asked for a tombstone up to three times two seconds, the second time of a random sidecar although the first had named the owner. Ruled out: one tombstone attempt only (a moved shard needs two). Change: cli/stored.py; the proof follows the named owner and ends when an attempt gets no reply.

--- a/nutmegtrail/cli/config.py
+++ b/nutmegtrail/cli/config.py
@@ -10,10 +10,10 @@
 
 from nutmegtrail import models as shared_models
 from nutmegtrail.adapters.host_list import http as host_list_http
-from nutmegtrail.adapters.key_value import etcd
 from nutmegtrail.cli import const
 from nutmegtrail.cli import options
 from nutmegtrail.cli import output
+from nutmegtrail.cli import stored
 from nutmegtrail.configuration import const as configuration_const
 from nutmegtrail.configuration import documents
 from nutmegtrail.configuration import editing
@@ -100,47 +100,32 @@
     as_json: bool,
 ) -> None:
     """Store the deployment document."""
-    store = etcd.EtcdStore(shared_models.parse_address(address))
+    store = stored.open_store(address)
     try:
         deployment = settings.load(file, models.Deployment)
     except errors.SettingsError as error:
         output.fail(error)
-    found = await editing.read(store, configuration_const.DEPLOYMENT_NAME)
-    if found.is_error():
-        output.fail(found.error)
-    stored = _stored(found.ok)
-    changes = _describe(stored, deployment)
+    document = await stored.read(store, configuration_const.DEPLOYMENT_NAME)
+    present = _parse(document)
+    changes = _describe(present, deployment)
     if dry_run:
         output.show(changes, as_json=as_json, text='\n'.join(changes))
         return
     change = editing.new_change(operator, '; '.join(changes)[:512])
     edit = editing.Edit(
         configuration_const.DEPLOYMENT_NAME,
-        0 if found.ok is None else found.ok.revision,
-        editing.with_deployment(stored, deployment, change),
+        0 if document is None else document.revision,
+        editing.with_deployment(present, deployment, change),
         change,
     )
-    committed = await editing.commit(store, edit)
-    if committed.is_error():
-        output.fail(committed.error)
-    text = f'accepted at revision {committed.ok}'
-    accepted = {'revision': committed.ok, 'changes': changes}
-    output.show(accepted, as_json=as_json, text=text)
+    await stored.commit(store, edit, changes, as_json=as_json)
 
 
 async def _history(address: str, as_json: bool) -> None:
     """Print the deployment's edits."""
-    store = etcd.EtcdStore(shared_models.parse_address(address))
-    found = await editing.read(store, configuration_const.DEPLOYMENT_NAME)
-    if found.is_error():
-        output.fail(found.error)
-    history = editing.history_of(found.ok)
-    text = '\n'.join(
-        f'{change.time} {change.operator}: {change.subject}'
-        for change in history
-    )
-    rows = [change.model_dump() for change in history]
-    output.show(rows, as_json=as_json, text=text)
+    store = stored.open_store(address)
+    name = configuration_const.DEPLOYMENT_NAME
+    stored.show_history(await stored.read(store, name), as_json=as_json)
 
 
 async def _status(address: str, token: str, as_json: bool) -> None:
@@ -187,7 +172,7 @@
     }
 
 
-def _stored(
+def _parse(
     document: models.Document | None,
 ) -> models.DeploymentDocument | None:
     """Return the stored deployment document."""
@@ -197,13 +182,13 @@
 
 
 def _describe(
-    stored: models.DeploymentDocument | None,
+    present: models.DeploymentDocument | None,
     deployment: models.Deployment,
 ) -> list[str]:
     """Return a line for each changed part of the deployment."""
-    if stored is None:
+    if present is None:
         return ['deployment: new']
-    before = stored.deployment.model_dump()
+    before = present.deployment.model_dump()
     return [
         f'{field}: {before[field]} -> {new}'
         for field, new in deployment.model_dump().items()
--- a/nutmegtrail/cli/contract.py
+++ b/nutmegtrail/cli/contract.py
@@ -9,7 +9,7 @@
 from nutmegtrail.adapters.key_value import etcd
 from nutmegtrail.cli import options
 from nutmegtrail.cli import output
-from nutmegtrail import models as shared_models
+from nutmegtrail.cli import stored
 from nutmegtrail.configuration import documents
 from nutmegtrail.configuration import editing
 from nutmegtrail.configuration import errors
@@ -26,7 +26,7 @@
 
     name: str
     revision: int
-    stored: models.ContractDocument
+    present: models.ContractDocument
     contracts_by_account: _Contracts
 
 
@@ -79,67 +79,46 @@
     as_json: bool,
 ) -> None:
     """Store each bucket that the file's contracts belong to."""
-    store = etcd.EtcdStore(shared_models.parse_address(address))
+    store = stored.open_store(address)
     try:
         loaded = settings.load(file, contract_models.ContractFile)
     except errors.SettingsError as error:
         output.fail(error)
     for bucket in await _buckets(store, loaded.client_account):
         changes = _describe(bucket)
-        text = '\n'.join(changes)
         if dry_run:
-            output.show(changes, as_json=as_json, text=text)
+            output.show(changes, as_json=as_json, text='\n'.join(changes))
             continue
         change = editing.new_change(operator, '; '.join(changes)[:512])
         edit = editing.Edit(
             bucket.name,
             bucket.revision,
             editing.with_contracts(
-                bucket.stored,
+                bucket.present,
                 bucket.contracts_by_account,
                 change,
             ),
             change,
         )
-        committed = await editing.commit(store, edit)
-        if committed.is_error():
-            output.fail(committed.error)
-        accepted = {'revision': committed.ok, 'changes': changes}
-        lines = f'{text}\naccepted at revision {committed.ok}'
-        output.show(accepted, as_json=as_json, text=lines)
+        await stored.commit(store, edit, changes, as_json=as_json)
 
 
-async def _show(address_account: str, address: str, as_json: bool) -> None:
+async def _show(account: str, address: str, as_json: bool) -> None:
     """Print one contract."""
-    document = await _read(address, documents.bucket_name(address_account))
-    contract = _bucket_of(document).contracts_by_account.get(address_account)
+    store = stored.open_store(address)
+    document = await stored.read(store, documents.bucket_name(account))
+    contract = _bucket_of(document).contracts_by_account.get(account)
     if contract is None:
-        output.fail(
-            errors.ConfigurationError(f'{address_account} has no contract'),
-        )
+        output.fail(errors.ConfigurationError(f'{account} has no contract'))
     text = contract.model_dump_json(indent=2)
     output.show(contract.model_dump(), as_json=as_json, text=text)
 
 
 async def _history(account: str, address: str, as_json: bool) -> None:
     """Print the edits of an account's bucket."""
-    document = await _read(address, documents.bucket_name(account))
-    history = editing.history_of(document)
-    text = '\n'.join(
-        f'{change.time} {change.operator}: {change.subject}'
-        for change in history
-    )
-    rows = [change.model_dump() for change in history]
-    output.show(rows, as_json=as_json, text=text)
-
-
-async def _read(address: str, name: str) -> models.Document | None:
-    """Return a stored document; end the command where it can not be read."""
-    store = etcd.EtcdStore(shared_models.parse_address(address))
-    found = await editing.read(store, name)
-    if found.is_error():
-        output.fail(found.error)
-    return found.ok
+    store = stored.open_store(address)
+    document = await stored.read(store, documents.bucket_name(account))
+    stored.show_history(document, as_json=as_json)
 
 
 async def _buckets(
@@ -152,13 +131,10 @@
         accounts_by_name[documents.bucket_name(account)][account] = contract
     buckets = []
     for name, contracts in sorted(accounts_by_name.items()):
-        found = await editing.read(store, name)
-        if found.is_error():
-            output.fail(found.error)
-        document = found.ok
+        document = await stored.read(store, name)
         revision = 0 if document is None else document.revision
-        stored = _bucket_of(document)
-        buckets.append(_Bucket(name, revision, stored, contracts))
+        present = _bucket_of(document)
+        buckets.append(_Bucket(name, revision, present, contracts))
     return buckets
 
 
@@ -173,7 +149,7 @@
     """Return a line for each changed field of each account."""
     lines = []
     for account, contract in bucket.contracts_by_account.items():
-        before = bucket.stored.contracts_by_account.get(account)
+        before = bucket.present.contracts_by_account.get(account)
         if before is None:
             lines.append(f'{account}: new contract')
             continue
--- a/nutmegtrail/daemons/request_flow.py
+++ b/nutmegtrail/daemons/request_flow.py
@@ -210,18 +210,22 @@
 
     async def _prove(self) -> None:
         """Obtain proof that the request was not run, or give its answer."""
+        reason = retry_models.Reason.MOVED
+        owner = ''
         for _ in range(const.TOMBSTONE_ATTEMPTS):
-            host = await self._select('')
+            host = await self._select(owner)
             if host is None:
                 break
             event = await self._ask_tombstone(host)
             if event is None:
                 return
             if isinstance(event, delivery_models.Refused):
-                if event.reason is not retry_models.Reason.MOVED:
-                    await self._give_up(event.reason)
-                    return
-        await self._give_up(retry_models.Reason.OUTCOME_UNKNOWN)
+                reason, owner = event.reason, event.owner
+            if reason is not retry_models.Reason.MOVED or _is_lost(event):
+                break
+        if reason is retry_models.Reason.MOVED:
+            reason = retry_models.Reason.OUTCOME_UNKNOWN
+        await self._give_up(reason)
 
     async def _ask_tombstone(
         self,
@@ -311,6 +315,11 @@
         )
 
 
+def _is_lost(event: delivery_models.Event) -> bool:
+    """Return whether an attempt got no reply."""
+    return isinstance(event, delivery_models.Lost)
+
+
 async def refuse(
     exchange: asgi.Exchange,
     reason: retry_models.Reason,
--- a/tests/daemons/test_processes.py
+++ b/tests/daemons/test_processes.py
@@ -388,3 +388,40 @@
                         self.deployment.signal(name, signal.SIGKILL)
         self.assertIn('event: error', lines)
         self.assertIn('urn:nutmegtrail:', lines[-2])
+
+
+class CommandTest(_Deployment):
+    """The operators' commands against a running deployment."""
+
+    def _run(self, *arguments):
+        """Return what a command printed, and its exit code."""
+        done = self.deployment.command(*arguments)
+        return done.returncode, done.stdout + done.stderr
+
+    def test_commands(self):
+        """Each command prints what it is for and ends with its code."""
+        store = f'--key-value={self.deployment.key_value}'
+        hosts = f'--host-list={self.deployment.host_list}'
+        token = f'--token={launcher.OPERATOR_TOKEN}'
+        contracts = str(self.deployment.folder / 'contracts.toml')
+        entry = self.deployment.processes_by_name['entry-a'].http
+        for arguments, code, expected in (
+            (('contract', 'show', scene.ACCOUNT, store), 0, 'key_digests'),
+            (('contract', 'history', scene.ACCOUNT, store), 0, 'new contract'),
+            (('contract', 'show', 'nobody', store), 2, 'no contract'),
+            (('contract', 'apply', contracts, store, '--dry-run'), 0, ''),
+            (('config', 'history', store, '--json'), 0, 'edit_id'),
+            (('config', 'status', hosts, token), 0, 'entry-c'),
+            (('config', 'check', 'contracts', contracts), 0, 'correct'),
+            (('config', 'check', 'entry', contracts), 2, 'contracts.toml:'),
+            (('config', 'history', '--key-value=127.0.0.1:1'), 4, 'available'),
+            (('status', entry, token), 0, 'revision'),
+            (('status', entry, '--token=wrong'), 4, '401'),
+            (('stop', entry, token), 0, 'stopping'),
+            (('new-key',), 0, 'sha256:'),
+        ):
+            returned, printed = self._run(*arguments)
+            self.assertEqual(code, returned, printed)
+            self.assertIn(expected, printed)
+        popen = self.deployment.processes_by_name['entry-a'].popen
+        self.assertEqual(0, popen.wait(_WAIT_SECONDS))
