Leave nobody waiting for a claim that was buried

Cause: a tombstone took its request's waiting claim out of the line and left the claim's waiters: a second request that had joined it was never answered, and the first attempt stayed among the sidecar's open calls, so a planned stop would not have ended. A keyed call beside a model engine, which has no shards, could have been repeated by a second attempt. Found by reading. Ruled out: dropping the claim for all waiters (the joined request may run). Change: a claim that others wait for stays and the tombstone is refused as unknown; otherwise the attempts that are buried are refused. Without shards a second attempt of a call that must not be repeated is refused.

--- a/nutmegtrail/daemons/sidecar_calls.py
+++ b/nutmegtrail/daemons/sidecar_calls.py
@@ -15,8 +15,8 @@
 from nutmegtrail.observability import logs
 from nutmegtrail.observability import metrics
 from nutmegtrail.ports import upstream as upstream_port
-from nutmegtrail.retries import models as retry_models
 from nutmegtrail.retries import const as retry_const
+from nutmegtrail.retries import models as retry_models
 from nutmegtrail.wire import models
 
 _Reason: typing.TypeAlias = retry_models.Reason
@@ -44,7 +44,6 @@
         self._queue = fair_queue.Queue(slots)
         self._calls_by_id: dict[str, models.Call] = {}
         self._scopes_by_id: dict[str, anyio.CancelScope] = {}
-        self._crashes = 0
 
     @property
     def in_flight(self) -> int:
@@ -116,8 +115,12 @@
 
     def run_claimed(self, run: idempotency_models.Run) -> None:
         """Send a call whose claim is stored."""
-        call = self._calls_by_id[run.request_id]
-        self._tasks.start_soon(self._run_claimed, call, run.record_id)
+        call = self._calls_by_id.get(run.request_id)
+        if call is not None:
+            self._tasks.start_soon(self._run_claimed, call, run.record_id)
+        elif self.shards is not None:
+            event = idempotency_models.UpstreamNotSent(run.record_id)
+            self.shards.submit(run.record_id, event)
 
     def answer_claimed(self, action: idempotency_models.Answer) -> None:
         """Give an attempt the answer of a claimed call."""
@@ -158,8 +161,8 @@
 
     def _refusal(self, call: models.Call) -> retry_models.Reason | None:
         """Return why a call must not start here, None if it may."""
-        unkeyed = not call.idempotent and not call.idempotency_key
-        if unkeyed and call.attempt > 1:
+        claimed = call.idempotency_key and self.shards is not None
+        if call.attempt > 1 and not call.idempotent and not claimed:
             return _Reason.OUTCOME_UNKNOWN
         if call.suspect and self._runs_suspect():
             return _Reason.OVERLOADED
--- a/nutmegtrail/idempotency/admission.py
+++ b/nutmegtrail/idempotency/admission.py
@@ -32,6 +32,27 @@
     return models.Decision(claimed._replace(claims=(*shard.claims, call)))
 
 
+def _drop_claim(
+    shard: models.Shard,
+    tombstone: models.TombstoneCall,
+) -> models.Decision:
+    """Refuse a request's attempts whose claim waits and is now buried."""
+    waiters = shard.waiters_by_id.get(tombstone.record_id, ())
+    dropped = shard._replace(
+        claims=tuple(
+            claim
+            for claim in shard.claims
+            if claim.request_id != tombstone.request_id
+        ),
+        waiters_by_id=shard.waiters_by_id.discard(tombstone.record_id),
+    )
+    refusals = tuple(
+        models.Refuse(waiter, retry_models.Reason.OUTCOME_UNKNOWN)
+        for waiter in waiters
+    )
+    return models.Decision(dropped, refusals)
+
+
 def recall(
     shard: models.Shard,
     call: models.KeyedCall,
@@ -61,16 +82,17 @@
         return _refused(shard, waiter, retry_models.Reason.OUTCOME_UNKNOWN)
     if record is not None and record.status is not models.Status.ABANDONED:
         return _answer_from(shard, record, waiter)
-    kept = tuple(
-        claim
-        for claim in shard.claims
-        if claim.request_id != tombstone.request_id
+    own = any(
+        claim.request_id == tombstone.request_id for claim in shard.claims
     )
-    buried = shard._replace(
-        claims=kept,
-        tombstones=(*shard.tombstones, tombstone),
-    )
-    return models.Decision(buried)
+    waiters = shard.waiters_by_id.get(tombstone.record_id, ())
+    if own and any(
+        other.request_id != tombstone.request_id for other in waiters
+    ):
+        return _refused(shard, waiter, retry_models.Reason.OUTCOME_UNKNOWN)
+    tombstones = (*shard.tombstones, tombstone)
+    buried = shard._replace(tombstones=tombstones)
+    return _drop_claim(buried, tombstone) if own else models.Decision(buried)
 
 
 def answer_tombstones(
--- a/tests/idempotency/test_shard.py
+++ b/tests/idempotency/test_shard.py
@@ -84,6 +84,39 @@
         self.assertEqual((), state.in_flight.claims)
         self.assertEqual((tombstone,), state.in_flight.tombstones)
 
+    def test_tombstone_of_a_claim_that_others_wait_for(self):
+        """A request that joined a claim is not left without an answer."""
+        state, actions = _drive(
+            _owner(),
+            models.CallArrived(_CALL),
+            models.CallArrived(_CALL._replace(request_id='joined')),
+            models.TombstoneRequested(
+                models.TombstoneCall('key', 'request', 2)
+            ),
+        )
+        unknown = retry_models.Reason.OUTCOME_UNKNOWN
+        self.assertEqual([unknown], _reasons(actions))
+        _, actions = _drive(
+            state,
+            models.AppendDue(),
+            models.AppendConfirmed(4),
+        )
+        self.assertEqual((models.Run('key', 'request'),), actions)
+
+    def test_tombstone_of_a_claim_that_waits(self):
+        """The attempt that is buried gets its refusal."""
+        state, actions = _drive(
+            _owner(),
+            models.CallArrived(_CALL),
+            models.TombstoneRequested(
+                models.TombstoneCall('key', 'request', 2)
+            ),
+        )
+        waiter = models.Waiter('request', 1)
+        self.assertIn(waiter, [action.waiter for action in actions])
+        self.assertEqual({}, state.waiters_by_id)
+        self.assertEqual((), state.claims)
+
     def test_stored_tombstone_outlives_its_owner(self):
         """An attempt that was frozen is refused by the next owner."""
         log = models.Log(
