Send an order with a lost answer again only behind a fence

Cause: the driver repeated a switch whose answer was lost. An engine that takes it twice forgets the map it still has to run until the switch. Found by reading; the stand-in group is strict about it. Ruled out: relying on engines to take a repeated switch as one. Change: after a lost answer the driver raises the fencing number, or waits longer than an order can live, reads the engine, and sends again only what did not take effect. Orders carry the number of the time they are sent.

--- a/nutmegtrail/daemons/map_driver.py
+++ b/nutmegtrail/daemons/map_driver.py
@@ -1,6 +1,5 @@
 """Drives the switch of expert maps for the engine beside a sidecar."""
 
-import collections.abc
 import functools
 import math
 import random
@@ -24,9 +23,7 @@
 from nutmegtrail.ports import rank_engine
 from nutmegtrail.wire import models as wire_models
 
-_Order: typing.TypeAlias = collections.abc.Callable[
-    [], collections.abc.Awaitable[rank_engine.Done]
-]
+_Order: typing.TypeAlias = models.OrderSwitch | models.OrderHorizon
 
 
 class Place(typing.NamedTuple):
@@ -130,17 +127,24 @@
 
     async def _recover(self) -> None:
         """Read the engine where no order of a former self can follow."""
-        state = await self._read()
-        self._fence = state.fence + 1
-        if self._place.checks_fencing:
-            await self._engine.fence(self._fence)
-        else:
-            await anyio.sleep(const.ORDER_LIFETIME_SECONDS)
-        state = await self._read()
+        state = await self._read_settled()
         self._decide(
             models.EngineRead(state.current, state.horizon, state.completed),
         )
 
+    async def _read_settled(self) -> rank_engine.EngineState:
+        """Return the engine's state when no earlier order can change it."""
+        if not self._place.checks_fencing:
+            await anyio.sleep(const.ORDER_LIFETIME_SECONDS)
+            return await self._read()
+        state = await self._read()
+        self._fence = max(state.fence, self._fence) + 1
+        done = await self._engine.fence(self._fence)
+        while done.is_error():
+            await anyio.sleep(const.POLL_SECONDS)
+            done = await self._engine.fence(self._fence)
+        return await self._read()
+
     async def _read(self) -> rank_engine.EngineState:
         """Return the engine's state as soon as it answers."""
         while True:
@@ -156,12 +160,31 @@
             self._decide(models.MapStaged(map_id))
 
     async def _send_orders(self) -> None:
-        """Send the orders one by one; a lost one is sent again."""
+        """Send the orders one by one, each until the engine has it."""
         async for order in self._orders_to_send:
-            done = await order()
+            done = await self._send(order)
             while done.is_error():
-                await anyio.sleep(const.POLL_SECONDS)
-                done = await order()
+                if await self._took_effect(order):
+                    break
+                done = await self._send(order)
+
+    async def _send(self, order: _Order) -> rank_engine.Done:
+        """Send an order under the present fencing number."""
+        if isinstance(order, models.OrderSwitch):
+            return await self._engine.switch(order.state, self._fence)
+        return await self._engine.release(order.horizon, self._fence)
+
+    async def _took_effect(self, order: _Order) -> bool:
+        """Return whether an order with a lost answer was carried out.
+
+        A switch that is sent twice could take the engine off its present
+        map early, so the first one must not be able to follow.
+        """
+        await anyio.sleep(const.POLL_SECONDS)
+        state = await self._read_settled()
+        if isinstance(order, models.OrderSwitch):
+            return state.current == order.state
+        return state.horizon >= order.horizon
 
     def _resolve_if_held(self) -> None:
         """Resolve where a decision has not come for a while."""
@@ -225,10 +248,6 @@
             message = map_messages.encode(content, self._place.group)
             self._mesh.send(receiver, message)
 
-    def _order(self, order: _Order) -> None:
-        """Queue an order for the engine."""
-        self._orders.send_nowait(order)
-
 
 @functools.singledispatch
 def _perform(action: models.MemberAction, driver: MapDriver) -> None:
@@ -252,21 +271,13 @@
         since_step=action.state.since_step,
         ballot=list(driver.member.promised),
     )
-    driver._order(
-        functools.partial(driver._engine.switch, action.state, driver._fence),
-    )
+    driver._orders.send_nowait(action)
 
 
 @_perform.register
 def _perform_horizon(action: models.OrderHorizon, driver: MapDriver) -> None:
     """Allow the engine further steps."""
-    driver._order(
-        functools.partial(
-            driver._engine.release,
-            action.horizon,
-            driver._fence,
-        ),
-    )
+    driver._orders.send_nowait(action)
 
 
 @_perform.register
