Remove constants and a function that nothing uses

Ruled out: sharing the sidecar's two checks of a repeated call without key (_reason_for and Calls._refusal): they differ beside an engine without shards, so one of them would change behaviour. Change: the removal, no behaviour.

--- a/nutmegtrail/daemons/const.py
+++ b/nutmegtrail/daemons/const.py
@@ -3,7 +3,6 @@
 import typing
 
 UPSTREAM_PROBE_SECONDS: typing.Final = 1.0
-UPSTREAM_PROBE_TIMEOUT_SECONDS: typing.Final = 2.0
 DRAIN_POLL_SECONDS: typing.Final = 0.1
 DRAIN_GRACE_SECONDS: typing.Final = 3.0
 GRANT_TIMEOUT_SECONDS: typing.Final = 0.25
--- a/nutmegtrail/delivery/const.py
+++ b/nutmegtrail/delivery/const.py
@@ -5,7 +5,5 @@
 ANSWER_BYTES_LIMIT: typing.Final = 33_554_432
 SWEEP_INTERVAL_SECONDS: typing.Final = 5.0
 RETENTION_SECONDS: typing.Final = 150.0
-EVENT_QUEUE_LENGTH: typing.Final = 1_024
-EXPIRY_GRACE_SECONDS: typing.Final = 1.0
 ATTEMPT_LIMIT: typing.Final = 6
 PICK_UP_SECONDS: typing.Final = 5.0
--- a/nutmegtrail/limits/const.py
+++ b/nutmegtrail/limits/const.py
@@ -3,7 +3,6 @@
 import typing
 
 LEASE_SECONDS: typing.Final = 1.0
-LEASE_MINIMUM_UNITS: typing.Final = 1
 CHARACTERS_PER_TOKEN: typing.Final = 4
 DEFAULT_ANSWER_TOKENS: typing.Final = 256
 OWNER_SILENCE_SECONDS: typing.Final = 2.0
--- a/nutmegtrail/membership/view.py
+++ b/nutmegtrail/membership/view.py
@@ -105,13 +105,6 @@
     }
 
 
-def serves(view: View, target: str) -> bool:
-    """Return whether any upstream of the target is listed."""
-    return any(
-        host.target == target for host in view.sidecars_by_upstream.values()
-    )
-
-
 def _address_changed(
     view: View,
     host: host_list.Host | None,
