--- /dev/null
+++ b/nutmegtrail/adapters/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 with raw headers: a server and a client on httptools."""
--- /dev/null
+++ b/nutmegtrail/adapters/http1/const.py
@@ -0,0 +1,46 @@
+"""Sizes and timeouts of the HTTP/1.1 adapter."""
+
+import typing
+
+RECEIVE_BYTES: typing.Final = 65_536
+LISTEN_BACKLOG: typing.Final = 1_024
+
+# A client may pipeline; more than this waits in the socket.
+PIPELINED_REQUESTS_LIMIT: typing.Final = 4
+
+# Clients of the platform give up on a connection attempt after a second.
+CONNECT_TIMEOUT_SECONDS: typing.Final = 1.0
+CLIENT_WRITE_TIMEOUT_SECONDS: typing.Final = 10.0
+
+# Keep-alive probes find a peer that has gone silent within three seconds,
+# the shortest time in which the platform counts a host as in touch again.
+KEEP_ALIVE_IDLE_SECONDS: typing.Final = 1
+KEEP_ALIVE_INTERVAL_SECONDS: typing.Final = 1
+KEEP_ALIVE_PROBES: typing.Final = 2
+USER_TIMEOUT_MILLISECONDS: typing.Final = 3_000
+
+# A kept connection is not used in the last part of the peer's timeout.
+IDLE_MARGIN_SECONDS: typing.Final = 0.5
+KEPT_CONNECTIONS_PER_ADDRESS: typing.Final = 8
+
+STATUS_CONTINUE_LIMIT: typing.Final = 200
+STATUS_NO_CONTENT: typing.Final = 204
+STATUS_NOT_MODIFIED: typing.Final = 304
+STATUS_BAD_REQUEST: typing.Final = 400
+STATUS_TIMEOUT: typing.Final = 408
+STATUS_TOO_LARGE: typing.Final = 413
+STATUS_HEADERS_TOO_LARGE: typing.Final = 431
+
+HOP_BY_HOP: typing.Final = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    ),
+)
--- /dev/null
+++ b/nutmegtrail/adapters/http1/server.py
@@ -0,0 +1,265 @@
+"""HTTP/1.1 server that sees a caller hang up while its answer is made."""
+
+import typing
+
+import anyio
+import anyio.abc
+
+from nutmegtrail import models
+from nutmegtrail.adapters.http1 import const
+from nutmegtrail.adapters.http1 import errors
+from nutmegtrail.adapters.http1 import messages
+
+Handler: typing.TypeAlias = typing.Callable[
+    ['Exchange'], typing.Awaitable[None]
+]
+
+
+class ConnectionLimits(typing.NamedTuple):
+    """What callers may send, and how long they may take."""
+
+    sizes: messages.SizeLimits
+    header_timeout_seconds: float
+    idle_timeout_seconds: float
+
+
+LimitsSource: typing.TypeAlias = typing.Callable[[], ConnectionLimits]
+
+
+class Exchange:
+    """A request and the answer to it."""
+
+    def __init__(
+        self,
+        request: messages.Request,
+        stream: anyio.abc.ByteStream,
+        received_at_seconds: float,
+    ) -> None:
+        """Keep the request; nothing is sent yet."""
+        self.request = request
+        self.received_at_seconds = received_at_seconds
+        self.started = False
+        self.complete = False
+        self.keep_alive = request.keep_alive
+        self._stream = stream
+
+    async def answer(
+        self,
+        status: int,
+        headers: messages.Headers,
+        payload: bytes,
+    ) -> None:
+        """Send a whole answer."""
+        length = (b'content-length', b'%d' % len(payload))
+        head = self._head(status, (*headers, length))
+        self.started = True
+        await self._send(head + payload)
+        self.complete = True
+
+    async def start_chunked(
+        self,
+        status: int,
+        headers: messages.Headers,
+        payload: bytes,
+    ) -> None:
+        """Send the head and the first part of a body without a length."""
+        encoding = (b'transfer-encoding', b'chunked')
+        head = self._head(status, (*headers, encoding))
+        self.started = True
+        await self._send(head + messages.chunk(payload))
+
+    async def write(self, payload: bytes) -> None:
+        """Send a part of a chunked body."""
+        await self._send(messages.chunk(payload))
+
+    async def finish(self) -> None:
+        """End a chunked body."""
+        await self._send(messages.LAST_CHUNK)
+        self.complete = True
+
+    def _head(self, status: int, headers: messages.Headers) -> bytes:
+        """Return the head, with a notice where the connection closes."""
+        if not self.keep_alive:
+            headers = (*headers, (b'connection', b'close'))
+        return messages.response_head_bytes(status, headers)
+
+    async def _send(self, payload: bytes) -> None:
+        """Send bytes; raise ClientGone if the caller does not take them."""
+        try:
+            with anyio.fail_after(const.CLIENT_WRITE_TIMEOUT_SECONDS):
+                await self._stream.send(payload)
+        except (
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            TimeoutError,
+        ) as error:
+            raise errors.ClientGone('the caller took no more bytes') from error
+
+
+class Server:
+    """Serves one handler on one address."""
+
+    def __init__(
+        self,
+        address: models.Address,
+        handler: Handler,
+        limits: LimitsSource,
+    ) -> None:
+        """Keep the parameters; nothing listens yet."""
+        self._address = address
+        self._handler = handler
+        self._limits = limits
+        self._listener: anyio.abc.Listener[typing.Any] | None = None
+        self._idle_scopes: set[anyio.CancelScope] = set()
+        self.is_stopping = False
+
+    async def start(self) -> None:
+        """Listen; connections are queued until `serve`."""
+        listeners = await anyio.create_tcp_listener(
+            local_host=self._address.ip,
+            local_port=self._address.port,
+            backlog=const.LISTEN_BACKLOG,
+        )
+        self._listener = listeners
+
+    async def serve(self) -> None:
+        """Serve connections until the listener is closed."""
+        if self._listener is None:
+            await self.start()
+        listener = typing.cast('anyio.abc.Listener[typing.Any]', self._listener)
+        async with anyio.create_task_group() as tasks:
+            try:
+                await listener.serve(self._serve_connection, tasks)
+            except anyio.ClosedResourceError:
+                return
+
+    def stop(self) -> None:
+        """Ask callers to close their connections after each answer."""
+        self.is_stopping = True
+
+    async def close(self) -> None:
+        """Stop listening and close the connections that are idle."""
+        self.is_stopping = True
+        if self._listener is not None:
+            await self._listener.aclose()
+        for scope in tuple(self._idle_scopes):
+            scope.cancel()
+
+    async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+        """Serve the requests of one connection."""
+        connection = _Connection(stream, self)
+        try:
+            await connection.run()
+        except errors.ClientGone:
+            return
+        finally:
+            with anyio.CancelScope(shield=True):
+                await stream.aclose()
+
+
+class _Connection:
+    """One caller's connection."""
+
+    def __init__(self, stream: anyio.abc.SocketStream, server: Server) -> None:
+        """Keep the stream; nothing is read yet."""
+        self._stream = stream
+        self._server = server
+        limits = server._limits()
+        self._reader = messages.RequestReader(limits.sizes)
+
+    async def run(self) -> None:
+        """Serve requests until either side ends the connection."""
+        try:
+            request = await self._next_request()
+            while request is not None and await self._serve(request):
+                request = await self._next_request()
+        except errors.RequestRefused as error:
+            await self._refuse(error.status)
+
+    async def _next_request(self) -> messages.Request | None:
+        """Return the next request, None where the caller sends no more."""
+        while not self._reader.ready:
+            received = await self._receive()
+            if not received:
+                return None
+            self._reader.feed(received)
+        return self._reader.ready.popleft()
+
+    async def _receive(self) -> bytes:
+        """Return received bytes, b'' at the end or after the idle timeout."""
+        limits = self._server._limits()
+        self._reader.limits = limits.sizes
+        inside = self._reader.is_inside
+        if self._server.is_stopping and not inside:
+            return await self._receive_last()
+        timeout = limits.idle_timeout_seconds
+        if inside:
+            timeout = limits.header_timeout_seconds
+        with anyio.move_on_after(timeout) as scope:
+            if not inside:
+                self._server._idle_scopes.add(scope)
+            try:
+                return await _receive_or_end(self._stream)
+            finally:
+                self._server._idle_scopes.discard(scope)
+        if inside and not self._server.is_stopping:
+            raise errors.RequestRefused(
+                const.STATUS_TIMEOUT,
+                'the request was not received in time',
+            )
+        return b''
+
+    async def _receive_last(self) -> bytes:
+        """Return what has already arrived while the server stops."""
+        with anyio.move_on_after(0):
+            return await _receive_or_end(self._stream)
+        return b''
+
+    async def _serve(self, request: messages.Request) -> bool:
+        """Handle a request; return whether another one may follow."""
+        exchange = Exchange(request, self._stream, anyio.current_time())
+        if self._server.is_stopping:
+            exchange.keep_alive = False
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch, tasks.cancel_scope)
+            try:
+                await self._server._handler(exchange)
+            except errors.ClientGone:
+                exchange.keep_alive = False
+            tasks.cancel_scope.cancel()
+        return exchange.complete and exchange.keep_alive
+
+    async def _watch(self, scope: anyio.CancelScope) -> None:
+        """Cancel the work on a request when its caller hangs up."""
+        while len(self._reader.ready) < const.PIPELINED_REQUESTS_LIMIT:
+            received = await _receive_or_end(self._stream)
+            if not received:
+                scope.cancel()
+                return
+            try:
+                self._reader.feed(received)
+            except errors.RequestRefused:
+                scope.cancel()
+                return
+
+    async def _refuse(self, status: int) -> None:
+        """Answer a request that can not be read."""
+        headers = ((b'content-length', b'0'), (b'connection', b'close'))
+        try:
+            await self._stream.send(
+                messages.response_head_bytes(status, headers),
+            )
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+
+
+async def _receive_or_end(stream: anyio.abc.ByteStream) -> bytes:
+    """Return received bytes, b'' where the connection has ended."""
+    try:
+        return await stream.receive(const.RECEIVE_BYTES)
+    except (
+        anyio.EndOfStream,
+        anyio.BrokenResourceError,
+        anyio.ClosedResourceError,
+    ):
+        return b''
--- /dev/null
+++ b/nutmegtrail/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Direct delivery: an entry that calls upstreams without sidecars."""
--- /dev/null
+++ b/nutmegtrail/gateway/const.py
@@ -0,0 +1,74 @@
+"""Parameters of direct delivery."""
+
+import typing
+
+MILLISECONDS_PER_SECOND: typing.Final = 1_000
+RESPONSE_BYTES_LIMIT: typing.Final = 8_388_608
+
+HTTP_OK: typing.Final = 200
+HTTP_NO_CONTENT: typing.Final = 204
+HTTP_BAD_REQUEST: typing.Final = 400
+HTTP_UNAUTHORIZED: typing.Final = 401
+HTTP_NOT_FOUND: typing.Final = 404
+HTTP_SERVER_ERROR: typing.Final = 500
+HTTP_BAD_GATEWAY: typing.Final = 502
+HTTP_UNAVAILABLE: typing.Final = 503
+HTTP_GATEWAY_TIMEOUT: typing.Final = 504
+
+# Entries that lapsed in an outage of the store are back two seconds after
+# its return, by the platform's contract.
+RETURN_WINDOW_SECONDS: typing.Final = 2.2
+
+# An upstream without a stated number of slots.
+DEFAULT_SLOTS: typing.Final = 6
+
+# A caller abandons a stream two seconds after its start without an event;
+# the rest is the time to the first event.
+STREAM_WAIT_SECONDS: typing.Final = 1.4
+
+# The rest of a call's deadline after the wait in the queue.
+CALL_WAIT_SHARE: typing.Final = 0.6
+
+# Queue length at which the expected wait is over what callers stand.
+QUEUE_PER_SLOT: typing.Final = 1.0
+
+# Weight of a new sample of an upstream's pace.
+PACE_SMOOTHING: typing.Final = 0.2
+PACE_HALF_LIFE_SECONDS: typing.Final = 3.0
+
+# Times that an upstream is left out after failures in a row.
+EJECTION_SECONDS: typing.Final = 1.0
+EJECTION_LIMIT_SECONDS: typing.Final = 4.0
+FAILURES_TO_EJECT: typing.Final = 2
+
+# Connection attempts to other upstreams after a failed one.
+CONNECT_ATTEMPTS_LIMIT: typing.Final = 4
+
+# A stream without an event for so long is resumed elsewhere: callers
+# abandon it after two seconds.
+STREAM_SILENCE_SECONDS: typing.Final = 1.0
+
+RETRY_AFTER_LEAST_SECONDS: typing.Final = 0.25
+RETRY_AFTER_MOST_SECONDS: typing.Final = 2.0
+
+# Share of the platform's retry allowance that an entry uses.
+RETRY_ALLOWANCE_SHARE: typing.Final = 0.5
+
+DISPATCH_INTERVAL_SECONDS: typing.Final = 0.05
+
+GOSSIP_INTERVAL_SECONDS: typing.Final = 0.05
+GOSSIP_TIMEOUT_SECONDS: typing.Final = 1.0
+GOSSIP_BYTES_LIMIT: typing.Final = 1_400
+
+REGISTRATION_TTL_SECONDS: typing.Final = 10
+REGISTRATION_INTERVAL_SECONDS: typing.Final = 3.0
+
+WATCH_WAIT_SECONDS: typing.Final = 5.0
+STORE_RETRY_SECONDS: typing.Final = 0.5
+STORE_RETRY_LIMIT_SECONDS: typing.Final = 1.0
+
+# The balancer takes a host out after two failed probes, one a second.
+DRAIN_SECONDS: typing.Final = 3.5
+
+# Left of the grace time when the last requests are cut.
+STOP_MARGIN_SECONDS: typing.Final = 0.4
--- /dev/null
+++ b/nutmegtrail/gateway/daemon.py
@@ -0,0 +1,151 @@
+"""The entry that calls upstreams directly."""
+
+import signal
+import typing
+
+import anyio
+
+from nutmegtrail import models
+from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.adapters.http1 import server
+from nutmegtrail.gateway import const
+from nutmegtrail.gateway import dispatcher as dispatching
+from nutmegtrail.gateway import flow as flows
+from nutmegtrail.gateway import gossip as gossiping
+from nutmegtrail.gateway import settings
+from nutmegtrail.gateway import store_follower
+from nutmegtrail.observability import logs
+from nutmegtrail.observability import metrics
+
+# In force until the first configuration is read.
+_FIRST_LIMITS: typing.Final = server.ConnectionLimits(
+    messages.SizeLimits(16_384, 4_194_304),
+    header_timeout_seconds=3.0,
+    idle_timeout_seconds=15.0,
+)
+_TEXT: typing.Final[messages.Headers] = (
+    (b'content-type', b'text/plain; charset=utf-8'),
+)
+
+
+class Parts(typing.NamedTuple):
+    """Collaborators of the entry, wired by the composition root."""
+
+    flow: flows.Flow
+    dispatcher: dispatching.Dispatcher
+    gossip: gossiping.Gossip
+    followers: tuple[store_follower.StoreFollower, ...]
+    readings: metrics.Metrics
+
+
+class Gateway:
+    """Serves callers, readiness probes and metrics."""
+
+    def __init__(
+        self,
+        configured: settings.GatewaySettings,
+        parts: Parts,
+    ) -> None:
+        """Keep the parts; nothing listens yet."""
+        self._configured = configured
+        self._parts = parts
+        self._stopping = anyio.Event()
+        listen = configured.listen
+        self._callers = self._server(listen.callers, parts.flow.serve)
+        self._readiness = self._server(listen.readiness, self._serve_readiness)
+        self._metrics = self._server(listen.metrics, self._serve_metrics)
+
+    async def start(self) -> None:
+        """Run until `close` and the end of what is under way."""
+        logs.decision(
+            'daemon:started',
+            host=self._configured.process.host,
+            failure_domain=self._configured.process.failure_domain,
+        )
+        async with anyio.create_task_group() as tasks:
+            for follower in self._parts.followers:
+                tasks.start_soon(follower.run)
+            tasks.start_soon(self._parts.gossip.run)
+            tasks.start_soon(self._metrics.serve)
+            tasks.start_soon(self._readiness.serve)
+            async with anyio.create_task_group() as callers:
+                callers.start_soon(self._callers.serve)
+                await self._stopping.wait()
+                await self._drain(callers)
+            tasks.cancel_scope.cancel()
+        await self._parts.gossip.close()
+        await self._parts.flow.close()
+        logs.decision('daemon:stopped', host=self._configured.process.host)
+
+    def close(self) -> None:
+        """Begin the planned stop."""
+        self._stopping.set()
+
+    async def _drain(self, callers: anyio.abc.TaskGroup) -> None:
+        """Leave the balancer, then end connections and listen no more."""
+        logs.decision(
+            'daemon:draining',
+            waiting=self._parts.dispatcher.waiting_count,
+        )
+        self._callers.stop()
+        await anyio.sleep(const.DRAIN_SECONDS)
+        await self._callers.close()
+        left = self._configured.stop.grace_seconds - const.DRAIN_SECONDS
+        callers.cancel_scope.deadline = (
+            anyio.current_time() + left - const.STOP_MARGIN_SECONDS
+        )
+
+    async def _serve_readiness(self, exchange: server.Exchange) -> None:
+        """Answer whether new connections should come."""
+        ready = (
+            self._parts.flow.configuration is not None
+            and not self._stopping.is_set()
+        )
+        status = const.HTTP_OK if ready else const.HTTP_UNAVAILABLE
+        await exchange.answer(status, (), b'')
+
+    async def _serve_metrics(self, exchange: server.Exchange) -> None:
+        """Answer with all readings."""
+        payload = self._parts.readings.render().encode()
+        await exchange.answer(const.HTTP_OK, _TEXT, payload)
+
+    def _server(self, address: str, handler: server.Handler) -> server.Server:
+        """Return a server on an address of the settings."""
+        return server.Server(
+            models.parse_address(address),
+            handler,
+            self._limits,
+        )
+
+    def _limits(self) -> server.ConnectionLimits:
+        """Return the limits of the configuration in force."""
+        configuration = self._parts.flow.configuration
+        if configuration is None:
+            return _FIRST_LIMITS
+        limits = configuration.limits
+        return server.ConnectionLimits(
+            messages.SizeLimits(limits.header_bytes, limits.body_bytes),
+            limits.header_timeout_seconds,
+            limits.idle_timeout_seconds,
+        )
+
+
+async def run(daemon: Gateway) -> None:
+    """Run until a signal stops the entry; a reload keeps it running."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_watch_signals, daemon)
+        await daemon.start()
+        tasks.cancel_scope.cancel()
+
+
+async def _watch_signals(daemon: Gateway) -> None:
+    """Begin the planned stop at SIGTERM; log a notice of new settings."""
+    with anyio.open_signal_receiver(
+        signal.SIGTERM,
+        signal.SIGINT,
+        signal.SIGHUP,
+    ) as received:
+        async for number in received:
+            logs.decision('daemon:signal', signal=number.name)
+            if number is not signal.SIGHUP:
+                daemon.close()
--- /dev/null
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -0,0 +1,159 @@
+"""Gives waiting requests their upstreams; holds what the choice needs."""
+
+import typing
+
+import anyio
+
+from nutmegtrail.gateway import const
+from nutmegtrail.gateway import fleet
+from nutmegtrail.gateway import health
+from nutmegtrail.gateway import loads
+from nutmegtrail.gateway import models
+from nutmegtrail.gateway import selection
+from nutmegtrail.gateway import waiting_line
+
+
+class _Ticket:
+    """A request's place in a line and what came of it."""
+
+    def __init__(self) -> None:
+        """Start without an outcome."""
+        self.decided = anyio.Event()
+        self.upstream: models.Upstream | None = None
+
+
+class Dispatcher:
+    """Lines of waiting requests by service, over one shared view of loads."""
+
+    def __init__(self, failure_domain: str) -> None:
+        """Start with an empty fleet."""
+        self.members = fleet.Fleet()
+        self.standings = health.Health()
+        self.counts = loads.Loads()
+        self.entries = 1
+        self._failure_domain = failure_domain
+        self._lines_by_service: dict[str, waiting_line.Line] = {}
+        self._tickets_by_id: dict[str, _Ticket] = {}
+
+    @property
+    def waiting_count(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._tickets_by_id)
+
+    async def acquire(
+        self,
+        service: str,
+        waiting: waiting_line.Waiting,
+    ) -> models.Upstream | None:
+        """Return an upstream, counted as used; None where refused."""
+        ticket = _Ticket()
+        self._tickets_by_id[waiting.request_id] = ticket
+        line = self._lines_by_service.get(service, waiting_line.Line())
+        self._lines_by_service[service] = waiting_line.arrive(line, waiting)
+        self.dispatch(service)
+        try:
+            await ticket.decided.wait()
+        except BaseException:
+            self._withdraw(service, waiting.request_id, ticket)
+            raise
+        return ticket.upstream
+
+    def release(self, upstream: models.Upstream) -> None:
+        """Count a request as ended and serve the next one."""
+        self.counts = loads.ended(self.counts, upstream.upstream_id)
+        self.dispatch(upstream.service)
+
+    def dispatch_all(self) -> None:
+        """Serve all lines, for example after a change of the fleet."""
+        now = anyio.current_time()
+        self.members = fleet.decide(fleet.Elapsed(), self.members, now)
+        self.counts = loads.forget_silent(self.counts, now)
+        for service, line in tuple(self._lines_by_service.items()):
+            if line.waiting:
+                self.dispatch(service)
+
+    def dispatch(self, service: str) -> None:
+        """Give the first waiting requests their upstreams."""
+        line = self._lines_by_service.get(service)
+        if line is None or not line.waiting:
+            return
+        now = anyio.current_time()
+        for waiting in waiting_line.in_order(line, now):
+            upstream = selection.choose(
+                selection.places(self._situation(), service, now),
+                waiting.excluded_ids,
+                self._failure_domain,
+            )
+            if upstream is None:
+                break
+            line = waiting_line.started(line, waiting)
+            self.counts = loads.started(self.counts, upstream.upstream_id)
+            self._decide(waiting.request_id, upstream)
+        self._lines_by_service[service] = self._shorten(service, line, now)
+
+    def has_upstreams(self, service: str, excluded: frozenset[str]) -> bool:
+        """Return whether any registered upstream could take a request."""
+        return any(
+            upstream.upstream_id not in excluded
+            for upstream in fleet.usable(self.members, service)
+        )
+
+    def _shorten(
+        self,
+        service: str,
+        line: waiting_line.Line,
+        now: float,
+    ) -> waiting_line.Line:
+        """Refuse the requests that would wait too long."""
+        slots = sum(
+            upstream.slots for upstream in fleet.usable(self.members, service)
+        )
+        cut = waiting_line.shorten(line, slots // self.entries, now)
+        for request_id in cut.refused_ids:
+            self._decide(request_id, None)
+        return cut.line
+
+    def _situation(self) -> selection.Situation:
+        """Return what a choice depends on."""
+        return selection.Situation(self.members, self.standings, self.counts)
+
+    def _decide(
+        self,
+        request_id: str,
+        upstream: models.Upstream | None,
+    ) -> None:
+        """Wake the task of a request."""
+        ticket = self._tickets_by_id.pop(request_id)
+        ticket.upstream = upstream
+        ticket.decided.set()
+
+    def _withdraw(
+        self,
+        service: str,
+        request_id: str,
+        ticket: _Ticket,
+    ) -> None:
+        """Take back the place of a request whose caller has gone."""
+        if ticket.decided.is_set():
+            if ticket.upstream is not None:
+                self.release(ticket.upstream)
+            return
+        self._tickets_by_id.pop(request_id, None)
+        line = self._lines_by_service[service]
+        self._lines_by_service[service] = waiting_line.leave(line, request_id)
+
+
+def latest_start(
+    route: models.Route,
+    received_at_seconds: float,
+    deadline_seconds: float,
+) -> float:
+    """Return the time after which starting a request is of no use."""
+    budget = deadline_seconds - received_at_seconds
+    wait = budget * const.CALL_WAIT_SHARE
+    if route.kind is models.Kind.STREAM:
+        wait = min(wait, const.STREAM_WAIT_SECONDS)
+    return received_at_seconds + wait
+
+
+Clock: typing.TypeAlias = typing.Callable[[], float]
--- /dev/null
+++ b/nutmegtrail/gateway/flow.py
@@ -0,0 +1,475 @@
+"""Way of a request from its caller to an upstream and back."""
+
+import typing
+
+import anyio
+
+from nutmegtrail.adapters.http1 import client
+from nutmegtrail.adapters.http1 import errors as http_errors
+from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.adapters.http1 import server
+from nutmegtrail.gateway import attempts
+from nutmegtrail.gateway import const
+from nutmegtrail.gateway import dispatcher as dispatching
+from nutmegtrail.gateway import errors
+from nutmegtrail.gateway import events
+from nutmegtrail.gateway import health
+from nutmegtrail.gateway import models
+from nutmegtrail.gateway import retry_budget
+from nutmegtrail.gateway import routes
+from nutmegtrail.gateway import waiting_line
+from nutmegtrail.observability import logs
+from nutmegtrail.observability import metrics
+from nutmegtrail.ports import dialect as dialects
+
+_PROMISING_NOT_RUN: typing.Final = frozenset((408, 421, 429, 503))
+
+
+class _Failure(typing.NamedTuple):
+    """A whole failed answer of an upstream."""
+
+    head: messages.Head
+    body: bytes
+
+
+class _Job:
+    """A request on its way and what is known of it."""
+
+    def __init__(
+        self,
+        exchange: server.Exchange,
+        caller: models.CallerRequest,
+        route: models.Route,
+        account: models.Account,
+    ) -> None:
+        """Start before the first attempt."""
+        self.exchange = exchange
+        self.caller = caller
+        self.route = route
+        self.account = account
+        self.service = routes.service_of(route, caller.request_id)
+        self.delivery = attempts.Delivery(route)
+        self.position = events.Position(caller.last_event)
+        self.failure: _Failure | None = None
+        budget = route.timeout_seconds
+        if caller.budget_seconds is not None:
+            budget = min(budget, caller.budget_seconds)
+        self.deadline = exchange.received_at_seconds + budget
+        self.upstream_ids: list[str] = []
+
+    @property
+    def remaining_seconds(self) -> float:
+        """Return the time until the caller or the route gives up."""
+        return self.deadline - anyio.current_time()
+
+    @property
+    def priority(self) -> int:
+        """Return the priority of the account, or else of the route."""
+        if self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+    def waiting(self) -> waiting_line.Waiting:
+        """Return the request as a line sees it."""
+        received_at = self.exchange.received_at_seconds
+        return waiting_line.Waiting(
+            self.caller.request_id,
+            self.account.name,
+            self.priority,
+            received_at + self.route.objective_seconds,
+            dispatching.latest_start(self.route, received_at, self.deadline),
+            self.delivery.excluded_ids,
+        )
+
+
+class Flow:
+    """Serves callers' requests under the present configuration."""
+
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        dispatcher: dispatching.Dispatcher,
+        allowance: retry_budget.Allowance,
+        readings: metrics.Metrics,
+    ) -> None:
+        """Keep the collaborators; no configuration is known yet."""
+        self.configuration: models.Configuration | None = None
+        self._dialect = dialect
+        self._dispatcher = dispatcher
+        self._allowance = allowance
+        self._metrics = readings
+        self._client = client.Client()
+        self._budgets_by_service: dict[str, retry_budget.Budget] = {}
+
+    async def close(self) -> None:
+        """Close the idle connections to upstreams."""
+        await self._client.close()
+
+    async def serve(self, exchange: server.Exchange) -> None:
+        """Answer one request."""
+        job = await self._admit(exchange)
+        if job is None:
+            return
+        try:
+            await self._deliver(job)
+        finally:
+            self._report(job)
+
+    async def _admit(self, exchange: server.Exchange) -> _Job | None:
+        """Return the job of an acceptable request, None once answered."""
+        configuration = self.configuration
+        try:
+            caller = self._dialect.read_request(exchange.request)
+        except errors.MalformedRequest as error:
+            logs.decision('request:malformed', detail=str(error))
+            await self._answer(exchange, '', const.HTTP_BAD_REQUEST)
+            return None
+        if configuration is None:
+            await self._reject(exchange, caller, 'no configuration yet')
+            return None
+        route = routes.match(configuration, caller.host, caller.path)
+        status = const.HTTP_NOT_FOUND
+        if route is not None:
+            account = routes.account_of(configuration, route, caller.api_key)
+            if account is not None:
+                return _Job(exchange, caller, route, account)
+            status = const.HTTP_UNAUTHORIZED
+        logs.decision(
+            'request:denied',
+            request_id=caller.request_id,
+            status=status,
+            configuration=configuration.version,
+        )
+        self._metrics.count('requests', str(status))
+        await self._answer(exchange, caller.request_id, status)
+        return None
+
+    async def _deliver(self, job: _Job) -> None:
+        """Send a request to upstreams until it is answered."""
+        now = anyio.current_time()
+        budget = self._budget(job.service)
+        window = self._allowance.window_seconds
+        self._budgets_by_service[job.service] = retry_budget.requested(
+            budget,
+            window,
+            now,
+        )
+        while True:
+            event = await self._next_attempt(job)
+            if event is None:
+                return
+            if isinstance(event, attempts.GiveUp):
+                await self._end(job, event)
+                return
+            decision = attempts.decide(event, job.delivery)
+            job.delivery = decision.delivery
+            action = decision.action
+            self._log_failure(job, event, action)
+            if isinstance(action, attempts.Repeat):
+                if action.from_budget and not self._spend(job.service):
+                    action = self._without_repeat(job)
+            if isinstance(action, attempts.GiveUp):
+                await self._end(job, action)
+                return
+
+    async def _next_attempt(
+        self,
+        job: _Job,
+    ) -> attempts.Event | attempts.GiveUp | None:
+        """Wait for an upstream and try it; None where answered."""
+        excluded = job.delivery.excluded_ids
+        if not self._dispatcher.has_upstreams(job.service, excluded):
+            return self._without_repeat(job)
+        upstream = await self._dispatcher.acquire(job.service, job.waiting())
+        if upstream is None:
+            return self._without_repeat(job)
+        job.upstream_ids.append(upstream.upstream_id)
+        try:
+            return await self._attempt(job, upstream)
+        finally:
+            self._dispatcher.release(upstream)
+
+    async def _attempt(
+        self,
+        job: _Job,
+        upstream: models.Upstream,
+    ) -> attempts.Event | attempts.GiveUp | None:
+        """Send a request to an upstream; None where it was answered."""
+        try:
+            with anyio.fail_after(max(job.remaining_seconds, 0)):
+                event = await self._exchange(job, upstream)
+        except TimeoutError:
+            return attempts.GiveUp(attempts.Outcome.UNKNOWN)
+        except http_errors.NotConnected:
+            event = attempts.NotConnected(upstream.upstream_id)
+        except http_errors.ExchangeBroken:
+            event = attempts.Broken(upstream.upstream_id)
+        self._judge(upstream, event)
+        return event
+
+    async def _exchange(
+        self,
+        job: _Job,
+        upstream: models.Upstream,
+    ) -> attempts.Event | None:
+        """Exchange a request and its answer with an upstream."""
+        request = job.exchange.request
+        dispatch = models.Dispatch(
+            upstream.upstream_id,
+            job.account.name,
+            job.remaining_seconds,
+            job.position.last_event,
+        )
+        call = client.Call(
+            upstream.address,
+            request.method,
+            request.target,
+            self._dialect.upstream_headers(request, dispatch),
+            request.body,
+            fresh=not job.route.repeatable,
+        )
+        sent_at = anyio.current_time()
+        async with self._client.open(call) as response:
+            signs = self._dialect.read_signs(
+                response.head,
+                job.caller.request_id,
+            )
+            if signs.verdict is not models.Verdict.SUCCESS:
+                return await self._read_failure(job, upstream, response, signs)
+            if job.route.kind is models.Kind.STREAM:
+                return await self._pass_stream(job, upstream, response)
+            body = await response.read(const.RESPONSE_BYTES_LIMIT)
+            seconds = anyio.current_time() - sent_at
+        self._observe_pace(upstream, seconds)
+        headers = messages.end_to_end(response.head.headers)
+        await job.exchange.answer(response.head.status, headers, body)
+        return None
+
+    async def _read_failure(
+        self,
+        job: _Job,
+        upstream: models.Upstream,
+        response: client.Response,
+        signs: models.AnswerSigns,
+    ) -> attempts.Event:
+        """Return what an answer that is no success means."""
+        if signs.verdict is models.Verdict.FOREIGN:
+            return attempts.Broken(upstream.upstream_id)
+        body = await response.read(const.RESPONSE_BYTES_LIMIT)
+        if signs.verdict is models.Verdict.FAILURE:
+            job.failure = _Failure(response.head, body)
+            return attempts.Failed(upstream.upstream_id)
+        self._blame(upstream, signs)
+        return attempts.NotRun(upstream.upstream_id)
+
+    async def _pass_stream(
+        self,
+        job: _Job,
+        upstream: models.Upstream,
+        response: client.Response,
+    ) -> attempts.Event | None:
+        """Pass events on as they come; return what cut them short."""
+        splitter = events.Splitter()
+        last_at = anyio.current_time()
+        while True:
+            try:
+                with anyio.fail_after(const.STREAM_SILENCE_SECONDS):
+                    part = await response.receive()
+            except TimeoutError:
+                self._eject_group(upstream)
+                return attempts.Broken(upstream.upstream_id)
+            whole = splitter.feed(part)
+            advance = events.advance(job.position, whole)
+            if advance.payload:
+                now = anyio.current_time()
+                if job.delivery.begun:
+                    self._observe_pace(upstream, (now - last_at) / len(whole))
+                last_at = now
+                await self._pass_events(job, response.head, advance)
+            if advance.gap:
+                return attempts.Broken(upstream.upstream_id)
+            if not part:
+                break
+        if splitter.is_inside or not job.delivery.begun:
+            return attempts.Broken(upstream.upstream_id)
+        await job.exchange.finish()
+        return None
+
+    async def _pass_events(
+        self,
+        job: _Job,
+        head: messages.Head,
+        advance: events.Advance,
+    ) -> None:
+        """Send events to the caller, the first ones behind the head."""
+        job.position = advance.position
+        if job.delivery.begun:
+            await job.exchange.write(advance.payload)
+            return
+        job.delivery = job.delivery._replace(begun=True)
+        seconds = anyio.current_time() - job.exchange.received_at_seconds
+        self._metrics.observe_seconds('first_event', seconds)
+        await job.exchange.start_chunked(
+            head.status,
+            messages.end_to_end(head.headers),
+            advance.payload,
+        )
+
+    async def _end(self, job: _Job, action: attempts.GiveUp) -> None:
+        """Give a request that got no success its final answer."""
+        if job.exchange.started:
+            job.exchange.keep_alive = False
+            return
+        failure = job.failure
+        if action.outcome is attempts.Outcome.PASS_ON and failure is not None:
+            if failure.head.status not in _PROMISING_NOT_RUN:
+                await job.exchange.answer(
+                    failure.head.status,
+                    messages.end_to_end(failure.head.headers),
+                    failure.body,
+                )
+                return
+        if action.outcome is attempts.Outcome.NOT_RUN:
+            await self._reject(job.exchange, job.caller, 'no free upstream')
+            return
+        status = const.HTTP_BAD_GATEWAY
+        if job.remaining_seconds <= 0:
+            status = const.HTTP_GATEWAY_TIMEOUT
+        await self._answer(job.exchange, job.caller.request_id, status)
+
+    async def _reject(
+        self,
+        exchange: server.Exchange,
+        caller: models.CallerRequest,
+        reason: str,
+    ) -> None:
+        """Say that a request has not run and when to come back."""
+        retry_after = const.RETRY_AFTER_LEAST_SECONDS
+        logs.decision(
+            'request:rejected',
+            request_id=caller.request_id,
+            reason=reason,
+            retry_after_seconds=retry_after,
+        )
+        await self._answer(
+            exchange,
+            caller.request_id,
+            const.HTTP_UNAVAILABLE,
+            retry_after,
+        )
+
+    async def _answer(
+        self,
+        exchange: server.Exchange,
+        request_id: str,
+        status: int,
+        retry_after_seconds: float | None = None,
+    ) -> None:
+        """Send an answer of our own."""
+        headers = self._dialect.refusal_headers(
+            request_id,
+            retry_after_seconds,
+        )
+        await exchange.answer(status, headers, b'')
+
+    def _without_repeat(self, job: _Job) -> attempts.GiveUp:
+        """Return the end of a request that gets no further attempt."""
+        if job.failure is not None:
+            return attempts.GiveUp(attempts.Outcome.PASS_ON)
+        return attempts.give_up(job.delivery)
+
+    def _budget(self, service: str) -> retry_budget.Budget:
+        """Return the retry budget of a service."""
+        return self._budgets_by_service.get(service, retry_budget.Budget())
+
+    def _spend(self, service: str) -> bool:
+        """Return whether the budget allows a second send."""
+        entries = self._dispatcher.entries
+        base = self._allowance.base * const.RETRY_ALLOWANCE_SHARE / entries
+        left = retry_budget.spend(
+            self._budget(service),
+            self._allowance._replace(base=base),
+            anyio.current_time(),
+        )
+        if left is None:
+            self._metrics.count('retries_refused', service)
+            return False
+        self._budgets_by_service[service] = left
+        return True
+
+    def _judge(
+        self,
+        upstream: models.Upstream,
+        event: attempts.Event | None,
+    ) -> None:
+        """Take an attempt's outcome into the health of its upstream."""
+        standings = self._dispatcher.standings
+        if event is None or isinstance(event, attempts.Failed):
+            standings = health.succeeded(standings, upstream.upstream_id)
+            standings = health.succeeded(standings, upstream.pace_group)
+        else:
+            now = anyio.current_time()
+            standings = health.failed(standings, upstream.upstream_id, now)
+        self._dispatcher.standings = standings
+
+    def _blame(
+        self,
+        upstream: models.Upstream,
+        signs: models.AnswerSigns,
+    ) -> None:
+        """Leave a rank group out while another rank keeps it from working."""
+        faulty = signs.faulty_upstream_id
+        if faulty and faulty != upstream.upstream_id:
+            self._eject_group(upstream)
+
+    def _eject_group(self, upstream: models.Upstream) -> None:
+        """Leave an upstream and its rank group out for a while."""
+        logs.decision('upstream:group-left-out', group=upstream.pace_group)
+        self._dispatcher.standings = health.failed(
+            self._dispatcher.standings,
+            upstream.pace_group,
+            anyio.current_time(),
+            failures_to_eject=1,
+        )
+
+    def _observe_pace(self, upstream: models.Upstream, seconds: float) -> None:
+        """Take a sample of an upstream's pace."""
+        self._dispatcher.standings = health.observed(
+            self._dispatcher.standings,
+            upstream.pace_group,
+            seconds,
+            anyio.current_time(),
+        )
+
+    def _log_failure(
+        self,
+        job: _Job,
+        event: attempts.Event,
+        action: attempts.Repeat | attempts.GiveUp,
+    ) -> None:
+        """Log a failed attempt and what follows it."""
+        self._metrics.count('failed_attempts', type(event).__name__)
+        logs.decision(
+            'attempt:failed',
+            request_id=job.caller.request_id,
+            upstream=event.upstream_id,
+            failure=type(event).__name__,
+            reached=job.delivery.reached,
+            action=type(action).__name__,
+        )
+
+    def _report(self, job: _Job) -> None:
+        """Log and count the end of a request."""
+        seconds = anyio.current_time() - job.exchange.received_at_seconds
+        outcome = 'answered' if job.exchange.complete else 'cut'
+        self._metrics.count('requests', outcome)
+        self._metrics.observe_seconds('request', seconds)
+        logs.decision(
+            'request:ended',
+            request_id=job.caller.request_id,
+            route=job.route.name,
+            client_account=job.account.name,
+            upstreams=job.upstream_ids,
+            outcome=outcome,
+            seconds=round(seconds, 4),
+        )
--- /dev/null
+++ b/nutmegtrail/gateway/health.py
@@ -0,0 +1,108 @@
+"""Passive health of upstreams: failures, ejection and pace.
+
+Upstreams of one rank group run in lock-step and share their pace.
+"""
+
+import typing
+
+import pyrsistent
+import pyrsistent.typing
+
+from nutmegtrail.gateway import const
+
+
+class Standing(typing.NamedTuple):
+    """Failures in a row and the end of the ejection that they caused."""
+
+    failures: int = 0
+    ejected_until_seconds: float = float('-inf')
+
+
+class Pace(typing.NamedTuple):
+    """Smoothed seconds an event or answer and the time of the last one."""
+
+    seconds: float
+    observed_at_seconds: float
+
+
+StandingsById: typing.TypeAlias = pyrsistent.typing.PMap[str, Standing]
+PacesByGroup: typing.TypeAlias = pyrsistent.typing.PMap[str, Pace]
+
+
+class Health(typing.NamedTuple):
+    """Standings by upstream (or rank group) and paces by rank group."""
+
+    standings_by_id: StandingsById = pyrsistent.pmap()
+    paces_by_group: PacesByGroup = pyrsistent.pmap()
+
+
+def succeeded(health: Health, name: str) -> Health:
+    """Return the health after a good answer."""
+    if name not in health.standings_by_id:
+        return health
+    return health._replace(
+        standings_by_id=health.standings_by_id.remove(name),
+    )
+
+
+def failed(
+    health: Health,
+    name: str,
+    now_seconds: float,
+    failures_to_eject: int = const.FAILURES_TO_EJECT,
+) -> Health:
+    """Return the health after a failure; ejections grow with the failures."""
+    standing = health.standings_by_id.get(name, Standing())
+    failures = standing.failures + 1
+    until = standing.ejected_until_seconds
+    surplus = failures - failures_to_eject
+    if surplus >= 0 and now_seconds >= until:
+        duration = const.EJECTION_SECONDS * 2 ** min(surplus, 8)
+        until = now_seconds + min(duration, const.EJECTION_LIMIT_SECONDS)
+    return health._replace(
+        standings_by_id=health.standings_by_id.set(
+            name,
+            Standing(failures, until),
+        ),
+    )
+
+
+def is_ejected(health: Health, name: str, now_seconds: float) -> bool:
+    """Return whether an upstream or group is left out at present."""
+    standing = health.standings_by_id.get(name)
+    if standing is None:
+        return False
+    return now_seconds < standing.ejected_until_seconds
+
+
+def observed(
+    health: Health,
+    group: str,
+    seconds: float,
+    now_seconds: float,
+) -> Health:
+    """Return the health after a sample of a group's pace."""
+    known = health.paces_by_group.get(group)
+    smooth = seconds
+    if known is not None:
+        difference = seconds - known.seconds
+        smooth = known.seconds + const.PACE_SMOOTHING * difference
+    return health._replace(
+        paces_by_group=health.paces_by_group.set(
+            group,
+            Pace(smooth, now_seconds),
+        ),
+    )
+
+
+def pace(health: Health, group: str, now_seconds: float) -> float:
+    """Return a group's pace, 0 where unknown; it fades without samples.
+
+    Fading lets a group that was slow get a request and be measured anew.
+    """
+    known = health.paces_by_group.get(group)
+    if known is None:
+        return 0.0
+    age_seconds = now_seconds - known.observed_at_seconds
+    half_lives = age_seconds / const.PACE_HALF_LIFE_SECONDS
+    return known.seconds * 0.5**half_lives
--- /dev/null
+++ b/nutmegtrail/gateway/membership_listener.py
@@ -0,0 +1,143 @@
+"""Applies what the store says of configuration and upstreams."""
+
+import typing
+
+import anyio
+
+from nutmegtrail.gateway import dispatcher as dispatching
+from nutmegtrail.gateway import errors
+from nutmegtrail.gateway import fleet
+from nutmegtrail.gateway import flow as flows
+from nutmegtrail.gateway import models
+from nutmegtrail.observability import logs
+from nutmegtrail.ports import watched_store
+
+
+class Documents(typing.Protocol):
+    """Decodes the platform's documents; raises MalformedDocument."""
+
+    def configuration(self, content: bytes) -> models.Configuration:
+        """Return the operators' configuration."""
+
+    def upstream(self, key: str, content: bytes) -> models.Upstream:
+        """Return a registration."""
+
+    def upstream_id_of(self, key: str) -> str:
+        """Return the identifier in the key of a registration."""
+
+
+class ConfigurationListener:
+    """Takes over each newer configuration; never an older one."""
+
+    def __init__(self, documents: Documents, flow: flows.Flow) -> None:
+        """Keep the collaborators."""
+        self._documents = documents
+        self._flow = flow
+
+    def listed(self, items: tuple[watched_store.Item, ...]) -> None:
+        """Take the configuration of a snapshot."""
+        for item in items:
+            self.changed(item)
+
+    def changed(
+        self,
+        change: watched_store.Item | watched_store.Removal,
+    ) -> None:
+        """Take a configuration over where it is newer."""
+        if isinstance(change, watched_store.Removal):
+            logs.decision('configuration:removed', key=change.key)
+            return
+        present = self._flow.configuration
+        try:
+            read = self._documents.configuration(change.content)
+        except errors.MalformedDocument as error:
+            logs.decision('configuration:malformed', detail=str(error))
+            return
+        newer = present is None or read.version > present.version
+        logs.decision(
+            'configuration:read',
+            version=read.version,
+            revision=change.revision,
+            in_force=newer,
+        )
+        if newer:
+            self._flow.configuration = read
+
+    def lost(self) -> None:
+        """Keep the present configuration."""
+
+    def regained(self) -> None:
+        """Wait for what the store reports."""
+
+
+class UpstreamListener:
+    """Keeps the fleet of the dispatcher."""
+
+    def __init__(
+        self,
+        documents: Documents,
+        dispatcher: dispatching.Dispatcher,
+    ) -> None:
+        """Keep the collaborators."""
+        self._documents = documents
+        self._dispatcher = dispatcher
+
+    def listed(self, items: tuple[watched_store.Item, ...]) -> None:
+        """Take over all registrations."""
+        upstreams = []
+        for item in items:
+            upstream = self._decode(item)
+            if upstream is not None:
+                upstreams.append(upstream)
+        self._decide(fleet.Listed(tuple(upstreams)))
+
+    def changed(
+        self,
+        change: watched_store.Item | watched_store.Removal,
+    ) -> None:
+        """Take over a registration or its removal."""
+        upstream = None
+        if isinstance(change, watched_store.Item):
+            upstream = self._decode(change)
+        if upstream is None:
+            upstream_id = self._documents.upstream_id_of(change.key)
+            logs.decision(
+                'upstream:removed',
+                upstream=upstream_id,
+                revision=change.revision,
+            )
+            self._decide(fleet.Removed(upstream_id))
+            return
+        logs.decision(
+            'upstream:registered',
+            upstream=upstream.upstream_id,
+            service=upstream.service,
+            leaving=upstream.leaving,
+            revision=change.revision,
+        )
+        self._decide(fleet.Registered(upstream))
+
+    def lost(self) -> None:
+        """Notice an outage of the store."""
+        self._decide(fleet.StoreLost())
+
+    def regained(self) -> None:
+        """Notice the end of an outage."""
+        self._decide(fleet.StoreRegained())
+
+    def _decode(self, item: watched_store.Item) -> models.Upstream | None:
+        """Return a registration, None where it can not be used."""
+        try:
+            return self._documents.upstream(item.key, item.content)
+        except errors.MalformedDocument as error:
+            logs.decision('upstream:malformed', detail=str(error))
+            return None
+
+    def _decide(self, event: fleet.Event) -> None:
+        """Let the fleet decide and serve waiting requests."""
+        self._dispatcher.members = fleet.decide(
+            event,
+            self._dispatcher.members,
+            anyio.current_time(),
+        )
+        self._dispatcher.dispatch_all()
--- /dev/null
+++ b/nutmegtrail/gateway/routes.py
@@ -0,0 +1,43 @@
+"""Lookup of a request's route, client account and service."""
+
+import xxhash
+
+from nutmegtrail.gateway import models
+
+_HASH_RANGE = 1 << 32
+
+
+def match(
+    configuration: models.Configuration,
+    host: str,
+    path: str,
+) -> models.Route | None:
+    """Return the route with the longest prefix of a path, None if none."""
+    for route in configuration.routes_by_host.get(host, ()):
+        if path.startswith(route.prefix):
+            return route
+    return None
+
+
+def account_of(
+    configuration: models.Configuration,
+    route: models.Route,
+    api_key: str,
+) -> models.Account | None:
+    """Return the account that may use a route, None if none may."""
+    account = configuration.account_by_key.get(api_key)
+    if account is None and not (configuration.checks_keys and route.needs_key):
+        return models.Account('', None)
+    return account
+
+
+def service_of(route: models.Route, request_id: str) -> str:
+    """Return the service of a request, by the weights of its route."""
+    total = sum(target.weight for target in route.targets)
+    draw = xxhash.xxh3_64_intdigest(request_id.encode()) % _HASH_RANGE
+    point = draw / _HASH_RANGE * total
+    for target in route.targets:
+        point -= target.weight
+        if point < 0:
+            return target.service
+    return route.targets[-1].service
--- /dev/null
+++ b/nutmegtrail/gateway/settings.py
@@ -0,0 +1,70 @@
+"""Settings of an entry that calls upstreams directly."""
+
+import typing
+
+import pydantic
+
+from nutmegtrail.configuration import settings
+from nutmegtrail.contracts import models as contract_models
+
+_STRICT: typing.Final = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class Process(pydantic.BaseModel):
+    """Where the entry runs."""
+
+    model_config = _STRICT
+
+    host: contract_models.Name
+    failure_domain: contract_models.Name
+    log_format: typing.Literal['json', 'text'] = 'json'
+    log_lines_per_second: int = pydantic.Field(default=200, ge=1, le=100_000)
+
+
+class Listen(pydantic.BaseModel):
+    """Addresses that the entry listens on."""
+
+    model_config = _STRICT
+
+    callers: settings.AddressText
+    readiness: settings.AddressText
+    peers: settings.AddressText
+    metrics: settings.AddressText
+
+
+class Store(pydantic.BaseModel):
+    """The platform's store."""
+
+    model_config = _STRICT
+
+    address: settings.AddressText
+
+
+class Retries(pydantic.BaseModel):
+    """Second sends that the platform allows a service, over all entries."""
+
+    model_config = _STRICT
+
+    window_seconds: float = pydantic.Field(gt=0)
+    share: float = pydantic.Field(ge=0)
+    base: float = pydantic.Field(ge=0)
+
+
+class Stop(pydantic.BaseModel):
+    """The planned stop."""
+
+    model_config = _STRICT
+
+    grace_seconds: float = pydantic.Field(gt=0)
+
+
+class GatewaySettings(pydantic.BaseModel):
+    """Settings of an entry."""
+
+    model_config = _STRICT
+
+    process: Process
+    listen: Listen
+    store: Store
+    retries: Retries
+    stop: Stop
--- /dev/null
+++ b/nutmegtrail/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, and nothing else."""
--- /dev/null
+++ b/nutmegtrail/platform/__main__.py
@@ -0,0 +1,34 @@
+"""Entry on the platform: `python -m nutmegtrail.platform`."""
+
+import os
+import pathlib
+import sys
+
+import anyio
+
+from nutmegtrail.configuration import errors
+from nutmegtrail.configuration import settings
+from nutmegtrail.gateway import daemon
+from nutmegtrail.gateway import settings as gateway_settings
+from nutmegtrail.observability import logs
+from nutmegtrail.platform import composition
+from nutmegtrail.platform import const
+
+_EXIT_FAULTY_SETTINGS = 2
+
+
+def main() -> int:
+    """Run the entry with the settings that the platform placed."""
+    path = pathlib.Path(os.environ.get(const.SETTINGS_VARIABLE, ''))
+    try:
+        configured = settings.load(path, gateway_settings.GatewaySettings)
+    except errors.SettingsError as error:
+        sys.stderr.write(f'{error}\n')
+        return _EXIT_FAULTY_SETTINGS
+    logs.start(configured.process.log_format)
+    anyio.run(daemon.run, composition.create_gateway(configured))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/nutmegtrail/platform/const.py
@@ -0,0 +1,52 @@
+"""Names on the platform's wire."""
+
+import typing
+
+SETTINGS_VARIABLE: typing.Final = 'NUTMEGTRAIL_BOOT'
+
+# The store's keys.
+CONFIGURATION_PREFIX: typing.Final = 'op/'
+CONFIGURATION_KEY: typing.Final = 'op/config'
+UPSTREAM_PREFIX: typing.Final = 'servers/'
+
+# The store's calls.
+READ_ITEM: typing.Final = '/api/kv-key'
+READ_RANGE: typing.Final = '/api/kv-range'
+WATCH: typing.Final = '/api/kv-watch'
+TRANSACTION: typing.Final = '/api/kv-txn'
+GRANT_LEASE: typing.Final = '/api/kv-lease'
+RENEW_LEASE: typing.Final = '/api/kv-keep'
+END_LEASE: typing.Final = '/api/kv-lease-end'
+
+# Calls of engines.
+READ_REPORT: typing.Final = b'/api/report'
+READ_COUNTS: typing.Final = b'/api/picked'
+SEND_ORDER: typing.Final = b'/api/order'
+
+# Headers, in lower case.
+REQUEST_ID: typing.Final = b'x-nutmegtrail-request-id'
+DEADLINE: typing.Final = b'x-nutmegtrail-deadline-ms'
+API_KEY: typing.Final = b'api-key'
+ACCOUNT: typing.Final = b'x-nutmegtrail-tenant'
+EXPECTED_UPSTREAM: typing.Final = b'x-nutmegtrail-expect-instance'
+NOT_EXECUTED: typing.Final = b'x-nutmegtrail-not-executed'
+# Proves that an upstream made the answer.
+SEAL: typing.Final = b'x-nutmegtrail-response-seal'
+FAULTY_UPSTREAM: typing.Final = b'at-server'
+LAST_EVENT: typing.Final = b'last-event-id'
+
+LEAVING_STATE: typing.Final = 'draining'
+READY_STATE: typing.Final = 'ready'
+
+STATUS_OK: typing.Final = 200
+STATUS_SUCCESS_LIMIT: typing.Final = 300
+STATUS_NOT_FOUND: typing.Final = 404
+STATUS_GONE: typing.Final = 410
+STATUS_CONFLICT: typing.Final = 412
+STATUS_MISDIRECTED: typing.Final = 421
+
+MILLISECONDS_PER_SECOND: typing.Final = 1_000
+CALL_TIMEOUT_SECONDS: typing.Final = 1.5
+# Added to the wait of a watch before it counts as lost.
+WATCH_SLACK_SECONDS: typing.Final = 1.5
+ANSWER_BYTES_LIMIT: typing.Final = 16_777_216
--- /dev/null
+++ b/nutmegtrail/platform/headers.py
@@ -0,0 +1,118 @@
+"""Headers between callers, the system and upstreams."""
+
+import typing
+
+from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.gateway import errors
+from nutmegtrail.gateway import models
+from nutmegtrail.platform import const
+
+_REPLACED: typing.Final = frozenset(
+    (
+        const.API_KEY,
+        const.ACCOUNT,
+        const.DEADLINE,
+        const.EXPECTED_UPSTREAM,
+        b'expect',
+    ),
+)
+
+
+class PlatformDialect:
+    """Implements `ports.dialect.Dialect`."""
+
+    def read_request(self, request: messages.Request) -> models.CallerRequest:
+        """Return what a caller says; raise MalformedRequest if unusable."""
+        headers = request.headers
+        request_id = messages.find(headers, const.REQUEST_ID)
+        if not request_id:
+            raise errors.MalformedRequest('the request has no identifier')
+        deadline = messages.find(headers, const.DEADLINE)
+        last_event = messages.find(headers, const.LAST_EVENT)
+        host = messages.find(headers, b'host').decode('latin-1')
+        path = request.target.partition(b'?')[0]
+        return models.CallerRequest(
+            request_id.decode('latin-1'),
+            host.partition(':')[0],
+            path.decode('latin-1'),
+            messages.find(headers, const.API_KEY).decode('latin-1'),
+            _seconds(deadline),
+            int(last_event) if last_event.isdigit() else None,
+        )
+
+    def upstream_headers(
+        self,
+        request: messages.Request,
+        dispatch: models.Dispatch,
+    ) -> messages.Headers:
+        """Return the headers of a request to an upstream."""
+        replaced = _REPLACED
+        if dispatch.last_event is not None:
+            replaced |= {const.LAST_EVENT}
+        forwarded = tuple(
+            header
+            for header in messages.end_to_end(request.headers)
+            if header[0] not in replaced
+        )
+        milliseconds = max(
+            int(dispatch.remaining_seconds * const.MILLISECONDS_PER_SECOND),
+            1,
+        )
+        added = [
+            (const.DEADLINE, b'%d' % milliseconds),
+            (const.EXPECTED_UPSTREAM, dispatch.upstream_id.encode()),
+        ]
+        if dispatch.account:
+            added.append((const.ACCOUNT, dispatch.account.encode()))
+        if dispatch.last_event is not None:
+            added.append((const.LAST_EVENT, b'%d' % dispatch.last_event))
+        return (*forwarded, *added)
+
+    def read_signs(
+        self,
+        head: messages.Head,
+        request_id: str,
+    ) -> models.AnswerSigns:
+        """Return what an upstream's head says of the request."""
+        faulty = head.header(const.FAULTY_UPSTREAM).decode('latin-1')
+        return models.AnswerSigns(_verdict(head, request_id), faulty)
+
+    def refusal_headers(
+        self,
+        request_id: str,
+        retry_after_seconds: float | None,
+    ) -> messages.Headers:
+        """Return the headers of an answer of our own."""
+        headers: messages.Headers = ()
+        if request_id:
+            headers = ((const.REQUEST_ID, request_id.encode('latin-1')),)
+        if retry_after_seconds is None:
+            return headers
+        seconds = f'{retry_after_seconds:.3f}'.encode()
+        return (*headers, (b'retry-after', seconds))
+
+
+def _verdict(head: messages.Head, request_id: str) -> models.Verdict:
+    """Return whether the request ran, and whether the answer is its own."""
+    echoed = head.header(const.REQUEST_ID).decode('latin-1')
+    if echoed and echoed != request_id:
+        return models.Verdict.FOREIGN
+    if head.status == const.STATUS_MISDIRECTED:
+        return models.Verdict.WRONG_UPSTREAM
+    if head.header(const.NOT_EXECUTED):
+        return models.Verdict.NOT_RUN
+    sealed = bool(head.header(const.SEAL))
+    encoded = bool(head.header(b'content-encoding'))
+    if not sealed or encoded or not echoed:
+        return models.Verdict.FOREIGN
+    if const.STATUS_OK <= head.status < const.STATUS_SUCCESS_LIMIT:
+        return models.Verdict.SUCCESS
+    return models.Verdict.FAILURE
+
+
+def _seconds(milliseconds: bytes) -> float | None:
+    """Return a header's milliseconds in seconds, None if not a number."""
+    try:
+        return float(milliseconds) / const.MILLISECONDS_PER_SECOND
+    except ValueError:
+        return None
--- /dev/null
+++ b/nutmegtrail/platform/store.py
@@ -0,0 +1,241 @@
+"""Client of the platform's store."""
+
+import base64
+import json
+import typing
+import urllib.parse
+
+import anyio
+import expression
+
+from nutmegtrail import models
+from nutmegtrail.adapters.http1 import client
+from nutmegtrail.adapters.http1 import errors
+from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.platform import const
+from nutmegtrail.ports import key_value
+from nutmegtrail.ports import watched_store
+
+_Document: typing.TypeAlias = dict[str, typing.Any]
+_JSON_BODY: typing.Final[messages.Headers] = (
+    (b'content-type', b'application/json'),
+)
+
+
+class _Answer(typing.NamedTuple):
+    """Status and body of a call that was answered."""
+
+    status: int
+    document: _Document
+
+
+class PlatformStore:
+    """Implements `ports.watched_store` and the leases of `ports.key_value`.
+
+    A call without an answer may have been carried out, at once or late.
+    """
+
+    def __init__(self, address: models.Address) -> None:
+        """Keep the address; nothing is connected yet."""
+        self._address = address
+        self._client = client.Client()
+        self.calls = 0
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+
+    async def snapshot(
+        self,
+        prefix: str,
+    ) -> expression.Result[
+        watched_store.Snapshot, watched_store.StoreUnavailable
+    ]:
+        """Return all items under a prefix, none of them stale."""
+        items: list[watched_store.Item] = []
+        revision: int | None = None
+        query = {'prefix': prefix}
+        while True:
+            answer = await self._call(b'GET', const.READ_RANGE, query)
+            if isinstance(answer, watched_store.StoreUnavailable):
+                return expression.Error(answer)
+            if answer.status != const.STATUS_OK:
+                return expression.Error(_refused(answer))
+            page = answer.document
+            if revision is None:
+                revision = int(page['current_rev'])
+            items.extend(_item(row) for row in page['items'])
+            if not page['has_more']:
+                return expression.Ok(
+                    watched_store.Snapshot(tuple(items), revision),
+                )
+            query = {'prefix': prefix, 'after': items[-1].key}
+
+    async def changes(
+        self,
+        prefix: str,
+        after_revision: int,
+        wait_seconds: float,
+    ) -> expression.Result[watched_store.Changes, watched_store.ReadError]:
+        """Return the changes after a revision as soon as there is one."""
+        milliseconds = int(wait_seconds * const.MILLISECONDS_PER_SECOND)
+        answer = await self._call(
+            b'GET',
+            const.WATCH,
+            {
+                'prefix': prefix,
+                'after': str(after_revision),
+                'wait_ms': str(milliseconds),
+            },
+            timeout_seconds=wait_seconds + const.WATCH_SLACK_SECONDS,
+        )
+        if isinstance(answer, watched_store.StoreUnavailable):
+            return expression.Error(answer)
+        if answer.status == const.STATUS_GONE:
+            return expression.Error(watched_store.HistoryLost(after_revision))
+        if answer.status != const.STATUS_OK:
+            return expression.Error(_refused(answer))
+        return expression.Ok(
+            watched_store.Changes(
+                tuple(_change(row) for row in answer.document['events']),
+                int(answer.document['current_rev']),
+            ),
+        )
+
+    async def swap(
+        self,
+        key: str,
+        expected_revision: int,
+        content: bytes,
+        lease_id: int = 0,
+    ) -> expression.Result[int, key_value.SwapError]:
+        """Write if the key is at the revision; return the new revision."""
+        write: _Document = {
+            'key': key,
+            'value': base64.b64encode(content).decode(),
+        }
+        if lease_id:
+            write['lease'] = lease_id
+        answer = await self._call(
+            b'POST',
+            const.TRANSACTION,
+            body={
+                'expected': [{'key': key, 'revision': expected_revision}],
+                'writes': [write],
+                'deletes': [],
+            },
+        )
+        if isinstance(answer, watched_store.StoreUnavailable):
+            return expression.Error(key_value.OutcomeUnknown(key))
+        if answer.status == const.STATUS_CONFLICT:
+            return expression.Error(key_value.CompareFailed(key))
+        if answer.status != const.STATUS_OK:
+            return expression.Error(key_value.Unavailable(key))
+        return expression.Ok(int(answer.document['revision']))
+
+    async def grant_lease(
+        self,
+        ttl_seconds: int,
+    ) -> expression.Result[int, key_value.Unavailable]:
+        """Return the identifier of a new lease."""
+        ttl_ms = ttl_seconds * const.MILLISECONDS_PER_SECOND
+        answer = await self._call(
+            b'POST',
+            const.GRANT_LEASE,
+            body={'ttl_ms': ttl_ms},
+        )
+        if isinstance(answer, _Answer) and answer.status == const.STATUS_OK:
+            return expression.Ok(int(answer.document['lease']))
+        return expression.Error(key_value.Unavailable(const.GRANT_LEASE))
+
+    async def keep_alive(
+        self,
+        lease_id: int,
+    ) -> expression.Result[bool, key_value.Unavailable]:
+        """Renew a lease; return False where it has lapsed."""
+        path = f'{const.RENEW_LEASE}/{lease_id}'
+        answer = await self._call(b'POST', path)
+        if isinstance(answer, _Answer):
+            if answer.status == const.STATUS_OK:
+                return expression.Ok(value=True)
+            if answer.status == const.STATUS_NOT_FOUND:
+                return expression.Ok(value=False)
+        return expression.Error(key_value.Unavailable(path))
+
+    async def revoke_lease(
+        self,
+        lease_id: int,
+    ) -> expression.Result[None, key_value.Unavailable]:
+        """End a lease and delete its keys."""
+        path = f'{const.END_LEASE}/{lease_id}'
+        answer = await self._call(b'DELETE', path)
+        if isinstance(answer, _Answer) and answer.status in {
+            const.STATUS_OK,
+            const.STATUS_NOT_FOUND,
+        }:
+            return expression.Ok(None)
+        return expression.Error(key_value.Unavailable(path))
+
+    async def _call(
+        self,
+        method: bytes,
+        path: str,
+        query: dict[str, str] | None = None,
+        body: _Document | None = None,
+        timeout_seconds: float = const.CALL_TIMEOUT_SECONDS,
+    ) -> _Answer | watched_store.StoreUnavailable:
+        """Return the answer of a call, or why there is none."""
+        self.calls += 1
+        target = path
+        if query:
+            target = f'{path}?{urllib.parse.urlencode(query, safe="/")}'
+        call = client.Call(
+            self._address,
+            method,
+            target.encode(),
+            ((b'host', str(self._address).encode()), *_JSON_BODY),
+            b'' if body is None else json.dumps(body).encode(),
+        )
+        try:
+            with anyio.fail_after(timeout_seconds):
+                head, raw = await self._client.fetch(
+                    call,
+                    const.ANSWER_BYTES_LIMIT,
+                )
+            return _Answer(head.status, _parse(raw))
+        except (errors.NotConnected, errors.ExchangeBroken) as error:
+            return watched_store.StoreUnavailable(f'{path}: {error}')
+        except TimeoutError:
+            return watched_store.StoreUnavailable(
+                f'{path}: no answer within {timeout_seconds} s',
+            )
+
+
+def _parse(raw: bytes) -> _Document:
+    """Return the JSON object of a body; raise ExchangeBroken if none."""
+    try:
+        document = json.loads(raw or b'{}')
+    except ValueError as error:
+        raise errors.ExchangeBroken(f'the answer is not JSON: {error}') from error
+    return document if isinstance(document, dict) else {}
+
+
+def _refused(answer: _Answer) -> watched_store.StoreUnavailable:
+    """Return the error for a status that grants nothing."""
+    return watched_store.StoreUnavailable(f'status {answer.status}')
+
+
+def _change(row: _Document) -> watched_store.Item | watched_store.Removal:
+    """Return a change of the watch."""
+    if row.get('removed'):
+        return watched_store.Removal(row['key'], int(row['revision']))
+    return _item(row)
+
+
+def _item(row: _Document) -> watched_store.Item:
+    """Return a stored item."""
+    return watched_store.Item(
+        row['key'],
+        int(row['revision']),
+        base64.b64decode(row['value']),
+    )
--- a/nutmegtrail/ports/key_value.py
+++ b/nutmegtrail/ports/key_value.py
@@ -36,20 +36,8 @@
 ABSENT_REVISION: typing.Final = 0
 
 
-class KeyValueStore(typing.Protocol):
-    """Compare-and-swap, leases and watches; keys are text."""
-
-    async def get(
-        self,
-        key: str,
-    ) -> expression.Result[Entry | None, Unavailable]:
-        """Return the entry of a key, None where there is none."""
-
-    async def scan(
-        self,
-        prefix: str,
-    ) -> expression.Result[tuple[Entry, ...], Unavailable]:
-        """Return all entries whose keys start with the prefix."""
+class LeaseStore(typing.Protocol):
+    """Compare-and-swap and leases; keys are text."""
 
     async def swap(
         self,
@@ -78,6 +66,22 @@
     ) -> expression.Result[None, Unavailable]:
         """End a lease and delete its keys."""
 
+
+class KeyValueStore(LeaseStore, typing.Protocol):
+    """Compare-and-swap, leases and watches; keys are text."""
+
+    async def get(
+        self,
+        key: str,
+    ) -> expression.Result[Entry | None, Unavailable]:
+        """Return the entry of a key, None where there is none."""
+
+    async def scan(
+        self,
+        prefix: str,
+    ) -> expression.Result[tuple[Entry, ...], Unavailable]:
+        """Return all entries whose keys start with the prefix."""
+
     def watch(
         self,
         prefix: str,
