--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -110,6 +110,7 @@
         self._handler = handler
         self._limits = limits
         self._listener: anyio.abc.Listener[typing.Any] | None = None
+        self._accepting = anyio.CancelScope()
         self._idle_scopes: set[anyio.CancelScope] = set()
         self.is_stopping = False
 
@@ -128,20 +129,18 @@
             await self.start()
         listener = typing.cast('anyio.abc.Listener[typing.Any]', self._listener)
         async with anyio.create_task_group() as tasks:
-            try:
+            with self._accepting:
                 await listener.serve(self._serve_connection, tasks)
-            except anyio.ClosedResourceError:
-                return
+            await listener.aclose()
 
     def stop(self) -> None:
         """Ask callers to close their connections after each answer."""
         self.is_stopping = True
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Stop listening and close the connections that are idle."""
         self.is_stopping = True
-        if self._listener is not None:
-            await self._listener.aclose()
+        self._accepting.cancel()
         for scope in tuple(self._idle_scopes):
             scope.cancel()
 
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -89,7 +89,7 @@
         )
         self._callers.stop()
         await anyio.sleep(const.DRAIN_SECONDS)
-        await self._callers.close()
+        self._callers.close()
         left = self._configured.stop.grace_seconds - const.DRAIN_SECONDS
         callers.cancel_scope.deadline = (
             anyio.current_time() + left - const.STOP_MARGIN_SECONDS
