--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -110,7 +110,7 @@
         self._handler = handler
         self._limits = limits
         self._listener: anyio.abc.Listener[typing.Any] | None = None
-        self._accepting = anyio.CancelScope()
+        self._accepting: anyio.CancelScope | None = None
         self._idle_scopes: set[anyio.CancelScope] = set()
         self.is_stopping = False
 
@@ -129,7 +129,7 @@
             await self.start()
         listener = typing.cast('anyio.abc.Listener[typing.Any]', self._listener)
         async with anyio.create_task_group() as tasks:
-            with self._accepting:
+            with anyio.CancelScope() as self._accepting:
                 await listener.serve(self._serve_connection, tasks)
             await listener.aclose()
 
@@ -140,7 +140,8 @@
     def close(self) -> None:
         """Stop listening and close the connections that are idle."""
         self.is_stopping = True
-        self._accepting.cancel()
+        if self._accepting is not None:
+            self._accepting.cancel()
         for scope in tuple(self._idle_scopes):
             scope.cancel()
 
