--- a/nutmegtrail/adapters/http1/messages.py
+++ b/nutmegtrail/adapters/http1/messages.py
@@ -185,6 +185,7 @@
         self.complete = False
         self.surplus = False
         self.ends_with_connection = False
+        self._may_keep_alive = False
         self._body = bytearray()
         self._headers: list[tuple[bytes, bytes]] = []
         self._parser = httptools.HttpResponseParser(self)
@@ -221,9 +222,7 @@
     def keeps_alive(self) -> bool:
         """Return whether another request may be sent on the connection."""
         whole = self.complete and not self.surplus
-        if not whole or self.ends_with_connection:
-            return False
-        return bool(self._parser.should_keep_alive())
+        return whole and self._may_keep_alive
 
     def on_message_begin(self) -> None:
         """Notice a second response."""
@@ -258,5 +257,8 @@
 
     def on_message_complete(self) -> None:
         """Mark the end unless it is an interim response's."""
-        if self.head is not None:
-            self.complete = True
+        if self.head is None or self.complete:
+            return
+        self.complete = True
+        # The parser forgets the answer's version once this call returns.
+        self._may_keep_alive = self._parser.should_keep_alive()
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -40,6 +40,7 @@
 
 STATUS_OK: typing.Final = 200
 STATUS_SUCCESS_LIMIT: typing.Final = 300
+STATUS_ACCEPTED: typing.Final = 202
 STATUS_NOT_FOUND: typing.Final = 404
 STATUS_GONE: typing.Final = 410
 STATUS_CONFLICT: typing.Final = 412
@@ -50,3 +51,5 @@
 # Added to the wait of a watch before it counts as lost.
 WATCH_SLACK_SECONDS: typing.Final = 1.5
 ANSWER_BYTES_LIMIT: typing.Final = 16_777_216
+# An order that is carried out at once is answered within milliseconds.
+ENGINE_TIMEOUT_SECONDS: typing.Final = 0.4
