--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -72,3 +72,23 @@
 
 # Left of the grace time when the last requests are cut.
 STOP_MARGIN_SECONDS: typing.Final = 0.4
+
+# A leader that dies leaves a held group waiting for so long.
+LEADER_TTL_SECONDS: typing.Final = 2
+LEADER_RENEWAL_SECONDS: typing.Final = 0.6
+
+MAP_INTERVAL_SECONDS: typing.Final = 2.0
+SAMPLED_RANKS: typing.Final = 3
+POPULARITY_HALF_LIFE_SECONDS: typing.Final = 6.0
+
+# Fall of a step's expert time that pays for the copies of a switch.
+MAP_LEAST_GAIN: typing.Final = 0.1
+# Fall of a layer's time, against its mean, for each copied expert.
+MAP_LEAST_GAIN_PER_EXPERT: typing.Final = 0.01
+
+REPORT_LAG_SECONDS: typing.Final = 0.4
+REPORT_INTERVAL_SECONDS: typing.Final = 0.3
+ORDER_RETRY_SECONDS: typing.Final = 0.05
+SWITCH_TIMEOUT_SECONDS: typing.Final = 10.0
+# After so long another entry may reach the rank that does not answer.
+HOLD_TIMEOUT_SECONDS: typing.Final = 1.5
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -12,6 +12,8 @@
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import flow as flows
 from nutmegtrail.gateway import gossip as gossiping
+from nutmegtrail.gateway import leader_lease
+from nutmegtrail.gateway import map_keeper
 from nutmegtrail.gateway import settings
 from nutmegtrail.gateway import store_follower
 from nutmegtrail.observability import logs
@@ -36,6 +38,8 @@
     gossip: gossiping.Gossip
     followers: tuple[store_follower.StoreFollower, ...]
     readings: metrics.Metrics
+    lease: leader_lease.LeaderLease
+    keeper: map_keeper.MapKeeper
 
 
 class Gateway:
@@ -66,6 +70,8 @@
             for follower in self._parts.followers:
                 tasks.start_soon(follower.run)
             tasks.start_soon(self._parts.gossip.run)
+            tasks.start_soon(self._parts.lease.run)
+            tasks.start_soon(self._parts.keeper.run)
             tasks.start_soon(self._metrics.serve)
             tasks.start_soon(self._readiness.serve)
             async with anyio.create_task_group() as callers:
@@ -73,6 +79,7 @@
                 await self._stopping.wait()
                 await self._drain(callers)
             tasks.cancel_scope.cancel()
+        await self._parts.lease.resign()
         await self._parts.gossip.close()
         await self._parts.flow.close()
         logs.decision('daemon:stopped', host=self._configured.process.host)
--- a/nutmegtrail/gateway/fleet.py
+++ b/nutmegtrail/gateway/fleet.py
@@ -14,9 +14,7 @@
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import models
 
-UpstreamsById: typing.TypeAlias = pyrsistent.typing.PMap[
-    str, models.Upstream
-]
+UpstreamsById: typing.TypeAlias = pyrsistent.typing.PMap[str, models.Upstream]
 DeadlinesById: typing.TypeAlias = pyrsistent.typing.PMap[str, float]
 
 
@@ -143,12 +141,22 @@
     return fleet
 
 
+def registered(fleet: Fleet, service: str) -> tuple[models.Upstream, ...]:
+    """Return all upstreams of a service."""
+    return tuple(
+        upstream
+        for upstream in fleet.upstreams_by_id.values()
+        if upstream.service == service
+    )
+
+
 def usable(fleet: Fleet, service: str) -> tuple[models.Upstream, ...]:
     """Return the upstreams of a service that may get new work."""
     return tuple(
         upstream
-        for upstream in fleet.upstreams_by_id.values()
-        if upstream.service == service and not upstream.leaving
+        for upstream in registered(fleet, service)
+        if not upstream.leaving
+        and (upstream.membership is None or upstream.membership.is_open)
     )
 
 
--- a/nutmegtrail/gateway/gossip.py
+++ b/nutmegtrail/gateway/gossip.py
@@ -2,7 +2,6 @@
 
 import socket
 import typing
-import uuid
 
 import anyio
 import anyio.abc
@@ -24,13 +23,13 @@
 
     def __init__(
         self,
-        host: str,
+        name: str,
         address: models.Address,
         store: key_value.LeaseStore,
         dispatcher: dispatching.Dispatcher,
     ) -> None:
         """Keep the collaborators; nothing is sent yet."""
-        self._name = f'{host}/{uuid.uuid4().hex[:8]}'
+        self._name = name
         self._address = address
         self._store = store
         self._dispatcher = dispatcher
@@ -48,6 +47,8 @@
         change: watched_store.Item | watched_store.Removal,
     ) -> None:
         """Take over an entry's registration or its removal."""
+        if not change.key.startswith(PREFIX):
+            return
         if isinstance(change, watched_store.Removal):
             self._address_by_key.pop(change.key, None)
         else:
--- /dev/null
+++ b/nutmegtrail/gateway/map_keeper.py
@@ -0,0 +1,398 @@
+"""Keeps the expert maps of a service's rank groups balanced."""
+
+import functools
+import typing
+
+import anyio
+
+from nutmegtrail.expert_map import layered
+from nutmegtrail.expert_map import switch as switches
+from nutmegtrail.gateway import const
+from nutmegtrail.gateway import dispatcher as dispatching
+from nutmegtrail.gateway import fleet
+from nutmegtrail.gateway import leader_lease
+from nutmegtrail.gateway import loads
+from nutmegtrail.gateway import models
+from nutmegtrail.gateway import popularity
+from nutmegtrail.observability import logs
+from nutmegtrail.observability import metrics
+from nutmegtrail.ports import rank_control
+
+LEADER_KEY: typing.Final = 'nutmegtrail/maps/leader'
+
+
+class Group(typing.NamedTuple):
+    """A complete rank group, its members in the order of their ranks."""
+
+    name: str
+    epoch: int
+    members: tuple[models.Upstream, ...]
+
+
+class Known(typing.NamedTuple):
+    """The map of a group in an epoch, as last read or switched to."""
+
+    epoch: int
+    version: int
+    layers: layered.Layers
+
+
+class MapKeeper:
+    """Observes popularity and switches maps while its entry leads."""
+
+    def __init__(
+        self,
+        engines: rank_control.RankControl,
+        dispatcher: dispatching.Dispatcher,
+        lease: leader_lease.LeaderLease,
+        readings: metrics.Metrics,
+    ) -> None:
+        """Keep the collaborators; nothing is observed yet."""
+        self.service: models.Service | None = None
+        self._engines = engines
+        self._dispatcher = dispatcher
+        self._lease = lease
+        self._metrics = readings
+        self._popularity = popularity.Popularity()
+        self._known_by_group: dict[str, Known] = {}
+        self._tried_by_group: dict[str, int] = {}
+        self._led_fence: int | None = None
+
+    async def run(self) -> None:
+        """Observe and switch until cancelled."""
+        while True:
+            await anyio.sleep(const.MAP_INTERVAL_SECONDS)
+            if self._lease.fence is None or self.service is None:
+                self._led_fence = None
+                continue
+            if self._led_fence != self._lease.fence:
+                self._led_fence = self._lease.fence
+                self._known_by_group.clear()
+                await self._resume()
+            if self._has_traffic():
+                await self._balance(self.service)
+
+    def _has_traffic(self) -> bool:
+        """Return whether any request is under way."""
+        return bool(loads.totals(self._dispatcher.counts))
+
+    async def _balance(self, service: models.Service) -> None:
+        """Read popularity and switch the groups that gain by it."""
+        shape = service.shape
+        groups = self._groups(service.name)
+        if shape is None or not groups:
+            return
+        await self._observe(groups)
+        loads_by_layer = popularity.loads_by_layer(
+            self._popularity,
+            shape.experts,
+        )
+        if len(loads_by_layer) != shape.layer_sets:
+            return
+        async with anyio.create_task_group() as tasks:
+            for group in groups:
+                tasks.start_soon(
+                    self._balance_group,
+                    group,
+                    shape,
+                    loads_by_layer,
+                )
+
+    async def _balance_group(
+        self,
+        group: Group,
+        shape: models.GroupShape,
+        loads_by_layer: tuple[layered.Loads, ...],
+    ) -> None:
+        """Switch a group to a better map where the gain is worth it."""
+        known = await self._read_map(group)
+        if known is None:
+            return
+        bounds = layered.Bounds(shape.places, shape.spare_places)
+        planned = []
+        for layer, layer_loads in zip(
+            known.layers, loads_by_layer, strict=True
+        ):
+            planned.append(
+                layered.improve(
+                    layer,
+                    layer_loads,
+                    bounds,
+                    const.MAP_LEAST_GAIN_PER_EXPERT,
+                ),
+            )
+            await anyio.sleep(0)
+        layers = tuple(planned)
+        before = layered.slowness(known.layers, loads_by_layer)
+        after = layered.slowness(layers, loads_by_layer)
+        moves = layered.new_experts(known.layers, layers)
+        worthwhile = before / after - 1 >= const.MAP_LEAST_GAIN
+        logs.decision(
+            'expert-map:considered',
+            group=group.name,
+            epoch=group.epoch,
+            version=known.version,
+            slowness_before=round(before, 3),
+            slowness_after=round(after, 3),
+            moves=moves,
+            switching=worthwhile,
+        )
+        self._metrics.gauge('step_time_skew', before)
+        if worthwhile and layered.is_complete(
+            layers,
+            shape.experts,
+            shape.places,
+        ):
+            self._metrics.count('experts_moved', amount=moves)
+            await self._switch_to(group, known, layers)
+
+    async def _observe(self, groups: tuple[Group, ...]) -> None:
+        """Read the counters of some ranks of each group."""
+        readings_by_id: dict[str, popularity.Reading] = {}
+        for group in groups:
+            stride = max(len(group.members) // const.SAMPLED_RANKS, 1)
+            for member in group.members[::stride][: const.SAMPLED_RANKS]:
+                counts = await self._engines.counts(member)
+                if counts is not None:
+                    readings_by_id[member.upstream_id] = popularity.Reading(
+                        member.started_at_ms,
+                        tuple(counts.choices),
+                    )
+        self._popularity = popularity.observe(
+            self._popularity,
+            readings_by_id,
+            anyio.current_time(),
+        )
+
+    async def _read_map(self, group: Group) -> Known | None:
+        """Return a group's map, read from its ranks where not known."""
+        known = self._known_by_group.get(group.name)
+        if known is not None and known.epoch == group.epoch:
+            return known
+        ranks = []
+        for member in group.members:
+            held = await self._engines.held_experts(member)
+            if held is None:
+                return None
+            ranks.append(held)
+        version = await self._newest_version(group)
+        if version is None:
+            return None
+        layers = tuple(zip(*ranks, strict=True))
+        found = Known(group.epoch, version, layers)
+        self._known_by_group[group.name] = found
+        return found
+
+    async def _newest_version(self, group: Group) -> int | None:
+        """Return the highest version that any rank has had."""
+        newest = 0
+        for member in group.members:
+            report = await self._engines.report(member)
+            if report is None or report.epoch != group.epoch:
+                return None
+            newest = max(
+                newest,
+                report.map_version,
+                report.prepared or 0,
+                report.armed or 0,
+            )
+        return newest
+
+    async def _switch_to(
+        self,
+        group: Group,
+        known: Known,
+        layers: layered.Layers,
+    ) -> None:
+        """Switch a group to a map."""
+        tried = self._tried_by_group.get(group.name, 0)
+        version = max(known.version, tried) + 1
+        self._tried_by_group[group.name] = version
+        member_ids = tuple(member.upstream_id for member in group.members)
+        begun = switches.begin(member_ids, group.epoch, version, layers)
+        run = SwitchRun(group, begun, self._engines, self._lease)
+        if await run.run():
+            self._known_by_group[group.name] = Known(
+                group.epoch,
+                version,
+                layers,
+            )
+            self._metrics.count('map_switches')
+        else:
+            self._known_by_group.pop(group.name, None)
+
+    async def _resume(self) -> None:
+        """Complete what a predecessor may have left under way."""
+        if self.service is None:
+            return
+        # Reports are old: wait until they show the predecessor's orders.
+        await anyio.sleep(const.REPORT_LAG_SECONDS)
+        for group in self._groups(self.service.name):
+            reports_by_id = {}
+            for member in group.members:
+                report = await self._engines.report(member)
+                if report is not None:
+                    reports_by_id[member.upstream_id] = report
+            if len(reports_by_id) < len(group.members):
+                continue
+            member_ids = tuple(member.upstream_id for member in group.members)
+            resumed = switches.resume(member_ids, reports_by_id)
+            if resumed is not None:
+                run = SwitchRun(group, resumed, self._engines, self._lease)
+                await run.run()
+
+    def _groups(self, service: str) -> tuple[Group, ...]:
+        """Return the complete groups of a service."""
+        members_by_group: dict[str, dict[int, models.Upstream]] = {}
+        for upstream in fleet.registered(self._dispatcher.members, service):
+            member = upstream.membership
+            if member is not None and member.is_open:
+                ranks = members_by_group.setdefault(member.group, {})
+                ranks[member.rank] = upstream
+        groups = []
+        for name, upstream_by_rank in sorted(members_by_group.items()):
+            members = tuple(
+                upstream_by_rank[rank] for rank in sorted(upstream_by_rank)
+            )
+            memberships = [
+                typing.cast('models.Membership', member.membership)
+                for member in members
+            ]
+            epochs = {membership.epoch for membership in memberships}
+            complete = len(members) == memberships[0].size
+            if complete and len(epochs) == 1:
+                groups.append(Group(name, epochs.pop(), members))
+        return tuple(groups)
+
+
+class SwitchRun:
+    """Sends the orders of one switch and feeds back their outcomes."""
+
+    def __init__(
+        self,
+        group: Group,
+        begun: switches.Decision,
+        engines: rank_control.RankControl,
+        lease: leader_lease.LeaderLease,
+    ) -> None:
+        """Keep the collaborators; nothing is sent yet."""
+        self._group = group
+        self._begun = begun
+        self._state = begun.switch
+        self._engines = engines
+        self._lease = lease
+        self._fence = lease.fence or 0
+        self._upstreams_by_id = {
+            member.upstream_id: member for member in group.members
+        }
+        self._deadline = 0.0
+
+    async def run(self) -> bool:
+        """Return whether the group was switched."""
+        self._deadline = anyio.current_time() + const.SWITCH_TIMEOUT_SECONDS
+        async with anyio.create_task_group() as tasks:
+            self._take(self._begun, tasks)
+            while self._state.phase not in switches.FINAL:
+                await anyio.sleep(const.REPORT_INTERVAL_SECONDS)
+                if self._lease.fence != self._fence or self._is_late():
+                    break
+                await self._read_reports(tasks)
+            tasks.cancel_scope.cancel()
+        logs.decision(
+            'expert-map:switch-ended',
+            group=self._group.name,
+            version=self._state.version,
+            phase=self._state.phase.value,
+            step=self._state.held_step,
+        )
+        if self._state.phase in {
+            switches.Phase.HOLDING,
+            switches.Phase.ARMING,
+            switches.Phase.RELEASING,
+        }:
+            await self._lease.resign()
+        return self._state.phase is switches.Phase.DONE
+
+    def _is_late(self) -> bool:
+        """Return whether another entry should try to go on."""
+        return anyio.current_time() > self._deadline
+
+    async def _read_reports(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Read the reports of the ranks that still copy experts."""
+        for member in self._group.members:
+            if member.upstream_id in self._state.prepared_ids:
+                continue
+            report = await self._engines.report(member)
+            if report is not None:
+                event = switches.Reported(member.upstream_id, report)
+                self._take(switches.decide(event, self._state), tasks)
+
+    def _take(
+        self,
+        decision: switches.Decision,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Take the next state over and send its orders."""
+        if decision.switch.phase is not self._state.phase:
+            logs.decision(
+                'expert-map:phase',
+                group=self._group.name,
+                version=decision.switch.version,
+                phase=decision.switch.phase.value,
+                step=decision.switch.held_step,
+                fence=self._fence,
+            )
+            if decision.switch.phase is switches.Phase.HOLDING:
+                self._deadline = (
+                    anyio.current_time() + const.HOLD_TIMEOUT_SECONDS
+                )
+        self._state = decision.switch
+        for send in decision.sends:
+            tasks.start_soon(self._send, send, tasks)
+
+    async def _send(
+        self,
+        send: switches.Send,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Send an order until it is answered."""
+        upstream = self._upstreams_by_id[send.upstream_id]
+        while self._state.phase not in switches.FINAL:
+            if self._lease.fence != self._fence:
+                return
+            outcome = await self._engines.order(
+                upstream,
+                send.order,
+                self._fence,
+            )
+            if outcome is rank_control.OrderOutcome.FENCED:
+                self._lease.fenced_off()
+                return
+            event = _event(outcome, send)
+            if event is not None:
+                self._take(switches.decide(event, self._state), tasks)
+                return
+            await anyio.sleep(const.ORDER_RETRY_SECONDS)
+
+
+@functools.cache
+def _event_type(
+    outcome: rank_control.OrderOutcome,
+) -> type[switches.Accepted] | type[switches.Refused] | None:
+    """Return the event of an answered order, None for an unanswered one."""
+    if outcome is rank_control.OrderOutcome.ACCEPTED:
+        return switches.Accepted
+    if outcome is rank_control.OrderOutcome.REFUSED:
+        return switches.Refused
+    return None
+
+
+def _event(
+    outcome: rank_control.OrderOutcome,
+    send: switches.Send,
+) -> switches.Event | None:
+    """Return the event of an answered order, None for an unanswered one."""
+    event_type = _event_type(outcome)
+    if event_type is None:
+        return None
+    return event_type(send.upstream_id, send.order)
--- a/nutmegtrail/gateway/membership_listener.py
+++ b/nutmegtrail/gateway/membership_listener.py
@@ -8,10 +8,14 @@
 from nutmegtrail.gateway import errors
 from nutmegtrail.gateway import fleet
 from nutmegtrail.gateway import flow as flows
+from nutmegtrail.gateway import map_keeper
 from nutmegtrail.gateway import models
 from nutmegtrail.observability import logs
+from nutmegtrail.gateway import store_follower
 from nutmegtrail.ports import watched_store
 
+OWN_PREFIX: typing.Final = 'nutmegtrail/'
+
 
 class Documents(typing.Protocol):
     """Decodes the platform's documents; raises MalformedDocument."""
@@ -29,10 +33,16 @@
 class ConfigurationListener:
     """Takes over each newer configuration; never an older one."""
 
-    def __init__(self, documents: Documents, flow: flows.Flow) -> None:
+    def __init__(
+        self,
+        documents: Documents,
+        flow: flows.Flow,
+        keeper: map_keeper.MapKeeper,
+    ) -> None:
         """Keep the collaborators."""
         self._documents = documents
         self._flow = flow
+        self._keeper = keeper
 
     def listed(self, items: tuple[watched_store.Item, ...]) -> None:
         """Take the configuration of a snapshot."""
@@ -62,6 +72,7 @@
         )
         if newer:
             self._flow.configuration = read
+            self._keeper.service = _grouped_service(read)
 
     def lost(self) -> None:
         """Keep the present configuration."""
@@ -141,3 +152,44 @@
             anyio.current_time(),
         )
         self._dispatcher.dispatch_all()
+
+
+class OwnKeysListener:
+    """Hands the keys of the entries themselves to those that use them."""
+
+    def __init__(self, *listeners: store_follower.Listener) -> None:
+        """Keep the listeners."""
+        self._listeners = listeners
+
+    def listed(self, items: tuple[watched_store.Item, ...]) -> None:
+        """Hand on a snapshot."""
+        for listener in self._listeners:
+            listener.listed(items)
+
+    def changed(
+        self,
+        change: watched_store.Item | watched_store.Removal,
+    ) -> None:
+        """Hand on a change."""
+        for listener in self._listeners:
+            listener.changed(change)
+
+    def lost(self) -> None:
+        """Hand on the begin of an outage."""
+        for listener in self._listeners:
+            listener.lost()
+
+    def regained(self) -> None:
+        """Hand on the end of an outage."""
+        for listener in self._listeners:
+            listener.regained()
+
+
+def _grouped_service(
+    configuration: models.Configuration,
+) -> models.Service | None:
+    """Return the service whose upstreams form rank groups, if any."""
+    for service in configuration.services_by_name.values():
+        if service.shape is not None:
+            return service
+    return None
--- a/nutmegtrail/gateway/models.py
+++ b/nutmegtrail/gateway/models.py
@@ -87,9 +87,7 @@
     idle_timeout_seconds: float
 
 
-RoutesByHost: typing.TypeAlias = collections.abc.Mapping[
-    str, tuple[Route, ...]
-]
+RoutesByHost: typing.TypeAlias = collections.abc.Mapping[str, tuple[Route, ...]]
 
 
 class Configuration(typing.NamedTuple):
@@ -108,10 +106,13 @@
 
 
 class Membership(typing.NamedTuple):
-    """An engine's rank group."""
+    """An engine's place in a rank group; each forming is a new epoch."""
 
     group: str
     rank: int
+    size: int
+    epoch: int
+    is_open: bool
 
 
 class Upstream(typing.NamedTuple):
--- /dev/null
+++ b/nutmegtrail/gateway/popularity.py
@@ -0,0 +1,62 @@
+"""Popularity of the experts of a service, from the ranks' counters."""
+
+import typing
+
+from nutmegtrail.expert_map import layered
+from nutmegtrail.gateway import const
+
+
+class Reading(typing.NamedTuple):
+    """A rank's counters in one of its incarnations."""
+
+    incarnation: int
+    choices: tuple[int, ...]
+
+
+class Popularity(typing.NamedTuple):
+    """Fading sums of choices, and the last reading of each rank."""
+
+    choices: tuple[float, ...] = ()
+    updated_at_seconds: float = 0
+    readings_by_id: typing.Mapping[str, Reading] = {}
+
+
+def observe(
+    popularity: Popularity,
+    readings_by_id: typing.Mapping[str, Reading],
+    now_seconds: float,
+) -> Popularity:
+    """Return the popularity after new readings of some ranks."""
+    age = now_seconds - popularity.updated_at_seconds
+    fading = 0.5 ** (age / const.POPULARITY_HALF_LIFE_SECONDS)
+    choices = [count * fading for count in popularity.choices]
+    for upstream_id, reading in readings_by_id.items():
+        added = _since(popularity.readings_by_id.get(upstream_id), reading)
+        if len(choices) != len(added):
+            choices = [0.0] * len(added)
+        choices = [old + new for old, new in zip(choices, added, strict=True)]
+    return Popularity(
+        tuple(choices),
+        now_seconds,
+        {**popularity.readings_by_id, **readings_by_id},
+    )
+
+
+def loads_by_layer(
+    popularity: Popularity,
+    experts: int,
+) -> tuple[layered.Loads, ...]:
+    """Return the choices by layer and expert."""
+    choices = popularity.choices
+    return tuple(
+        choices[start : start + experts]
+        for start in range(0, len(choices), experts)
+    )
+
+
+def _since(before: Reading | None, reading: Reading) -> tuple[float, ...]:
+    """Return the choices since the reading before, or since the start."""
+    if before is None or before.incarnation != reading.incarnation:
+        return tuple(float(count) for count in reading.choices)
+    pairs = zip(reading.choices, before.choices, strict=True)
+    return tuple(float(max(new - old, 0)) for new, old in pairs)
--- a/nutmegtrail/gateway/store_follower.py
+++ b/nutmegtrail/gateway/store_follower.py
@@ -16,7 +16,9 @@
     def listed(self, items: tuple[watched_store.Item, ...]) -> None:
         """Take a snapshot of all items."""
 
-    def changed(self, change: watched_store.Item | watched_store.Removal) -> None:
+    def changed(
+        self, change: watched_store.Item | watched_store.Removal
+    ) -> None:
         """Take a change."""
 
     def lost(self) -> None:
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -21,6 +21,7 @@
 # Calls of engines.
 READ_REPORT: typing.Final = b'/api/report'
 READ_COUNTS: typing.Final = b'/api/picked'
+READ_LISTS: typing.Final = b'/api/picked?lists=1'
 SEND_ORDER: typing.Final = b'/api/order'
 
 # Headers, in lower case.
@@ -36,6 +37,7 @@
 LAST_EVENT: typing.Final = b'last-event-id'
 
 LEAVING_STATE: typing.Final = 'draining'
+OPEN_STATE: typing.Final = 'open'
 READY_STATE: typing.Final = 'ready'
 
 STATUS_OK: typing.Final = 200
--- a/nutmegtrail/platform/documents.py
+++ b/nutmegtrail/platform/documents.py
@@ -145,15 +145,24 @@
         slots,
         state == const.LEAVING_STATE,
         int(row.get('born') or 0),
-        _membership(row.get('group')),
+        _membership(row.get('group'), row.get('size')),
     )
 
 
-def _membership(group: _Document | None) -> models.Membership | None:
+def _membership(
+    group: _Document | None,
+    size: int | None,
+) -> models.Membership | None:
     """Return an engine's place in its rank group, None without one."""
     if not isinstance(group, dict):
         return None
-    return models.Membership(str(group['name']), int(group['rank']))
+    return models.Membership(
+        str(group['name']),
+        int(group['rank']),
+        int(size or 0),
+        int(group['epoch']),
+        group['state'] == const.OPEN_STATE,
+    )
 
 
 def _seconds(milliseconds: float) -> float:
--- a/nutmegtrail/platform/engines.py
+++ b/nutmegtrail/platform/engines.py
@@ -8,6 +8,7 @@
 from nutmegtrail.adapters.http1 import client
 from nutmegtrail.adapters.http1 import errors
 from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.expert_map import layered
 from nutmegtrail.expert_map import switch
 from nutmegtrail.gateway import models
 from nutmegtrail.platform import const
@@ -55,6 +56,20 @@
         except (KeyError, TypeError, ValueError):
             return None
 
+    async def held_experts(
+        self,
+        upstream: models.Upstream,
+    ) -> layered.Layer | None:
+        """Return the experts that a rank holds, by layer."""
+        document = await self._get(upstream, const.READ_LISTS)
+        try:
+            if document is None:
+                return None
+            experts = document['map']['experts']
+            return tuple(tuple(int(one) for one in layer) for layer in experts)
+        except (KeyError, TypeError, ValueError):
+            return None
+
     async def order(
         self,
         upstream: models.Upstream,
--- a/nutmegtrail/platform/store.py
+++ b/nutmegtrail/platform/store.py
@@ -216,7 +216,9 @@
     try:
         document = json.loads(raw or b'{}')
     except ValueError as error:
-        raise errors.ExchangeBroken(f'the answer is not JSON: {error}') from error
+        raise errors.ExchangeBroken(
+            f'the answer is not JSON: {error}'
+        ) from error
     return document if isinstance(document, dict) else {}
 
 
--- a/nutmegtrail/ports/dialect.py
+++ b/nutmegtrail/ports/dialect.py
@@ -19,7 +19,9 @@
     ) -> messages.Headers:
         """Return the headers of a request to an upstream."""
 
-    def read_signs(self, head: messages.Head, request_id: str) -> models.AnswerSigns:
+    def read_signs(
+        self, head: messages.Head, request_id: str
+    ) -> models.AnswerSigns:
         """Return what an upstream's head says of the request."""
 
     def refusal_headers(
--- /dev/null
+++ b/nutmegtrail/ports/rank_control.py
@@ -0,0 +1,49 @@
+"""Port to the engines' control calls, from any host."""
+
+import enum
+import typing
+
+from nutmegtrail.expert_map import layered
+from nutmegtrail.expert_map import switch
+from nutmegtrail.gateway import models
+
+
+class OrderOutcome(enum.Enum):
+    """What is known of an order after it was sent."""
+
+    ACCEPTED = 'accepted'
+    REFUSED = 'refused'
+    FENCED = 'fenced'
+    UNANSWERED = 'unanswered'
+
+
+class Counts(typing.NamedTuple):
+    """Choices of experts at a rank since its start, layer after layer."""
+
+    step: int
+    epoch: int
+    choices: list[int]
+
+
+class RankControl(typing.Protocol):
+    """Reads and orders of the engines of rank groups."""
+
+    async def report(self, upstream: models.Upstream) -> switch.Report | None:
+        """Return an engine's state of some 200 ms ago, None if unreadable."""
+
+    async def counts(self, upstream: models.Upstream) -> Counts | None:
+        """Return an engine's choices of experts, None if unreadable."""
+
+    async def held_experts(
+        self,
+        upstream: models.Upstream,
+    ) -> layered.Layer | None:
+        """Return the experts that a rank holds, by layer."""
+
+    async def order(
+        self,
+        upstream: models.Upstream,
+        order: switch.Order,
+        fence: int,
+    ) -> OrderOutcome:
+        """Send an order; one without an answer may still be carried out."""
