Limit rank groups by the pauses they make; switch maps in small, fast steps

Change: a copied expert must save 8% of its layer's time, counters are read each half second, a group takes no more requests than its pauses allow.

--- a/nutmegtrail/expert_map/switch.py
+++ b/nutmegtrail/expert_map/switch.py
@@ -15,8 +15,8 @@
 
 # Steps between the newest known one and the one that is held: reports are
 # some 200 ms old and a step takes 20 ms or more.
-HOLD_MARGIN_STEPS: typing.Final = 12
-HOLD_ATTEMPTS: typing.Final = 5
+HOLD_MARGIN_STEPS: typing.Final = 4
+HOLD_ATTEMPTS: typing.Final = 10
 
 
 class Operation(enum.Enum):
--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -77,18 +77,28 @@
 LEADER_TTL_SECONDS: typing.Final = 2
 LEADER_RENEWAL_SECONDS: typing.Final = 0.6
 
-MAP_INTERVAL_SECONDS: typing.Final = 2.0
-SAMPLED_RANKS: typing.Final = 3
-POPULARITY_HALF_LIFE_SECONDS: typing.Final = 6.0
+MAP_INTERVAL_SECONDS: typing.Final = 0.5
+SAMPLED_RANKS: typing.Final = 4
+POPULARITY_HALF_LIFE_SECONDS: typing.Final = 2.0
 
 # Fall of a step's expert time that pays for the copies of a switch.
 MAP_LEAST_GAIN: typing.Final = 0.1
 # Fall of a layer's time, against its mean, for each copied expert.
-MAP_LEAST_GAIN_PER_EXPERT: typing.Final = 0.01
+MAP_LEAST_GAIN_PER_EXPERT: typing.Final = 0.08
 
 REPORT_LAG_SECONDS: typing.Final = 0.4
-REPORT_INTERVAL_SECONDS: typing.Final = 0.3
+REPORT_INTERVAL_SECONDS: typing.Final = 0.1
 ORDER_RETRY_SECONDS: typing.Final = 0.05
 SWITCH_TIMEOUT_SECONDS: typing.Final = 10.0
 # After so long another entry may reach the rank that does not answer.
 HOLD_TIMEOUT_SECONDS: typing.Final = 1.5
+
+# Strain is the pause between events over the longest allowed one; a fifth
+# of a step's time does not depend on the requests in flight.
+STRAIN_TARGET: typing.Final = 0.8
+STRAIN_WITHOUT_LOAD: typing.Final = 0.25
+STRAIN_RISE: typing.Final = 0.2
+STRAIN_FALL: typing.Final = 0.05
+STRAIN_MEMORY_SECONDS: typing.Final = 1.0
+# A group always gets a request for each rank.
+ROOM_PER_RANK_LEAST: typing.Final = 1
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -31,6 +31,7 @@
         self.standings = health.Health()
         self.counts = loads.Loads()
         self.entries = 1
+        self._expected_seconds_by_service: dict[str, float] = {}
         self._failure_domain = failure_domain
         self._lines_by_service: dict[str, waiting_line.Line] = {}
         self._tickets_by_id: dict[str, _Ticket] = {}
@@ -63,6 +64,12 @@
         self.counts = loads.ended(self.counts, upstream.upstream_id)
         self.dispatch(upstream.service)
 
+    def observe_start(self, service: str, seconds: float) -> None:
+        """Take the time from an upstream's choice to its first event."""
+        known = self._expected_seconds_by_service.get(service, seconds)
+        smooth = known + const.PACE_SMOOTHING * (seconds - known)
+        self._expected_seconds_by_service[service] = smooth
+
     def dispatch_all(self) -> None:
         """Serve all lines, for example after a change of the fleet."""
         now = anyio.current_time()
@@ -78,7 +85,8 @@
         if line is None or not line.waiting:
             return
         now = anyio.current_time()
-        for waiting in waiting_line.in_order(line, now):
+        expected = self._expected_seconds_by_service.get(service, 0)
+        for waiting in waiting_line.in_order(line, now + expected):
             upstream = selection.choose(
                 selection.places(self._situation(), service, now),
                 waiting.excluded_ids,
--- a/nutmegtrail/gateway/flow.py
+++ b/nutmegtrail/gateway/flow.py
@@ -56,6 +56,9 @@
             budget = min(budget, caller.budget_seconds)
         self.deadline = exchange.received_at_seconds + budget
         self.upstream_ids: list[str] = []
+        self.dispatched_at_seconds = 0.0
+        self.first_event_seconds: float | None = None
+        self.longest_pause_seconds = 0.0
 
     @property
     def remaining_seconds(self) -> float:
@@ -184,6 +187,7 @@
         if upstream is None:
             return self._without_repeat(job)
         job.upstream_ids.append(upstream.upstream_id)
+        job.dispatched_at_seconds = anyio.current_time()
         try:
             return await self._attempt(job, upstream)
         finally:
@@ -241,6 +245,7 @@
             body = await response.read(const.RESPONSE_BYTES_LIMIT)
             seconds = anyio.current_time() - sent_at
         self._observe_pace(upstream, seconds)
+        self._dispatcher.observe_start(job.service, seconds)
         headers = messages.end_to_end(response.head.headers)
         await job.exchange.answer(response.head.status, headers, body)
         return None
@@ -283,7 +288,12 @@
             if advance.payload:
                 now = anyio.current_time()
                 if job.delivery.begun:
-                    self._observe_pace(upstream, (now - last_at) / len(whole))
+                    pause = now - last_at
+                    job.longest_pause_seconds = max(
+                        job.longest_pause_seconds,
+                        pause,
+                    )
+                    self._observe_pause(job, upstream, pause / len(whole))
                 last_at = now
                 await self._pass_events(job, response.head, advance)
             if advance.gap:
@@ -307,7 +317,13 @@
             await job.exchange.write(advance.payload)
             return
         job.delivery = job.delivery._replace(begun=True)
-        seconds = anyio.current_time() - job.exchange.received_at_seconds
+        now = anyio.current_time()
+        seconds = now - job.exchange.received_at_seconds
+        job.first_event_seconds = seconds
+        self._dispatcher.observe_start(
+            job.service,
+            now - job.dispatched_at_seconds,
+        )
         self._metrics.observe_seconds('first_event', seconds)
         await job.exchange.start_chunked(
             head.status,
@@ -441,6 +457,23 @@
             anyio.current_time(),
         )
 
+    def _observe_pause(
+        self,
+        job: _Job,
+        upstream: models.Upstream,
+        seconds: float,
+    ) -> None:
+        """Take the pause before an event into pace and strain."""
+        self._observe_pace(upstream, seconds)
+        allowed = job.route.pause_objective_seconds
+        if allowed:
+            self._dispatcher.standings = health.strained(
+                self._dispatcher.standings,
+                upstream.pace_group,
+                seconds / allowed,
+                anyio.current_time(),
+            )
+
     def _log_failure(
         self,
         job: _Job,
@@ -472,4 +505,6 @@
             upstreams=job.upstream_ids,
             outcome=outcome,
             seconds=round(seconds, 4),
+            first_event_seconds=job.first_event_seconds,
+            longest_pause_seconds=round(job.longest_pause_seconds, 4),
         )
--- a/nutmegtrail/gateway/health.py
+++ b/nutmegtrail/gateway/health.py
@@ -1,6 +1,8 @@
-"""Passive health of upstreams: failures, ejection and pace.
+"""Passive health of upstreams: failures, ejection, pace and strain.
 
-Upstreams of one rank group run in lock-step and share their pace.
+Upstreams of one rank group run in lock-step and share pace and strain.
+Strain is the pause between a stream's events against the longest pause
+that its route allows.
 """
 
 import typing
@@ -25,15 +27,24 @@
     observed_at_seconds: float
 
 
+class Strain(typing.NamedTuple):
+    """Smoothed strain and the time of its last sample."""
+
+    level: float
+    observed_at_seconds: float
+
+
 StandingsById: typing.TypeAlias = pyrsistent.typing.PMap[str, Standing]
 PacesByGroup: typing.TypeAlias = pyrsistent.typing.PMap[str, Pace]
+StrainsByGroup: typing.TypeAlias = pyrsistent.typing.PMap[str, Strain]
 
 
 class Health(typing.NamedTuple):
-    """Standings by upstream (or rank group) and paces by rank group."""
+    """Standings by upstream (or rank group), pace and strain by group."""
 
     standings_by_id: StandingsById = pyrsistent.pmap()
     paces_by_group: PacesByGroup = pyrsistent.pmap()
+    strains_by_group: StrainsByGroup = pyrsistent.pmap()
 
 
 def succeeded(health: Health, name: str) -> Health:
@@ -106,3 +117,50 @@
     age_seconds = now_seconds - known.observed_at_seconds
     half_lives = age_seconds / const.PACE_HALF_LIFE_SECONDS
     return known.seconds * 0.5**half_lives
+
+
+def strained(
+    health: Health,
+    group: str,
+    sample: float,
+    now_seconds: float,
+) -> Health:
+    """Return the health after a sample of a group's strain.
+
+    A rise is followed faster than a fall: a late event can not be mended.
+    """
+    level = sample
+    known = health.strains_by_group.get(group)
+    if known is not None:
+        rising = sample > known.level
+        weight = const.STRAIN_RISE if rising else const.STRAIN_FALL
+        level = known.level + weight * (sample - known.level)
+    return health._replace(
+        strains_by_group=health.strains_by_group.set(
+            group,
+            Strain(level, now_seconds),
+        ),
+    )
+
+
+def room(
+    health: Health,
+    group: str,
+    in_flight: int,
+    now_seconds: float,
+) -> float:
+    """Return how many requests a group can hold within its objective.
+
+    The pause between events grows with the requests in flight, from a
+    part that does not depend on them.
+    """
+    known = health.strains_by_group.get(group)
+    if known is None:
+        return float('inf')
+    if now_seconds - known.observed_at_seconds > const.STRAIN_MEMORY_SECONDS:
+        return float('inf')
+    grown = known.level - const.STRAIN_WITHOUT_LOAD
+    if grown <= 0:
+        return float('inf')
+    wanted = const.STRAIN_TARGET - const.STRAIN_WITHOUT_LOAD
+    return max(in_flight, 1) * wanted / grown
--- a/nutmegtrail/gateway/map_keeper.py
+++ b/nutmegtrail/gateway/map_keeper.py
@@ -83,8 +83,8 @@
         if shape is None or not groups:
             return
         await self._observe(groups)
-        loads_by_layer = popularity.loads_by_layer(
-            self._popularity,
+        loads_by_layer = popularity.by_layer(
+            self._popularity.choices,
             shape.experts,
         )
         if len(loads_by_layer) != shape.layer_sets:
@@ -134,6 +134,7 @@
             version=known.version,
             slowness_before=round(before, 3),
             slowness_after=round(after, 3),
+            slowness_latest=round(self._latest_slowness(known, shape), 3),
             moves=moves,
             switching=worthwhile,
         )
@@ -146,18 +147,29 @@
             self._metrics.count('experts_moved', amount=moves)
             await self._switch_to(group, known, layers)
 
+    def _latest_slowness(
+        self,
+        known: Known,
+        shape: models.GroupShape,
+    ) -> float:
+        """Return a map's slowness under the latest choices alone."""
+        latest = popularity.by_layer(self._popularity.latest, shape.experts)
+        if len(latest) != len(known.layers):
+            return 0.0
+        return layered.slowness(known.layers, latest)
+
     async def _observe(self, groups: tuple[Group, ...]) -> None:
-        """Read the counters of some ranks of each group."""
+        """Read the counters of some ranks; all groups get like requests."""
         readings_by_id: dict[str, popularity.Reading] = {}
-        for group in groups:
-            stride = max(len(group.members) // const.SAMPLED_RANKS, 1)
-            for member in group.members[::stride][: const.SAMPLED_RANKS]:
-                counts = await self._engines.counts(member)
-                if counts is not None:
-                    readings_by_id[member.upstream_id] = popularity.Reading(
-                        member.started_at_ms,
-                        tuple(counts.choices),
-                    )
+        members = [member for group in groups for member in group.members]
+        stride = max(len(members) // const.SAMPLED_RANKS, 1)
+        for member in members[::stride][: const.SAMPLED_RANKS]:
+            counts = await self._engines.counts(member)
+            if counts is not None:
+                readings_by_id[member.upstream_id] = popularity.Reading(
+                    member.started_at_ms,
+                    tuple(counts.choices),
+                )
         self._popularity = popularity.observe(
             self._popularity,
             readings_by_id,
--- a/nutmegtrail/gateway/popularity.py
+++ b/nutmegtrail/gateway/popularity.py
@@ -14,9 +14,13 @@
 
 
 class Popularity(typing.NamedTuple):
-    """Fading sums of choices, and the last reading of each rank."""
+    """Fading sums of choices, and the last reading of each rank.
+
+    `latest` are the choices between the last two readings.
+    """
 
     choices: tuple[float, ...] = ()
+    latest: tuple[float, ...] = ()
     updated_at_seconds: float = 0
     readings_by_id: typing.Mapping[str, Reading] = {}
 
@@ -29,31 +33,37 @@
     """Return the popularity after new readings of some ranks."""
     age = now_seconds - popularity.updated_at_seconds
     fading = 0.5 ** (age / const.POPULARITY_HALF_LIFE_SECONDS)
-    choices = [count * fading for count in popularity.choices]
+    latest: list[float] = []
     for upstream_id, reading in readings_by_id.items():
         added = _since(popularity.readings_by_id.get(upstream_id), reading)
-        if len(choices) != len(added):
-            choices = [0.0] * len(added)
-        choices = [old + new for old, new in zip(choices, added, strict=True)]
+        latest = _add(latest, added)
+    faded = [count * fading for count in popularity.choices]
     return Popularity(
-        tuple(choices),
+        tuple(_add(faded, latest)),
+        tuple(latest),
         now_seconds,
         {**popularity.readings_by_id, **readings_by_id},
     )
 
 
-def loads_by_layer(
-    popularity: Popularity,
+def by_layer(
+    choices: tuple[float, ...],
     experts: int,
 ) -> tuple[layered.Loads, ...]:
-    """Return the choices by layer and expert."""
-    choices = popularity.choices
+    """Return choices by layer and expert."""
     return tuple(
         choices[start : start + experts]
         for start in range(0, len(choices), experts)
     )
 
 
+def _add(sums: list[float], added: typing.Sequence[float]) -> list[float]:
+    """Return the sums with more choices; sums of another shape are dropped."""
+    if len(sums) != len(added):
+        return list(added) if added else sums
+    return [old + new for old, new in zip(sums, added, strict=True)]
+
+
 def _since(before: Reading | None, reading: Reading) -> tuple[float, ...]:
     """Return the choices since the reading before, or since the start."""
     if before is None or before.incarnation != reading.incarnation:
--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -1,7 +1,9 @@
 """Choice of the upstream for a request: the least expected work."""
 
+import collections
 import typing
 
+from nutmegtrail.gateway import const
 from nutmegtrail.gateway import fleet
 from nutmegtrail.gateway import health
 from nutmegtrail.gateway import loads
@@ -12,17 +14,21 @@
     """An upstream that may be chosen and what is known of it.
 
     `in_flight` are requests at it, `group_in_flight` those at its rank
-    group, `pace_seconds` is 0 where nothing was measured.
+    group, `group_room` those that it can hold within its objective;
+    `pace_seconds` is 0 where nothing was measured.
     """
 
     upstream: models.Upstream
     in_flight: int
     group_in_flight: int
+    group_room: float
     pace_seconds: float
 
     @property
     def is_free(self) -> bool:
         """Return whether a request would run at once."""
+        if self.group_in_flight >= self.group_room:
+            return False
         return self.in_flight < self.upstream.slots
 
 
@@ -51,11 +57,27 @@
         in_flight = counts_by_id.get(upstream.upstream_id, 0)
         group = upstream.pace_group
         counts_by_group[group] = counts_by_group.get(group, 0) + in_flight
+    ranks_by_group = collections.Counter(
+        upstream.pace_group for upstream in upstreams
+    )
+    room_by_group = {
+        group: max(
+            health.room(
+                situation.standings,
+                group,
+                in_flight,
+                now_seconds,
+            ),
+            ranks_by_group[group] * const.ROOM_PER_RANK_LEAST,
+        )
+        for group, in_flight in counts_by_group.items()
+    }
     return tuple(
         Place(
             upstream,
             counts_by_id.get(upstream.upstream_id, 0),
             counts_by_group[upstream.pace_group],
+            room_by_group[upstream.pace_group],
             health.pace(
                 situation.standings,
                 upstream.pace_group,
--- a/nutmegtrail/gateway/waiting_line.py
+++ b/nutmegtrail/gateway/waiting_line.py
@@ -66,13 +66,16 @@
     return Line(arrivals=line.arrivals)
 
 
-def in_order(line: Line, now_seconds: float) -> tuple[Waiting, ...]:
-    """Return the waiting requests, the first to be served first."""
+def in_order(line: Line, answer_at_seconds: float) -> tuple[Waiting, ...]:
+    """Return the waiting requests, the first to be served first.
+
+    One that is started now is expected to be answered at the given time.
+    """
     return tuple(
         sorted(
             line.waiting,
             key=lambda waiting: (
-                now_seconds > waiting.objective_at_seconds,
+                answer_at_seconds > waiting.objective_at_seconds,
                 waiting.priority,
                 waiting.start_tag,
                 waiting.number,
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -54,4 +54,4 @@
 WATCH_SLACK_SECONDS: typing.Final = 1.5
 ANSWER_BYTES_LIMIT: typing.Final = 16_777_216
 # An order that is carried out at once is answered within milliseconds.
-ENGINE_TIMEOUT_SECONDS: typing.Final = 0.4
+ENGINE_TIMEOUT_SECONDS: typing.Final = 0.15
