Follow shifts of popularity within a second; resend orders after 80 ms

Cause: fading over 2 s kept experts of the former topics replicated, and a group was held up to 0.57 s for an order with a lost answer.

--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -79,7 +79,7 @@
 
 MAP_INTERVAL_SECONDS: typing.Final = 0.5
 SAMPLED_RANKS: typing.Final = 4
-POPULARITY_HALF_LIFE_SECONDS: typing.Final = 2.0
+POPULARITY_HALF_LIFE_SECONDS: typing.Final = 0.6
 
 # Fall of a step's expert time that pays for the copies of a switch.
 MAP_LEAST_GAIN: typing.Final = 0.1
@@ -88,7 +88,7 @@
 
 REPORT_LAG_SECONDS: typing.Final = 0.4
 REPORT_INTERVAL_SECONDS: typing.Final = 0.1
-ORDER_RETRY_SECONDS: typing.Final = 0.05
+ORDER_RETRY_SECONDS: typing.Final = 0.01
 SWITCH_TIMEOUT_SECONDS: typing.Final = 10.0
 # After so long another entry may reach the rank that does not answer.
 HOLD_TIMEOUT_SECONDS: typing.Final = 1.5
--- a/nutmegtrail/gateway/map_keeper.py
+++ b/nutmegtrail/gateway/map_keeper.py
@@ -69,6 +69,7 @@
                 self._led_fence = self._lease.fence
                 self._known_by_group.clear()
                 await self._resume()
+                await self._observe(self._groups(self.service.name))
             if self._has_traffic():
                 await self._balance(self.service)
 
--- a/nutmegtrail/gateway/popularity.py
+++ b/nutmegtrail/gateway/popularity.py
@@ -65,8 +65,8 @@
 
 
 def _since(before: Reading | None, reading: Reading) -> tuple[float, ...]:
-    """Return the choices since the reading before, or since the start."""
+    """Return the choices since the reading before, none after the first."""
     if before is None or before.incarnation != reading.incarnation:
-        return tuple(float(count) for count in reading.choices)
+        return (0.0,) * len(reading.choices)
     pairs = zip(reading.choices, before.choices, strict=True)
     return tuple(float(max(new - old, 0)) for new, old in pairs)
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -53,5 +53,6 @@
 # Added to the wait of a watch before it counts as lost.
 WATCH_SLACK_SECONDS: typing.Final = 1.5
 ANSWER_BYTES_LIMIT: typing.Final = 16_777_216
-# An order that is carried out at once is answered within milliseconds.
-ENGINE_TIMEOUT_SECONDS: typing.Final = 0.15
+ENGINE_READ_TIMEOUT_SECONDS: typing.Final = 0.3
+# Engines answer an order within milliseconds; a group may wait for it.
+ENGINE_ORDER_TIMEOUT_SECONDS: typing.Final = 0.08
--- a/nutmegtrail/platform/engines.py
+++ b/nutmegtrail/platform/engines.py
@@ -133,7 +133,10 @@
         if body:
             headers = (*headers, (b'content-type', b'application/json'))
         call = client.Call(upstream.address, method, target, headers, body)
-        with anyio.move_on_after(const.ENGINE_TIMEOUT_SECONDS):
+        timeout = const.ENGINE_READ_TIMEOUT_SECONDS
+        if body:
+            timeout = const.ENGINE_ORDER_TIMEOUT_SECONDS
+        with anyio.move_on_after(timeout):
             try:
                 return await self._client.fetch(call, const.ANSWER_BYTES_LIMIT)
             except (errors.NotConnected, errors.ExchangeBroken):
