--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -129,7 +129,8 @@
             await self.start()
         listener = typing.cast('anyio.abc.Listener[typing.Any]', self._listener)
         async with anyio.create_task_group() as tasks:
-            with anyio.CancelScope() as self._accepting:
+            self._accepting = anyio.CancelScope()
+            with self._accepting:
                 await listener.serve(self._serve_connection, tasks)
             await listener.aclose()
 
--- a/nutmegtrail/platform/composition.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -1,6 +1,7 @@
 """Composition root of the entry on the platform."""
 
 import random
+import typing
 import uuid
 
 from nutmegtrail import models
@@ -22,39 +23,44 @@
 from nutmegtrail.platform import store as platform_store
 
 
+class _Core(typing.NamedTuple):
+    """Parts that others are built on."""
+
+    incarnation: str
+    store: platform_store.PlatformStore
+    dispatcher: dispatching.Dispatcher
+    readings: metrics.Metrics
+
+
 def create_gateway(configured: settings.GatewaySettings) -> daemon.Gateway:
     """Return an entry; it is not started."""
-    store = platform_store.PlatformStore(
-        models.parse_address(configured.store.address),
-    )
-    readings = metrics.Metrics()
-    dispatcher = dispatching.Dispatcher(configured.process.failure_domain)
-    allowance = retry_budget.Allowance(
-        configured.retries.window_seconds,
-        configured.retries.share,
-        configured.retries.base,
-    )
-    flow = flows.Flow(
-        headers.PlatformDialect(),
-        dispatcher,
-        allowance,
-        readings,
+    core = _Core(
+        f'{configured.process.host}/{uuid.uuid4().hex[:8]}',
+        platform_store.PlatformStore(
+            models.parse_address(configured.store.address),
+        ),
+        dispatching.Dispatcher(configured.process.failure_domain),
+        metrics.Metrics(),
     )
-    incarnation = f'{configured.process.host}/{uuid.uuid4().hex[:8]}'
+    flow = _create_flow(configured, core)
     gossip = gossiping.Gossip(
-        incarnation,
+        core.incarnation,
         models.parse_address(configured.listen.peers),
-        store,
-        dispatcher,
+        core.store,
+        core.dispatcher,
     )
     lease = leader_lease.LeaderLease(
         map_keeper.LEADER_KEY,
-        incarnation,
-        store,
+        core.incarnation,
+        core.store,
         random.Random(),
     )
-    engines = platform_engines.PlatformEngines()
-    keeper = map_keeper.MapKeeper(engines, dispatcher, lease, readings)
+    keeper = map_keeper.MapKeeper(
+        platform_engines.PlatformEngines(),
+        core.dispatcher,
+        lease,
+        core.readings,
+    )
     listeners: dict[str, store_follower.Listener] = {
         const.CONFIGURATION_PREFIX: membership_listener.ConfigurationListener(
             documents,
@@ -63,7 +69,7 @@
         ),
         const.UPSTREAM_PREFIX: membership_listener.UpstreamListener(
             documents,
-            dispatcher,
+            core.dispatcher,
         ),
         membership_listener.OWN_PREFIX: membership_listener.OwnKeysListener(
             gossip,
@@ -71,18 +77,36 @@
         ),
     }
     followers = tuple(
-        store_follower.StoreFollower(store, prefix, listener)
+        store_follower.StoreFollower(core.store, prefix, listener)
         for prefix, listener in listeners.items()
     )
     return daemon.Gateway(
         configured,
         daemon.Parts(
             flow,
-            dispatcher,
+            core.dispatcher,
             gossip,
             followers,
-            readings,
+            core.readings,
             lease,
             keeper,
         ),
     )
+
+
+def _create_flow(
+    configured: settings.GatewaySettings,
+    core: _Core,
+) -> flows.Flow:
+    """Return the way of the requests."""
+    allowance = retry_budget.Allowance(
+        configured.retries.window_seconds,
+        configured.retries.share,
+        configured.retries.base,
+    )
+    return flows.Flow(
+        headers.PlatformDialect(),
+        core.dispatcher,
+        allowance,
+        core.readings,
+    )
--- a/nutmegtrail/cli/main.py
+++ b/nutmegtrail/cli/main.py
@@ -5,8 +5,8 @@
 import httpx
 import typer
 
-from nutmegtrail import bootstrap
 from nutmegtrail import models
+from nutmegtrail.bootstrap import daemons
 from nutmegtrail.cli import config
 from nutmegtrail.cli import const
 from nutmegtrail.cli import contract
@@ -40,8 +40,8 @@
         configured = settings.load(file, settings.EntrySettings)
     except errors.SettingsError as error:
         output.fail(error)
-    bootstrap.run(
-        bootstrap.create_entry(configured),
+    daemons.run(
+        daemons.create_entry(configured),
         configured.process.log_format,
     )
 
@@ -56,8 +56,8 @@
         configured = settings.load(file, settings.SidecarSettings)
     except errors.SettingsError as error:
         output.fail(error)
-    bootstrap.run(
-        bootstrap.create_sidecar(configured),
+    daemons.run(
+        daemons.create_sidecar(configured),
         configured.process.log_format,
     )
 
--- a/nutmegtrail/expert_map/layered.py
+++ b/nutmegtrail/expert_map/layered.py
@@ -4,6 +4,7 @@
 places; a replica needs one, or that of a replica which can be spared.
 """
 
+import collections
 import typing
 
 _STEEPNESS: typing.Final = 6
@@ -39,10 +40,7 @@
         self.original = [frozenset(rank) for rank in layer]
         self.bounds = bounds
         self.loads = loads
-        self.replicas = [0] * len(loads)
-        for rank in self.held:
-            for expert in rank:
-                self.replicas[expert] += 1
+        self.replicas = _replicas(layer, len(loads))
         self.times = [self._time_of(rank) for rank in self.held]
 
     def best(self) -> tuple[float, Change] | None:
@@ -53,8 +51,7 @@
             (self._cost_after(change), change)
             for target in targets[:_TARGETS]
             if target != slowest and self._has_room(target)
-            for expert in self.held[slowest] - self.held[target]
-            for change in self._changes(target, expert)
+            for change in self._changes_between(slowest, target)
         ]
         return min(options, key=_cost, default=None)
 
@@ -86,6 +83,14 @@
         new = self.held[rank] - self.original[rank]
         return len(new) < self.bounds.new_experts
 
+    def _changes_between(self, source: int, target: int) -> list[Change]:
+        """Return the ways to put an expert of one rank on another."""
+        return [
+            change
+            for expert in sorted(self.held[source] - self.held[target])
+            for change in self._changes(target, expert)
+        ]
+
     def _changes(self, rank: int, expert: int) -> list[Change]:
         """Return the ways to put an expert on a rank."""
         if len(self.held[rank]) < self.bounds.places:
@@ -171,10 +176,7 @@
 
 def times(layer: Layer, loads: Loads) -> list[float]:
     """Return the time of each rank of a layer."""
-    replicas = [0] * len(loads)
-    for rank in layer:
-        for expert in rank:
-            replicas[expert] += 1
+    replicas = _replicas(layer, len(loads))
     return [
         sum(loads[expert] / replicas[expert] for expert in rank)
         for rank in layer
@@ -199,6 +201,12 @@
     )
 
 
+def _replicas(layer: Layer, experts: int) -> list[int]:
+    """Return the number of ranks that hold each expert."""
+    counts = collections.Counter(expert for rank in layer for expert in rank)
+    return [counts[expert] for expert in range(experts)]
+
+
 def _steep(rank_times: list[float]) -> float:
     """Return a sum in which the slowest ranks count most."""
     return sum(time**_STEEPNESS for time in rank_times)
--- a/nutmegtrail/expert_map/switch.py
+++ b/nutmegtrail/expert_map/switch.py
@@ -147,18 +147,19 @@
     holder = holders[0]
     step = reports_by_id[holder].held or 0
     epoch = reports_by_id[holder].epoch
-    prepared = {reports_by_id[member].prepared for member in member_ids}
-    armed = {reports_by_id[member].armed for member in member_ids} - {None}
+    reports = [reports_by_id[member] for member in member_ids]
+    prepared = {report.prepared or 0 for report in reports}
+    armed = {report.armed or 0 for report in reports} - {0}
     found = Switch(
         member_ids,
         epoch,
-        max(armed, default=None) or max(prepared - {None}, default=0) or 0,
+        max(armed or prepared),
         None,
         Phase.ARMING,
         held_step=step,
         holder_id=holder,
     )
-    if not armed and (None in prepared or len(prepared) > 1):
+    if not armed and (0 in prepared or len(prepared) > 1):
         return _release(found)
     return _arm(found)
 
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -4,6 +4,7 @@
 import typing
 
 import anyio
+import anyio.abc
 
 from nutmegtrail import models
 from nutmegtrail.adapters.http1 import messages
@@ -30,6 +31,12 @@
 )
 
 
+Task: typing.TypeAlias = typing.Callable[
+    [],
+    typing.Coroutine[typing.Any, typing.Any, None],
+]
+
+
 class Parts(typing.NamedTuple):
     """Collaborators of the entry, wired by the composition root."""
 
@@ -67,13 +74,8 @@
             failure_domain=self._configured.process.failure_domain,
         )
         async with anyio.create_task_group() as tasks:
-            for follower in self._parts.followers:
-                tasks.start_soon(follower.run)
-            tasks.start_soon(self._parts.gossip.run)
-            tasks.start_soon(self._parts.lease.run)
-            tasks.start_soon(self._parts.keeper.run)
-            tasks.start_soon(self._metrics.serve)
-            tasks.start_soon(self._readiness.serve)
+            for run in self._background():
+                tasks.start_soon(run)
             async with anyio.create_task_group() as callers:
                 callers.start_soon(self._callers.serve)
                 await self._stopping.wait()
@@ -84,6 +86,14 @@
         await self._parts.flow.close()
         logs.decision('daemon:stopped', host=self._configured.process.host)
 
+    def _background(self) -> tuple[Task, ...]:
+        """Return what runs beside the callers' server until the end."""
+        parts = self._parts
+        runs: list[Task] = [follower.run for follower in parts.followers]
+        runs.extend((parts.gossip.run, parts.lease.run, parts.keeper.run))
+        runs.extend((self._metrics.serve, self._readiness.serve))
+        return tuple(runs)
+
     def close(self) -> None:
         """Begin the planned stop."""
         self._stopping.set()
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -7,8 +7,8 @@
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import fleet
 from nutmegtrail.gateway import health
-from nutmegtrail.gateway import loads
 from nutmegtrail.gateway import models
+from nutmegtrail.gateway import request_counts
 from nutmegtrail.gateway import selection
 from nutmegtrail.gateway import waiting_line
 
@@ -29,7 +29,7 @@
         """Start with an empty fleet."""
         self.members = fleet.Fleet()
         self.standings = health.Health()
-        self.counts = loads.Loads()
+        self.counts = request_counts.Counts()
         self.entries = 1
         self._expected_seconds_by_service: dict[str, float] = {}
         self._failure_domain = failure_domain
@@ -61,7 +61,7 @@
 
     def release(self, upstream: models.Upstream) -> None:
         """Count a request as ended and serve the next one."""
-        self.counts = loads.ended(self.counts, upstream.upstream_id)
+        self.counts = request_counts.ended(self.counts, upstream.upstream_id)
         self.dispatch(upstream.service)
 
     def observe_start(self, service: str, seconds: float) -> None:
@@ -74,7 +74,7 @@
         """Serve all lines, for example after a change of the fleet."""
         now = anyio.current_time()
         self.members = fleet.decide(fleet.Elapsed(), self.members, now)
-        self.counts = loads.forget_silent(self.counts, now)
+        self.counts = request_counts.forget_silent(self.counts, now)
         for service, line in tuple(self._lines_by_service.items()):
             if line.waiting:
                 self.dispatch(service)
@@ -95,7 +95,9 @@
             if upstream is None:
                 break
             line = waiting_line.started(line, waiting)
-            self.counts = loads.started(self.counts, upstream.upstream_id)
+            self.counts = request_counts.started(
+                self.counts, upstream.upstream_id
+            )
             self._decide(waiting.request_id, upstream)
         self._lines_by_service[service] = self._shorten(service, line, now)
 
--- a/nutmegtrail/gateway/gossip.py
+++ b/nutmegtrail/gateway/gossip.py
@@ -10,7 +10,7 @@
 from nutmegtrail import models
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import dispatcher as dispatching
-from nutmegtrail.gateway import loads
+from nutmegtrail.gateway import request_counts
 from nutmegtrail.observability import logs
 from nutmegtrail.ports import key_value
 from nutmegtrail.ports import watched_store
@@ -145,7 +145,7 @@
     def _take_report(self, name: str, counts: dict[str, int]) -> None:
         """Take the counts of another entry."""
         if name != self._name:
-            self._dispatcher.counts = loads.reported(
+            self._dispatcher.counts = request_counts.reported(
                 self._dispatcher.counts,
                 name,
                 counts,
--- a/nutmegtrail/gateway/health.py
+++ b/nutmegtrail/gateway/health.py
@@ -116,7 +116,8 @@
         return 0.0
     age_seconds = now_seconds - known.observed_at_seconds
     half_lives = age_seconds / const.PACE_HALF_LIFE_SECONDS
-    return known.seconds * 0.5**half_lives
+    fading: float = 0.5**half_lives
+    return known.seconds * fading
 
 
 def strained(
--- a/nutmegtrail/gateway/map_keeper.py
+++ b/nutmegtrail/gateway/map_keeper.py
@@ -1,6 +1,6 @@
 """Keeps the expert maps of a service's rank groups balanced."""
 
-import functools
+import itertools
 import typing
 
 import anyio
@@ -11,9 +11,10 @@
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import fleet
 from nutmegtrail.gateway import leader_lease
-from nutmegtrail.gateway import loads
 from nutmegtrail.gateway import models
 from nutmegtrail.gateway import popularity
+from nutmegtrail.gateway import request_counts
+from nutmegtrail.gateway import switch_run
 from nutmegtrail.observability import logs
 from nutmegtrail.observability import metrics
 from nutmegtrail.ports import rank_control
@@ -21,14 +22,6 @@
 LEADER_KEY: typing.Final = 'nutmegtrail/maps/leader'
 
 
-class Group(typing.NamedTuple):
-    """A complete rank group, its members in the order of their ranks."""
-
-    name: str
-    epoch: int
-    members: tuple[models.Upstream, ...]
-
-
 class Known(typing.NamedTuple):
     """The map of a group in an epoch, as last read or switched to."""
 
@@ -75,7 +68,7 @@
 
     def _has_traffic(self) -> bool:
         """Return whether any request is under way."""
-        return bool(loads.totals(self._dispatcher.counts))
+        return bool(request_counts.totals(self._dispatcher.counts))
 
     async def _balance(self, service: models.Service) -> None:
         """Read popularity and switch the groups that gain by it."""
@@ -101,7 +94,7 @@
 
     async def _balance_group(
         self,
-        group: Group,
+        group: switch_run.Group,
         shape: models.GroupShape,
         loads_by_layer: tuple[layered.Loads, ...],
     ) -> None:
@@ -159,12 +152,17 @@
             return 0.0
         return layered.slowness(known.layers, latest)
 
-    async def _observe(self, groups: tuple[Group, ...]) -> None:
+    async def _observe(self, groups: tuple[switch_run.Group, ...]) -> None:
         """Read the counters of some ranks; all groups get like requests."""
         readings_by_id: dict[str, popularity.Reading] = {}
         members = [member for group in groups for member in group.members]
         stride = max(len(members) // const.SAMPLED_RANKS, 1)
-        for member in members[::stride][: const.SAMPLED_RANKS]:
+        for member in itertools.islice(
+            members,
+            0,
+            stride * const.SAMPLED_RANKS,
+            stride,
+        ):
             counts = await self._engines.counts(member)
             if counts is not None:
                 readings_by_id[member.upstream_id] = popularity.Reading(
@@ -177,7 +175,7 @@
             anyio.current_time(),
         )
 
-    async def _read_map(self, group: Group) -> Known | None:
+    async def _read_map(self, group: switch_run.Group) -> Known | None:
         """Return a group's map, read from its ranks where not known."""
         known = self._known_by_group.get(group.name)
         if known is not None and known.epoch == group.epoch:
@@ -196,7 +194,7 @@
         self._known_by_group[group.name] = found
         return found
 
-    async def _newest_version(self, group: Group) -> int | None:
+    async def _newest_version(self, group: switch_run.Group) -> int | None:
         """Return the highest version that any rank has had."""
         newest = 0
         for member in group.members:
@@ -213,7 +211,7 @@
 
     async def _switch_to(
         self,
-        group: Group,
+        group: switch_run.Group,
         known: Known,
         layers: layered.Layers,
     ) -> None:
@@ -221,9 +219,13 @@
         tried = self._tried_by_group.get(group.name, 0)
         version = max(known.version, tried) + 1
         self._tried_by_group[group.name] = version
-        member_ids = tuple(member.upstream_id for member in group.members)
-        begun = switches.begin(member_ids, group.epoch, version, layers)
-        run = SwitchRun(group, begun, self._engines, self._lease)
+        begun = switches.begin(
+            group.member_ids,
+            group.epoch,
+            version,
+            layers,
+        )
+        run = switch_run.SwitchRun(group, begun, self._engines, self._lease)
         if await run.run():
             self._known_by_group[group.name] = Known(
                 group.epoch,
@@ -248,13 +250,14 @@
                     reports_by_id[member.upstream_id] = report
             if len(reports_by_id) < len(group.members):
                 continue
-            member_ids = tuple(member.upstream_id for member in group.members)
-            resumed = switches.resume(member_ids, reports_by_id)
+            resumed = switches.resume(group.member_ids, reports_by_id)
             if resumed is not None:
-                run = SwitchRun(group, resumed, self._engines, self._lease)
+                run = switch_run.SwitchRun(
+                    group, resumed, self._engines, self._lease
+                )
                 await run.run()
 
-    def _groups(self, service: str) -> tuple[Group, ...]:
+    def _groups(self, service: str) -> tuple[switch_run.Group, ...]:
         """Return the complete groups of a service."""
         members_by_group: dict[str, dict[int, models.Upstream]] = {}
         for upstream in fleet.registered(self._dispatcher.members, service):
@@ -262,150 +265,23 @@
             if member is not None and member.is_open:
                 ranks = members_by_group.setdefault(member.group, {})
                 ranks[member.rank] = upstream
-        groups = []
-        for name, upstream_by_rank in sorted(members_by_group.items()):
-            members = tuple(
-                upstream_by_rank[rank] for rank in sorted(upstream_by_rank)
-            )
-            memberships = [
-                typing.cast('models.Membership', member.membership)
-                for member in members
-            ]
-            epochs = {membership.epoch for membership in memberships}
-            complete = len(members) == memberships[0].size
-            if complete and len(epochs) == 1:
-                groups.append(Group(name, epochs.pop(), members))
-        return tuple(groups)
-
-
-class SwitchRun:
-    """Sends the orders of one switch and feeds back their outcomes."""
-
-    def __init__(
-        self,
-        group: Group,
-        begun: switches.Decision,
-        engines: rank_control.RankControl,
-        lease: leader_lease.LeaderLease,
-    ) -> None:
-        """Keep the collaborators; nothing is sent yet."""
-        self._group = group
-        self._begun = begun
-        self._state = begun.switch
-        self._engines = engines
-        self._lease = lease
-        self._fence = lease.fence or 0
-        self._upstreams_by_id = {
-            member.upstream_id: member for member in group.members
-        }
-        self._deadline = 0.0
-
-    async def run(self) -> bool:
-        """Return whether the group was switched."""
-        self._deadline = anyio.current_time() + const.SWITCH_TIMEOUT_SECONDS
-        async with anyio.create_task_group() as tasks:
-            self._take(self._begun, tasks)
-            while self._state.phase not in switches.FINAL:
-                await anyio.sleep(const.REPORT_INTERVAL_SECONDS)
-                if self._lease.fence != self._fence or self._is_late():
-                    break
-                await self._read_reports(tasks)
-            tasks.cancel_scope.cancel()
-        logs.decision(
-            'expert-map:switch-ended',
-            group=self._group.name,
-            version=self._state.version,
-            phase=self._state.phase.value,
-            step=self._state.held_step,
+        groups = (
+            _complete_group(name, upstream_by_rank)
+            for name, upstream_by_rank in sorted(members_by_group.items())
         )
-        if self._state.phase in {
-            switches.Phase.HOLDING,
-            switches.Phase.ARMING,
-            switches.Phase.RELEASING,
-        }:
-            await self._lease.resign()
-        return self._state.phase is switches.Phase.DONE
-
-    def _is_late(self) -> bool:
-        """Return whether another entry should try to go on."""
-        return anyio.current_time() > self._deadline
-
-    async def _read_reports(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Read the reports of the ranks that still copy experts."""
-        for member in self._group.members:
-            if member.upstream_id in self._state.prepared_ids:
-                continue
-            report = await self._engines.report(member)
-            if report is not None:
-                event = switches.Reported(member.upstream_id, report)
-                self._take(switches.decide(event, self._state), tasks)
-
-    def _take(
-        self,
-        decision: switches.Decision,
-        tasks: anyio.abc.TaskGroup,
-    ) -> None:
-        """Take the next state over and send its orders."""
-        if decision.switch.phase is not self._state.phase:
-            logs.decision(
-                'expert-map:phase',
-                group=self._group.name,
-                version=decision.switch.version,
-                phase=decision.switch.phase.value,
-                step=decision.switch.held_step,
-                fence=self._fence,
-            )
-            if decision.switch.phase is switches.Phase.HOLDING:
-                self._deadline = (
-                    anyio.current_time() + const.HOLD_TIMEOUT_SECONDS
-                )
-        self._state = decision.switch
-        for send in decision.sends:
-            tasks.start_soon(self._send, send, tasks)
-
-    async def _send(
-        self,
-        send: switches.Send,
-        tasks: anyio.abc.TaskGroup,
-    ) -> None:
-        """Send an order until it is answered."""
-        upstream = self._upstreams_by_id[send.upstream_id]
-        while self._state.phase not in switches.FINAL:
-            if self._lease.fence != self._fence:
-                return
-            outcome = await self._engines.order(
-                upstream,
-                send.order,
-                self._fence,
-            )
-            if outcome is rank_control.OrderOutcome.FENCED:
-                self._lease.fenced_off()
-                return
-            event = _event(outcome, send)
-            if event is not None:
-                self._take(switches.decide(event, self._state), tasks)
-                return
-            await anyio.sleep(const.ORDER_RETRY_SECONDS)
-
-
-@functools.cache
-def _event_type(
-    outcome: rank_control.OrderOutcome,
-) -> type[switches.Accepted] | type[switches.Refused] | None:
-    """Return the event of an answered order, None for an unanswered one."""
-    if outcome is rank_control.OrderOutcome.ACCEPTED:
-        return switches.Accepted
-    if outcome is rank_control.OrderOutcome.REFUSED:
-        return switches.Refused
-    return None
-
-
-def _event(
-    outcome: rank_control.OrderOutcome,
-    send: switches.Send,
-) -> switches.Event | None:
-    """Return the event of an answered order, None for an unanswered one."""
-    event_type = _event_type(outcome)
-    if event_type is None:
+        return tuple(group for group in groups if group is not None)
+
+
+def _complete_group(
+    name: str,
+    upstream_by_rank: dict[int, models.Upstream],
+) -> switch_run.Group | None:
+    """Return a group whose ranks are all there in one epoch."""
+    members = tuple(upstream_by_rank[rank] for rank in sorted(upstream_by_rank))
+    memberships = [
+        member.membership for member in members if member.membership is not None
+    ]
+    epochs = {membership.epoch for membership in memberships}
+    if len(epochs) > 1 or len(members) != memberships[0].size:
         return None
-    return event_type(send.upstream_id, send.order)
+    return switch_run.Group(name, epochs.pop(), members)
--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -1,13 +1,14 @@
 """Choice of the upstream for a request: the least expected work."""
 
 import collections
+import functools
 import typing
 
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import fleet
 from nutmegtrail.gateway import health
-from nutmegtrail.gateway import loads
 from nutmegtrail.gateway import models
+from nutmegtrail.gateway import request_counts
 
 
 class Place(typing.NamedTuple):
@@ -37,7 +38,7 @@
 
     members: fleet.Fleet
     standings: health.Health
-    counts: loads.Loads
+    counts: request_counts.Counts
 
 
 def places(
@@ -46,7 +47,7 @@
     now_seconds: float,
 ) -> tuple[Place, ...]:
     """Return the upstreams of a service that are not left out."""
-    counts_by_id = loads.totals(situation.counts)
+    counts_by_id = request_counts.totals(situation.counts)
     upstreams = tuple(
         upstream
         for upstream in fleet.usable(situation.members, service)
@@ -105,18 +106,27 @@
     if not free:
         return None
     known = [place.pace_seconds for place in free if place.pace_seconds]
-    typical = min(known, default=1.0)
-
-    def expected_work(place: Place) -> tuple[float, float, bool, str]:
-        slowness = max((place.pace_seconds or typical) / typical, 1.0)
-        return (
-            (place.in_flight + 1) * slowness,
-            place.group_in_flight * slowness,
-            place.upstream.failure_domain != failure_domain,
-            place.upstream.upstream_id,
-        )
+    order = functools.partial(
+        _expected_work,
+        typical_pace=min(known, default=1.0),
+        failure_domain=failure_domain,
+    )
+    return min(free, key=order).upstream
+
 
-    return min(free, key=expected_work).upstream
+def _expected_work(
+    place: Place,
+    typical_pace: float,
+    failure_domain: str,
+) -> tuple[float, float, bool, str]:
+    """Return the sort key of a place; ties go to the failure domain."""
+    slowness = max((place.pace_seconds or typical_pace) / typical_pace, 1.0)
+    return (
+        (place.in_flight + 1) * slowness,
+        place.group_in_flight * slowness,
+        place.upstream.failure_domain != failure_domain,
+        place.upstream.upstream_id,
+    )
 
 
 def _is_ejected(
--- /dev/null
+++ b/nutmegtrail/gateway/switch_run.py
@@ -0,0 +1,160 @@
+"""Sends the orders of one switch of expert maps."""
+
+import functools
+import typing
+
+import anyio
+import anyio.abc
+
+from nutmegtrail.expert_map import switch as switches
+from nutmegtrail.gateway import const
+from nutmegtrail.gateway import leader_lease
+from nutmegtrail.gateway import models
+from nutmegtrail.observability import logs
+from nutmegtrail.ports import rank_control
+
+
+class Group(typing.NamedTuple):
+    """A complete rank group, its members in the order of their ranks."""
+
+    name: str
+    epoch: int
+    members: tuple[models.Upstream, ...]
+
+    @property
+    def member_ids(self) -> tuple[str, ...]:
+        """Return the identifiers of the members."""
+        return tuple(member.upstream_id for member in self.members)
+
+
+class SwitchRun:
+    """Sends the orders of one switch and feeds back their outcomes."""
+
+    def __init__(
+        self,
+        group: Group,
+        begun: switches.Decision,
+        engines: rank_control.RankControl,
+        lease: leader_lease.LeaderLease,
+    ) -> None:
+        """Keep the collaborators; nothing is sent yet."""
+        self._group = group
+        self._begun = begun
+        self._state = begun.switch
+        self._engines = engines
+        self._lease = lease
+        self._fence = lease.fence or 0
+        self._upstreams_by_id = {
+            member.upstream_id: member for member in group.members
+        }
+        self._deadline = 0.0
+
+    async def run(self) -> bool:
+        """Return whether the group was switched."""
+        self._deadline = anyio.current_time() + const.SWITCH_TIMEOUT_SECONDS
+        async with anyio.create_task_group() as tasks:
+            self._take(self._begun, tasks)
+            while self._state.phase not in switches.FINAL:
+                await anyio.sleep(const.REPORT_INTERVAL_SECONDS)
+                if self._lease.fence != self._fence or self._is_late():
+                    break
+                await self._read_reports(tasks)
+            tasks.cancel_scope.cancel()
+        logs.decision(
+            'expert-map:switch-ended',
+            group=self._group.name,
+            version=self._state.version,
+            phase=self._state.phase.value,
+            step=self._state.held_step,
+        )
+        if self._state.phase in {
+            switches.Phase.HOLDING,
+            switches.Phase.ARMING,
+            switches.Phase.RELEASING,
+        }:
+            await self._lease.resign()
+        return self._state.phase is switches.Phase.DONE
+
+    def _is_late(self) -> bool:
+        """Return whether another entry should try to go on."""
+        return anyio.current_time() > self._deadline
+
+    async def _read_reports(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Read the reports of the ranks that still copy experts."""
+        for member in self._group.members:
+            if member.upstream_id in self._state.prepared_ids:
+                continue
+            report = await self._engines.report(member)
+            if report is not None:
+                event = switches.Reported(member.upstream_id, report)
+                self._take(switches.decide(event, self._state), tasks)
+
+    def _take(
+        self,
+        decision: switches.Decision,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Take the next state over and send its orders."""
+        if decision.switch.phase is not self._state.phase:
+            logs.decision(
+                'expert-map:phase',
+                group=self._group.name,
+                version=decision.switch.version,
+                phase=decision.switch.phase.value,
+                step=decision.switch.held_step,
+                fence=self._fence,
+            )
+            if decision.switch.phase is switches.Phase.HOLDING:
+                self._deadline = (
+                    anyio.current_time() + const.HOLD_TIMEOUT_SECONDS
+                )
+        self._state = decision.switch
+        for send in decision.sends:
+            tasks.start_soon(self._send, send, tasks)
+
+    async def _send(
+        self,
+        send: switches.Send,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Send an order until it is answered."""
+        upstream = self._upstreams_by_id[send.upstream_id]
+        while self._state.phase not in switches.FINAL:
+            if self._lease.fence != self._fence:
+                return
+            outcome = await self._engines.order(
+                upstream,
+                send.order,
+                self._fence,
+            )
+            if outcome is rank_control.OrderOutcome.FENCED:
+                self._lease.fenced_off()
+                return
+            event = _event(outcome, send)
+            if event is not None:
+                self._take(switches.decide(event, self._state), tasks)
+                return
+            await anyio.sleep(const.ORDER_RETRY_SECONDS)
+
+
+@functools.cache
+def _event_type(
+    outcome: rank_control.OrderOutcome,
+) -> type[switches.Accepted] | type[switches.Refused] | None:
+    """Return the event of an answered order, None for an unanswered one."""
+    if outcome is rank_control.OrderOutcome.ACCEPTED:
+        return switches.Accepted
+    if outcome is rank_control.OrderOutcome.REFUSED:
+        return switches.Refused
+    return None
+
+
+def _event(
+    outcome: rank_control.OrderOutcome,
+    send: switches.Send,
+) -> switches.Event | None:
+    """Return the event of an answered order, None for an unanswered one."""
+    event_type = _event_type(outcome)
+    if event_type is None:
+        return None
+    return event_type(send.upstream_id, send.order)
--- a/nutmegtrail/platform/__main__.py
+++ b/nutmegtrail/platform/__main__.py
@@ -6,12 +6,12 @@
 
 import anyio
 
+from nutmegtrail.bootstrap import gateway
 from nutmegtrail.configuration import errors
 from nutmegtrail.configuration import settings
 from nutmegtrail.gateway import daemon
 from nutmegtrail.gateway import settings as gateway_settings
 from nutmegtrail.observability import logs
-from nutmegtrail.platform import composition
 from nutmegtrail.platform import const
 
 _EXIT_FAULTY_SETTINGS = 2
@@ -26,7 +26,7 @@
         sys.stderr.write(f'{error}\n')
         return _EXIT_FAULTY_SETTINGS
     logs.start(configured.process.log_format)
-    anyio.run(daemon.run, composition.create_gateway(configured))
+    anyio.run(daemon.run, gateway.create_gateway(configured))
     return 0
 
 
