--- a/nutmegtrail/expert_map/switch.py
+++ b/nutmegtrail/expert_map/switch.py
@@ -1,10 +1,13 @@
 """Switch of a rank group to a new map by orders to its engines.
 
 The group is held before a step, every rank is armed for that step, and
-only then is the group let go. Whoever finds a held group can complete the
-switch: all ranks had prepared the map before the hold was ordered, so a
-successor that arms them all and lets go agrees with its predecessor,
-even if that one wakes up in between.
+only then is the group let go. A successor that finds a held group arms all
+ranks and lets go, which agrees with its predecessor even if that one wakes
+up in between. Where a rank has prepared another version since, the held
+one can not be completed by anybody: the successor disarms all ranks.
+
+An order without an answer may be carried out later. Ranks are therefore
+disarmed only under a higher fence than that of all arming orders.
 """
 
 import enum
@@ -25,6 +28,7 @@
     PREPARE = 'prepare'
     HOLD = 'hold'
     ARM = 'arm'
+    DISARM = 'disarm'
     RELEASE = 'go'
 
 
@@ -55,12 +59,24 @@
     PREPARING = 'preparing'
     HOLDING = 'holding'
     ARMING = 'arming'
+    DISARMING = 'disarming'
     RELEASING = 'releasing'
     DONE = 'done'
     ABANDONED = 'abandoned'
+    STUCK = 'stuck'
 
 
-FINAL: typing.Final = frozenset((Phase.DONE, Phase.ABANDONED))
+FINAL: typing.Final = frozenset((Phase.DONE, Phase.ABANDONED, Phase.STUCK))
+# Phases in which the group may be held until a successor goes on.
+UNFINISHED: typing.Final = frozenset(
+    (
+        Phase.HOLDING,
+        Phase.ARMING,
+        Phase.DISARMING,
+        Phase.RELEASING,
+        Phase.STUCK,
+    ),
+)
 
 
 class Switch(typing.NamedTuple):
@@ -77,6 +93,7 @@
     hold_attempts: int = 0
     prepared_ids: frozenset[str] = frozenset()
     armed_ids: frozenset[str] = frozenset()
+    disarmed_ids: frozenset[str] = frozenset()
 
 
 class Send(typing.NamedTuple):
@@ -122,9 +139,21 @@
     epoch: int,
     version: int,
     layers: layered.Layers,
+    last_held_step: int = 0,
 ) -> Decision:
-    """Start a switch: every rank prepares the map."""
-    started = Switch(member_ids, epoch, version, layers, Phase.PREPARING)
+    """Start a switch: every rank prepares the map.
+
+    A step that was held before is not held again: a late order to let go
+    would end the new hold.
+    """
+    started = Switch(
+        member_ids,
+        epoch,
+        version,
+        layers,
+        Phase.PREPARING,
+        newest_step=last_held_step,
+    )
     order = Order(Operation.PREPARE, epoch, version, layers=layers)
     return Decision(
         started,
@@ -153,14 +182,14 @@
     found = Switch(
         member_ids,
         epoch,
-        max(armed or prepared),
+        max(armed or prepared) or _unused_version(reports),
         None,
         Phase.ARMING,
         held_step=step,
         holder_id=holder,
     )
-    if not armed and (0 in prepared or len(prepared) > 1):
-        return _release(found)
+    if any(not _has_version(report, found.version) for report in reports):
+        return _disarm(found)
     return _arm(found)
 
 
@@ -183,14 +212,18 @@
         if armed_ids == frozenset(switch.member_ids):
             return _release(counted)
         return Decision(counted)
-    if operation is Operation.RELEASE and switch.phase is Phase.RELEASING:
-        return Decision(switch._replace(phase=Phase.DONE))
-    return Decision(switch)
+    if operation is Operation.DISARM and switch.phase is Phase.DISARMING:
+        disarmed_ids = switch.disarmed_ids | {event.upstream_id}
+        counted = switch._replace(disarmed_ids=disarmed_ids)
+        if disarmed_ids == frozenset(switch.member_ids):
+            return _release(counted)
+        return Decision(counted)
+    return _released(operation, switch)
 
 
 @decide.register
 def _refused(event: Refused, switch: Switch) -> Decision:
-    """Abandon what nobody is armed for; otherwise ask for the epoch."""
+    """Abandon what nobody is armed for; leave the rest to a successor."""
     operation = event.order.operation
     if switch.phase is Phase.PREPARING:
         return Decision(switch._replace(phase=Phase.ABANDONED))
@@ -198,9 +231,9 @@
         if event.order.step != switch.held_step:
             return Decision(switch)
         return _hold(switch)
-    if operation is Operation.RELEASE and switch.phase is Phase.RELEASING:
-        return Decision(switch._replace(phase=Phase.DONE))
-    return Decision(switch)
+    if operation in {Operation.ARM, Operation.DISARM}:
+        return Decision(switch._replace(phase=Phase.STUCK))
+    return _released(operation, switch)
 
 
 @decide.register
@@ -251,6 +284,36 @@
     )
 
 
+def _disarm(switch: Switch) -> Decision:
+    """Take the held version back from every rank."""
+    order = Order(Operation.DISARM, switch.epoch, switch.version)
+    return Decision(
+        switch._replace(phase=Phase.DISARMING),
+        tuple(Send(member, order) for member in switch.member_ids),
+    )
+
+
+def _released(operation: Operation, switch: Switch) -> Decision:
+    """End the switch once the group was let go."""
+    if operation is not Operation.RELEASE:
+        return Decision(switch)
+    if switch.phase is not Phase.RELEASING:
+        return Decision(switch)
+    complete = switch.armed_ids == frozenset(switch.member_ids)
+    ended = Phase.DONE if complete else Phase.ABANDONED
+    return Decision(switch._replace(phase=ended))
+
+
+def _unused_version(reports: typing.Iterable[Report]) -> int:
+    """Return a version that no rank has."""
+    return max(report.map_version for report in reports) + 1
+
+
+def _has_version(report: Report, version: int) -> bool:
+    """Return whether a rank is armed, or can be, with a version."""
+    return version in {report.armed, report.prepared}
+
+
 def _release(switch: Switch) -> Decision:
     """Let the group begin the held step."""
     order = Order(Operation.RELEASE, switch.epoch, step=switch.held_step)
--- a/nutmegtrail/gateway/map_keeper.py
+++ b/nutmegtrail/gateway/map_keeper.py
@@ -49,6 +49,7 @@
         self._popularity = popularity.Popularity()
         self._known_by_group: dict[str, Known] = {}
         self._tried_by_group: dict[str, int] = {}
+        self._held_step_by_group: dict[str, int] = {}
         self._led_fence: int | None = None
 
     async def run(self) -> None:
@@ -224,9 +225,12 @@
             group.epoch,
             version,
             layers,
+            self._held_step_by_group.get(group.name, 0),
         )
         run = switch_run.SwitchRun(group, begun, self._engines, self._lease)
-        if await run.run():
+        switched = await run.run()
+        self._held_step_by_group[group.name] = run.held_step
+        if switched:
             self._known_by_group[group.name] = Known(
                 group.epoch,
                 version,
@@ -256,6 +260,7 @@
                     group, resumed, self._engines, self._lease
                 )
                 await run.run()
+                self._held_step_by_group[group.name] = run.held_step
 
     def _groups(self, service: str) -> tuple[switch_run.Group, ...]:
         """Return the complete groups of a service."""
--- a/nutmegtrail/gateway/switch_run.py
+++ b/nutmegtrail/gateway/switch_run.py
@@ -49,6 +49,11 @@
         }
         self._deadline = 0.0
 
+    @property
+    def held_step(self) -> int:
+        """Return the step that was held last, 0 if none was."""
+        return self._state.held_step
+
     async def run(self) -> bool:
         """Return whether the group was switched."""
         self._deadline = anyio.current_time() + const.SWITCH_TIMEOUT_SECONDS
@@ -67,11 +72,7 @@
             phase=self._state.phase.value,
             step=self._state.held_step,
         )
-        if self._state.phase in {
-            switches.Phase.HOLDING,
-            switches.Phase.ARMING,
-            switches.Phase.RELEASING,
-        }:
+        if self._state.phase in switches.UNFINISHED:
             await self._lease.resign()
         return self._state.phase is switches.Phase.DONE
 
--- /dev/null
+++ b/tests/expert_map/test_switch.py
@@ -0,0 +1,277 @@
+"""In every step all ranks use one map, whatever becomes of the orders.
+
+Engines follow the platform's rules for orders. Orders are lost, answered
+late, carried out late or twice; leaders die or pause at any order and
+others take over with a higher fence.
+"""
+
+import random
+
+import testtools
+
+from nutmegtrail.expert_map import switch
+
+_MEMBERS = ('m0', 'm1', 'm2')
+_MAP = (((0,), (1,), (2,)),)
+_SEEDS = 1_500
+_ROUNDS = 160
+
+
+class Engine:
+    """One rank's side of the orders."""
+
+    def __init__(self):
+        """Start on map 0."""
+        self.map_version = 0
+        self.prepared = None
+        self.armed = None
+        self.armed_step = 0
+        self.held = None
+        self.fence = 0
+        self.newest = 0
+
+    def take(self, order, fence, step):
+        """Return the status of an order; `step` is the last one begun."""
+        if fence < self.fence:
+            return 412
+        self.fence = fence
+        return getattr(self, f'_{order.operation.name.lower()}')(order, step)
+
+    def _prepare(self, order, _):
+        """Copy experts at once."""
+        if self.prepared == order.version:
+            return 200
+        if order.version <= self.newest or self.armed is not None:
+            return 409
+        self.newest = order.version
+        self.prepared = order.version
+        return 202
+
+    def _hold(self, order, step):
+        """Hold one step that has not begun."""
+        if self.held == order.step:
+            return 200
+        if self.held is not None or order.step <= step:
+            return 409
+        self.held = order.step
+        return 200
+
+    def _arm(self, order, step):
+        """Switch as a step begins."""
+        if (self.armed, self.armed_step) == (order.version, order.step):
+            return 200
+        if order.version != self.prepared or order.step <= step:
+            return 409
+        self.armed = order.version
+        self.armed_step = order.step
+        return 200
+
+    def _disarm(self, order, _):
+        """Forget a version that is armed."""
+        if self.armed == order.version:
+            self.armed = None
+        return 409 if self.map_version == order.version else 200
+
+    def _release(self, order, _):
+        """End a hold."""
+        if self.held == order.step:
+            self.held = None
+        return 200
+
+    def report(self, step):
+        """Return the engine's state."""
+        return switch.Report(
+            1,
+            step,
+            self.map_version,
+            self.prepared,
+            self.armed,
+            self.held,
+        )
+
+
+class Leader:
+    """A leader's switch and the orders that it still has to send."""
+
+    def __init__(self, decision, fence):
+        """Start with the first orders."""
+        self.fence = fence
+        self.state = decision.switch
+        self.sends = list(decision.sends)
+        self.stopped = False
+
+    def take(self, decision):
+        """Take a decision over."""
+        self.state = decision.switch
+        self.sends.extend(decision.sends)
+
+
+class World:
+    """A group, its leaders and the orders on their way."""
+
+    def __init__(self, seed):
+        """Start with one leader that switches to map 1."""
+        self.generator = random.Random(seed)
+        self.engines_by_id = {name: Engine() for name in _MEMBERS}
+        self.step = 10
+        self.late = []
+        self.version = 1
+        begun = switch.begin(_MEMBERS, 1, 1, _MAP)
+        self.leaders = [Leader(begun, 1)]
+
+    def advance(self):
+        """Begin a step if nobody holds it; return whether maps agree."""
+        step = self.step + 1
+        engines = self.engines_by_id.values()
+        if any(engine.held == step for engine in engines):
+            return True
+        self.step = step
+        for engine in engines:
+            if engine.armed is not None and engine.armed_step == step:
+                engine.map_version = engine.armed
+                engine.armed = None
+                engine.prepared = None
+        return len({engine.map_version for engine in engines}) == 1
+
+    def act(self, *, faults):
+        """Let one thing happen."""
+        if self.late and self.generator.random() < 0.1:
+            place = self.generator.randrange(len(self.late))
+            member, order, fence = self.late.pop(place)
+            self.engines_by_id[member].take(order, fence, self.step)
+            return
+        leader = self.generator.choice(self.leaders)
+        if leader.stopped or leader.state.phase in switch.FINAL:
+            return
+        if not leader.sends:
+            self._read(leader)
+            return
+        send = self.generator.choice(leader.sends)
+        self._send(leader, send, faults=faults)
+
+    def take_over(self):
+        """Let a new leader read the reports and complete a held switch."""
+        fence = max(leader.fence for leader in self.leaders) + 1
+        reports = {
+            name: engine.report(self.step)
+            for name, engine in self.engines_by_id.items()
+        }
+        decision = switch.resume(_MEMBERS, reports)
+        if decision is None:
+            self.version += 1
+            held_step = max(leader.state.held_step for leader in self.leaders)
+            decision = switch.begin(
+                _MEMBERS,
+                1,
+                self.version,
+                _MAP,
+                held_step,
+            )
+        self.leaders.append(Leader(decision, fence))
+
+    def _read(self, leader):
+        """Read a report."""
+        member = self.generator.choice(_MEMBERS)
+        report = self.engines_by_id[member].report(self.step)
+        event = switch.Reported(member, report)
+        leader.take(switch.decide(event, leader.state))
+
+    def _send(self, leader, send, *, faults):
+        """Send an order; it may be lost, answered or not, or done late."""
+        draw = self.generator.random() if faults else 1
+        if draw < 0.1:
+            return
+        if draw < 0.2:
+            self.late.append((send.upstream_id, send.order, leader.fence))
+            return
+        engine = self.engines_by_id[send.upstream_id]
+        status = engine.take(send.order, leader.fence, self.step)
+        if draw < 0.3:
+            return
+        leader.sends.remove(send)
+        if status == 412:
+            leader.stopped = True
+            return
+        kind = switch.Refused if status == 409 else switch.Accepted
+        event = kind(send.upstream_id, send.order)
+        leader.take(switch.decide(event, leader.state))
+
+
+class SwitchTest(testtools.TestCase):
+    """Seeded orders of everything that can happen."""
+
+    def test_without_faults(self):
+        """A switch ends on the new map in every rank."""
+        world = World(0)
+        for _ in range(_ROUNDS):
+            world.act(faults=False)
+            if world.generator.random() < 0.1:
+                self.assertTrue(world.advance())
+        for _ in range(20):
+            self.assertTrue(world.advance())
+        versions = {
+            engine.map_version for engine in world.engines_by_id.values()
+        }
+        self.assertEqual({1}, versions)
+
+    def test_one_map_in_every_step(self):
+        """Faults and take-overs never let a step begin on two maps."""
+        for seed in range(_SEEDS):
+            world = World(seed)
+            for _ in range(_ROUNDS):
+                world.act(faults=True)
+                if world.generator.random() < 0.02:
+                    world.take_over()
+                if world.generator.random() < 0.15:
+                    self.assertTrue(world.advance(), f'seed {seed}')
+
+    def test_late_leader_after_a_take_over(self):
+        """Ranks that prepared different versions are fenced before a go.
+
+        The former leader wakes up after the group was let go and tries to
+        arm the ranks that still have its version.
+        """
+        world = World(0)
+        former = world.leaders[0]
+        for name, engine in world.engines_by_id.items():
+            prepare = former.sends[0].order
+            engine.take(prepare, 1, world.step)
+            if name == 'm2':
+                engine.take(prepare._replace(version=2), 2, world.step)
+        hold = switch.Order(switch.Operation.HOLD, 1, step=12)
+        world.engines_by_id['m0'].take(hold, 1, world.step)
+        former.stopped = True
+        world.leaders.append(Leader(switch.begin(_MEMBERS, 1, 2, _MAP), 2))
+        world.leaders[1].stopped = True
+        world.take_over()
+        for _ in range(_ROUNDS):
+            world.act(faults=False)
+        arm = switch.Order(switch.Operation.ARM, 1, 1, 12)
+        for engine in world.engines_by_id.values():
+            engine.take(arm, 1, world.step)
+        for _ in range(4):
+            self.assertTrue(world.advance())
+        self.assertEqual(14, world.step)
+
+    def test_group_moves_again(self):
+        """After the faults a last leader lets the group go on."""
+        for seed in range(_SEEDS):
+            world = World(seed)
+            for _ in range(_ROUNDS):
+                world.act(faults=True)
+                if world.generator.random() < 0.02:
+                    world.take_over()
+                if world.generator.random() < 0.15:
+                    world.advance()
+            world.late.clear()
+            for leader in world.leaders:
+                leader.stopped = True
+            for _ in range(3):
+                world.leaders[-1].stopped = True
+                world.take_over()
+                for _ in range(_ROUNDS):
+                    world.act(faults=False)
+            before = world.step
+            for _ in range(20):
+                self.assertTrue(world.advance(), f'seed {seed}')
+            self.assertEqual(before + 20, world.step, f'seed {seed}')
