--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -9,6 +9,7 @@
 from nutmegtrail.adapters.http1 import const
 from nutmegtrail.adapters.http1 import errors
 from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.observability import logs
 
 Handler: typing.TypeAlias = typing.Callable[
     ['Exchange'], typing.Awaitable[None]
@@ -153,6 +154,9 @@
             await connection.run()
         except errors.ClientGone:
             return
+        except Exception:
+            # A fault in the handling of one request must not end the others.
+            logs.failure('connection:failed', address=str(self._address))
         finally:
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
--- a/nutmegtrail/observability/logs.py
+++ b/nutmegtrail/observability/logs.py
@@ -1,6 +1,7 @@
 """Structured log lines, one for each decision, by eliot."""
 
 import sys
+import traceback
 import typing
 
 import eliot
@@ -21,6 +22,15 @@
     eliot.log_message(message_type=message_type, **fields)
 
 
+def failure(message_type: str, **fields: object) -> None:
+    """Log the exception that is being handled, with its traceback."""
+    eliot.log_message(
+        message_type=message_type,
+        traceback=traceback.format_exc(),
+        **fields,
+    )
+
+
 class _JsonDestination:
     """Writes each message as a line of JSON."""
 
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -9,7 +9,7 @@
 from tests.gateway import samples
 
 
-def _choose(upstreams, counts, standings=None, excluded=frozenset()):
+def _choose(upstreams, counts, standings=None, excluded=()):
     """Return the chosen upstream's name, None if none."""
     members = fleet.decide(fleet.Listed(tuple(upstreams)), fleet.Fleet(), 0)
     situation = selection.Situation(
@@ -18,7 +18,7 @@
         counts,
     )
     places = selection.places(situation, 'drafts', 0)
-    chosen = selection.choose(places, excluded, 'kandla-a')
+    chosen = selection.choose(places, frozenset(excluded), 'kandla-a')
     return None if chosen is None else chosen.upstream_id
 
 
