--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -74,8 +74,10 @@
 STOP_MARGIN_SECONDS: typing.Final = 0.4
 
 # A leader that dies leaves a held group waiting for so long.
-LEADER_TTL_SECONDS: typing.Final = 2
-LEADER_RENEWAL_SECONDS: typing.Final = 0.6
+LEADER_TTL_SECONDS: typing.Final = 1
+LEADER_RENEWAL_SECONDS: typing.Final = 0.3
+# Spread of the entries' attempts, a few times a call to the store.
+LEADER_SPREAD_SECONDS: typing.Final = 0.05
 
 MAP_INTERVAL_SECONDS: typing.Final = 0.5
 SAMPLED_RANKS: typing.Final = 4
@@ -100,5 +102,10 @@
 STRAIN_RISE: typing.Final = 0.2
 STRAIN_FALL: typing.Final = 0.05
 STRAIN_MEMORY_SECONDS: typing.Final = 1.0
+# Share of a group's slots that is used before its strain is known.
+ROOM_BEFORE_STRAIN: typing.Final = 0.7
+# Share of a group's room for requests that have missed their objective;
+# the rest is kept for those that can still meet it.
+ROOM_FOR_LATE: typing.Final = 0.8
 # A group always gets a request for each rank.
 ROOM_PER_RANK_LEAST: typing.Final = 1
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -87,10 +87,12 @@
         now = anyio.current_time()
         expected = self._expected_seconds_by_service.get(service, 0)
         for waiting in waiting_line.in_order(line, now + expected):
+            late = now + expected > waiting.objective_at_seconds
             upstream = selection.choose(
                 selection.places(self._situation(), service, now),
                 waiting.excluded_ids,
                 self._failure_domain,
+                const.ROOM_FOR_LATE if late else 1.0,
             )
             if upstream is None:
                 break
--- a/nutmegtrail/gateway/health.py
+++ b/nutmegtrail/gateway/health.py
@@ -149,17 +149,17 @@
     group: str,
     in_flight: int,
     now_seconds: float,
-) -> float:
+) -> float | None:
     """Return how many requests a group can hold within its objective.
 
     The pause between events grows with the requests in flight, from a
-    part that does not depend on them.
+    part that does not depend on them. None where no pause is known.
     """
     known = health.strains_by_group.get(group)
     if known is None:
-        return float('inf')
+        return None
     if now_seconds - known.observed_at_seconds > const.STRAIN_MEMORY_SECONDS:
-        return float('inf')
+        return None
     grown = known.level - const.STRAIN_WITHOUT_LOAD
     if grown <= 0:
         return float('inf')
--- a/nutmegtrail/gateway/leader_lease.py
+++ b/nutmegtrail/gateway/leader_lease.py
@@ -27,6 +27,7 @@
         self._key = key
         self._store = store
         self._generator = generator
+        self._vacant = anyio.Event()
 
     @property
     def fence(self) -> int | None:
@@ -72,7 +73,8 @@
                 await self._renew()
             elif wish is leadership.Wish.ACQUIRE:
                 await self._acquire()
-            await anyio.sleep(const.LEADER_RENEWAL_SECONDS)
+            with anyio.move_on_after(const.LEADER_RENEWAL_SECONDS):
+                await self._vacant.wait()
 
     async def resign(self) -> None:
         """End the lease, so that another entry can lead at once."""
@@ -89,7 +91,8 @@
 
     async def _acquire(self) -> None:
         """Write the key where it does not exist."""
-        spread = const.LEADER_RENEWAL_SECONDS
+        self._vacant = anyio.Event()
+        spread = const.LEADER_SPREAD_SECONDS
         await anyio.sleep(self._generator.uniform(0, spread))
         if leadership.wish(self.state) is not leadership.Wish.ACQUIRE:
             return
@@ -111,6 +114,8 @@
         """Take an event; log where the leadership changes."""
         before = self.state
         self.state = leadership.decide(event, before)
+        if leadership.wish(self.state) is leadership.Wish.ACQUIRE:
+            self._vacant.set()
         if self.state.fence != before.fence:
             logs.decision(
                 'leadership:changed',
--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -1,6 +1,5 @@
 """Choice of the upstream for a request: the least expected work."""
 
-import collections
 import functools
 import typing
 
@@ -25,10 +24,12 @@
     group_room: float
     pace_seconds: float
 
-    @property
-    def is_free(self) -> bool:
-        """Return whether a request would run at once."""
-        if self.group_in_flight >= self.group_room:
+    def is_free(self, room_share: float) -> bool:
+        """Return whether a request would run at once.
+
+        `room_share` is the share of the group's room that it may use.
+        """
+        if self.group_in_flight >= self.group_room * room_share:
             return False
         return self.in_flight < self.upstream.slots
 
@@ -53,32 +54,18 @@
         for upstream in fleet.usable(situation.members, service)
         if not _is_ejected(situation.standings, upstream, now_seconds)
     )
-    counts_by_group: dict[str, int] = {}
-    for upstream in upstreams:
-        in_flight = counts_by_id.get(upstream.upstream_id, 0)
-        group = upstream.pace_group
-        counts_by_group[group] = counts_by_group.get(group, 0) + in_flight
-    ranks_by_group = collections.Counter(
-        upstream.pace_group for upstream in upstreams
-    )
-    room_by_group = {
-        group: max(
-            health.room(
-                situation.standings,
-                group,
-                in_flight,
-                now_seconds,
-            ),
-            ranks_by_group[group] * const.ROOM_PER_RANK_LEAST,
-        )
-        for group, in_flight in counts_by_group.items()
-    }
+    crowd_by_group = _crowds(upstreams, counts_by_id)
     return tuple(
         Place(
             upstream,
             counts_by_id.get(upstream.upstream_id, 0),
-            counts_by_group[upstream.pace_group],
-            room_by_group[upstream.pace_group],
+            crowd_by_group[upstream.pace_group].in_flight,
+            _room(
+                situation,
+                upstream,
+                crowd_by_group[upstream.pace_group],
+                now_seconds,
+            ),
             health.pace(
                 situation.standings,
                 upstream.pace_group,
@@ -89,10 +76,55 @@
     )
 
 
+class _Crowd(typing.NamedTuple):
+    """Upstreams that share their pace, and the requests at them."""
+
+    ranks: int = 0
+    slots: int = 0
+    in_flight: int = 0
+
+
+def _crowds(
+    upstreams: tuple[models.Upstream, ...],
+    counts_by_id: dict[str, int],
+) -> dict[str, _Crowd]:
+    """Return the sums over each group."""
+    crowd_by_group: dict[str, _Crowd] = {}
+    for upstream in upstreams:
+        crowd = crowd_by_group.get(upstream.pace_group, _Crowd())
+        crowd_by_group[upstream.pace_group] = _Crowd(
+            crowd.ranks + 1,
+            crowd.slots + upstream.slots,
+            crowd.in_flight + counts_by_id.get(upstream.upstream_id, 0),
+        )
+    return crowd_by_group
+
+
+def _room(
+    situation: Situation,
+    upstream: models.Upstream,
+    crowd: _Crowd,
+    now_seconds: float,
+) -> float:
+    """Return the requests that an upstream's group can hold."""
+    room = health.room(
+        situation.standings,
+        upstream.pace_group,
+        crowd.in_flight,
+        now_seconds,
+    )
+    if room is None:
+        grouped = upstream.membership is not None
+        share = const.ROOM_BEFORE_STRAIN if grouped else 1.0
+        room = crowd.slots * share
+    return max(room, crowd.ranks * const.ROOM_PER_RANK_LEAST)
+
+
 def choose(
     candidates: typing.Iterable[Place],
     excluded_ids: frozenset[str],
     failure_domain: str,
+    room_share: float = 1.0,
 ) -> models.Upstream | None:
     """Return the free upstream with the least expected work, None if none.
 
@@ -101,7 +133,8 @@
     free = [
         place
         for place in candidates
-        if place.is_free and place.upstream.upstream_id not in excluded_ids
+        if place.is_free(room_share)
+        and place.upstream.upstream_id not in excluded_ids
     ]
     if not free:
         return None
--- a/tests/gateway/test_health.py
+++ b/tests/gateway/test_health.py
@@ -45,5 +45,5 @@
     def test_room_without_samples(self):
         """An idle group is not limited by old pauses."""
         held = health.strained(health.Health(), 'g0', 3.0, 0)
-        self.assertEqual(float('inf'), health.room(held, 'g0', 30, 5))
-        self.assertEqual(float('inf'), health.room(held, 'g1', 30, 0))
+        self.assertIsNone(health.room(held, 'g0', 30, 5))
+        self.assertIsNone(health.room(held, 'g1', 30, 0))
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -9,7 +9,7 @@
 from tests.gateway import samples
 
 
-def _choose(upstreams, counts, standings=None, excluded=()):
+def _choose(upstreams, counts, standings=None, excluded=(), room_share=1):
     """Return the chosen upstream's name, None if none."""
     members = fleet.decide(fleet.Listed(tuple(upstreams)), fleet.Fleet(), 0)
     situation = selection.Situation(
@@ -18,7 +18,12 @@
         counts,
     )
     places = selection.places(situation, 'drafts', 0)
-    chosen = selection.choose(places, frozenset(excluded), 'kandla-a')
+    chosen = selection.choose(
+        places,
+        frozenset(excluded),
+        'kandla-a',
+        room_share,
+    )
     return None if chosen is None else chosen.upstream_id
 
 
@@ -83,3 +88,13 @@
         ranks = (samples.member('m1', 0), samples.member('m2', 1))
         standings = health.failed(health.Health(), 'g0', 0, 1)
         self.assertIsNone(_choose(ranks, _counts(), standings))
+
+    def test_late_requests_leave_room(self):
+        """Pattern `burst`: a request that is late leaves the last places."""
+        ranks = tuple(
+            samples.member(f'm{rank}', rank, size=8) for rank in range(8)
+        )
+        counts = _counts(**{f'm{rank}': 1 for rank in range(8)})
+        counts = request_counts.started(counts, 'm0')
+        self.assertEqual('m1', _choose(ranks, counts))
+        self.assertIsNone(_choose(ranks, counts, room_share=0.8))
