Bound the log lines by rate and by what the reader takes

Cause: a flood of lines cost processor time without limit and a reader that stopped reading blocked the loop. Dropped lines are counted in the next one.

--- a/nutmegtrail/observability/logs.py
+++ b/nutmegtrail/observability/logs.py
@@ -1,20 +1,38 @@
-"""Structured log lines, one for each decision, by eliot."""
+"""Structured log lines, one for each decision, by eliot.
 
+Writing never blocks: a line that the reader is not ready for, or that is
+over the rate, is dropped and counted, and the next line tells how many.
+"""
+
+import io
+import select
 import sys
+import time
 import traceback
 import typing
 
 import eliot
 import orjson
 
+from nutmegtrail.observability import const
+
+_Message: typing.TypeAlias = dict[str, typing.Any]
+_HIDDEN: typing.Final = frozenset(
+    ('message_type', 'task_uuid', 'task_level', 'timestamp'),
+)
+
 
-def start(log_format: str, stream: typing.TextIO | None = None) -> None:
+def start(
+    log_format: str,
+    stream: typing.TextIO | None = None,
+    lines_per_second: float = const.LOG_LINES_PER_SECOND,
+) -> None:
     """Write log lines as `json` or as readable `text`."""
     target = sys.stdout if stream is None else stream
-    if log_format == 'text':
-        eliot.add_destinations(_TextDestination(target))
-    else:
-        eliot.add_destinations(_JsonDestination(target))
+    render = _as_text if log_format == 'text' else _as_json
+    eliot.add_destinations(
+        BoundedDestination(target, render, lines_per_second),
+    )
 
 
 def decision(message_type: str, **fields: object) -> None:
@@ -31,35 +49,69 @@
     )
 
 
-class _JsonDestination:
-    """Writes each message as a line of JSON."""
+class BoundedDestination:
+    """Writes lines up to a rate, and only where that does not block."""
 
-    def __init__(self, stream: typing.TextIO) -> None:
-        """Keep the stream."""
+    def __init__(
+        self,
+        stream: typing.TextIO,
+        render: typing.Callable[[_Message], str],
+        lines_per_second: float,
+        clock: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Keep the stream; a second's lines may come at once."""
         self._stream = stream
-
-    def __call__(self, message: dict[str, typing.Any]) -> None:
-        """Write one message."""
-        line = orjson.dumps(message, default=str).decode()
+        self._render = render
+        self._rate = lines_per_second
+        self._allowed = lines_per_second
+        self._clock = clock
+        self._refilled_at = clock()
+        self._dropped = 0
+        self._poller = _poller(stream)
+
+    def __call__(self, message: _Message) -> None:
+        """Write one message, or count it as dropped."""
+        now = self._clock()
+        refill = (now - self._refilled_at) * self._rate
+        self._allowed = min(self._allowed + refill, self._rate)
+        self._refilled_at = now
+        if self._allowed < 1 or not self._is_writable():
+            self._dropped += 1
+            return
+        self._allowed -= 1
+        if self._dropped:
+            message = {**message, 'lines_dropped_before': self._dropped}
+            self._dropped = 0
+        line = self._render(message)[: const.LOG_LINE_CHARACTERS]
         self._stream.write(f'{line}\n')
         self._stream.flush()
 
+    def _is_writable(self) -> bool:
+        """Return whether a line can be written at once."""
+        return self._poller is None or bool(self._poller.poll(0))
 
-class _TextDestination:
-    """Writes each message as `type key=value …`."""
 
-    def __init__(self, stream: typing.TextIO) -> None:
-        """Keep the stream."""
-        self._stream = stream
+def _poller(stream: typing.TextIO) -> 'select.poll | None':
+    """Return what tells whether a stream takes bytes, None for a buffer."""
+    try:
+        number = stream.fileno()
+    except (io.UnsupportedOperation, AttributeError):
+        return None
+    poller = select.poll()
+    poller.register(number, select.POLLOUT)
+    return poller
 
-    def __call__(self, message: dict[str, typing.Any]) -> None:
-        """Write one message."""
-        hidden = {'message_type', 'task_uuid', 'task_level', 'timestamp'}
-        fields = ' '.join(
-            f'{name}={text}'
-            for name, text in message.items()
-            if name not in hidden
-        )
-        line = f'{message.get("message_type", "")} {fields}'
-        self._stream.write(f'{line}\n')
-        self._stream.flush()
+
+def _as_json(message: _Message) -> str:
+    """Return a message as JSON."""
+    return orjson.dumps(message, default=str).decode()
+
+
+def _as_text(message: _Message) -> str:
+    """Return a message as `type key=value …`."""
+    fields = ' '.join(
+        f'{name}={text}'
+        for name, text in message.items()
+        if name not in _HIDDEN
+    )
+    return f'{message.get("message_type", "")} {fields}'
--- a/nutmegtrail/platform/__main__.py
+++ b/nutmegtrail/platform/__main__.py
@@ -25,7 +25,10 @@
     except errors.SettingsError as error:
         sys.stderr.write(f'{error}\n')
         return _EXIT_FAULTY_SETTINGS
-    logs.start(configured.process.log_format)
+    logs.start(
+        configured.process.log_format,
+        lines_per_second=configured.process.log_lines_per_second,
+    )
     anyio.run(daemon.run, gateway.create_gateway(configured))
     return 0
 
