--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -39,6 +39,7 @@
         """Keep the request; nothing is sent yet."""
         self.request = request
         self.received_at_seconds = received_at_seconds
+        self.status = 0
         self.started = False
         self.complete = False
         self.keep_alive = request.keep_alive
@@ -80,6 +81,7 @@
 
     def _head(self, status: int, headers: messages.Headers) -> bytes:
         """Return the head, with a notice where the connection closes."""
+        self.status = status
         if not self.keep_alive:
             headers = (*headers, (b'connection', b'close'))
         return messages.response_head_bytes(status, headers)
--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -48,7 +48,10 @@
 # abandon it after two seconds.
 STREAM_SILENCE_SECONDS: typing.Final = 1.0
 
-RETRY_AFTER_LEAST_SECONDS: typing.Final = 0.25
+# A refused caller comes back after a part of its time, so that it can
+# still be served and a crowd has had time to thin out.
+RETRY_AFTER_SHARE: typing.Final = 0.125
+RETRY_AFTER_LEAST_SECONDS: typing.Final = 0.1
 RETRY_AFTER_MOST_SECONDS: typing.Final = 2.0
 
 # Share of the platform's retry allowance that an entry uses.
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -19,7 +19,7 @@
     def __init__(self) -> None:
         """Start without an outcome."""
         self.decided = anyio.Event()
-        self.upstream: models.Upstream | None = None
+        self.place: selection.Place | None = None
 
 
 class Dispatcher:
@@ -45,8 +45,8 @@
         self,
         service: str,
         waiting: waiting_line.Waiting,
-    ) -> models.Upstream | None:
-        """Return an upstream, counted as used; None where refused."""
+    ) -> selection.Place | None:
+        """Return an upstream's place, counted as used; None where refused."""
         ticket = _Ticket()
         self._tickets_by_id[waiting.request_id] = ticket
         line = self._lines_by_service.get(service, waiting_line.Line())
@@ -57,7 +57,7 @@
         except BaseException:
             self._withdraw(service, waiting.request_id, ticket)
             raise
-        return ticket.upstream
+        return ticket.place
 
     def release(self, upstream: models.Upstream) -> None:
         """Count a request as ended and serve the next one."""
@@ -88,19 +88,22 @@
         expected = self._expected_seconds_by_service.get(service, 0)
         for waiting in waiting_line.in_order(line, now + expected):
             late = now + expected > waiting.objective_at_seconds
-            upstream = selection.choose(
+            place = selection.choose(
                 selection.places(self._situation(), service, now),
                 waiting.excluded_ids,
                 self._failure_domain,
                 const.ROOM_FOR_LATE if late else 1.0,
             )
-            if upstream is None:
+            if place is None and waiting.excluded_ids:
+                continue
+            if place is None:
                 break
             line = waiting_line.started(line, waiting)
             self.counts = request_counts.started(
-                self.counts, upstream.upstream_id
+                self.counts,
+                place.upstream.upstream_id,
             )
-            self._decide(waiting.request_id, upstream)
+            self._decide(waiting.request_id, place)
         self._lines_by_service[service] = self._shorten(service, line, now)
 
     def has_upstreams(self, service: str, excluded: frozenset[str]) -> bool:
@@ -132,11 +135,11 @@
     def _decide(
         self,
         request_id: str,
-        upstream: models.Upstream | None,
+        place: selection.Place | None,
     ) -> None:
         """Wake the task of a request."""
         ticket = self._tickets_by_id.pop(request_id)
-        ticket.upstream = upstream
+        ticket.place = place
         ticket.decided.set()
 
     def _withdraw(
@@ -147,8 +150,8 @@
     ) -> None:
         """Take back the place of a request whose caller has gone."""
         if ticket.decided.is_set():
-            if ticket.upstream is not None:
-                self.release(ticket.upstream)
+            if ticket.place is not None:
+                self.release(ticket.place.upstream)
             return
         self._tickets_by_id.pop(request_id, None)
         line = self._lines_by_service[service]
--- a/nutmegtrail/gateway/flow.py
+++ b/nutmegtrail/gateway/flow.py
@@ -17,6 +17,7 @@
 from nutmegtrail.gateway import models
 from nutmegtrail.gateway import retry_budget
 from nutmegtrail.gateway import routes
+from nutmegtrail.gateway import selection
 from nutmegtrail.gateway import waiting_line
 from nutmegtrail.observability import logs
 from nutmegtrail.observability import metrics
@@ -41,8 +42,10 @@
         caller: models.CallerRequest,
         route: models.Route,
         account: models.Account,
+        configuration_version: int,
     ) -> None:
         """Start before the first attempt."""
+        self.configuration_version = configuration_version
         self.exchange = exchange
         self.caller = caller
         self.route = route
@@ -55,7 +58,7 @@
         if caller.budget_seconds is not None:
             budget = min(budget, caller.budget_seconds)
         self.deadline = exchange.received_at_seconds + budget
-        self.upstream_ids: list[str] = []
+        self.choices: list[dict[str, object]] = []
         self.dispatched_at_seconds = 0.0
         self.first_event_seconds: float | None = None
         self.longest_pause_seconds = 0.0
@@ -128,14 +131,20 @@
             await self._answer(exchange, '', const.HTTP_BAD_REQUEST)
             return None
         if configuration is None:
-            await self._reject(exchange, caller, 'no configuration yet')
+            await self._reject(
+                exchange,
+                caller,
+                'no configuration yet',
+                const.RETRY_AFTER_MOST_SECONDS,
+            )
             return None
         route = routes.match(configuration, caller.host, caller.path)
         status = const.HTTP_NOT_FOUND
         if route is not None:
             account = routes.account_of(configuration, route, caller.api_key)
             if account is not None:
-                return _Job(exchange, caller, route, account)
+                version = configuration.version
+                return _Job(exchange, caller, route, account, version)
             status = const.HTTP_UNAUTHORIZED
         logs.decision(
             'request:denied',
@@ -183,11 +192,12 @@
         excluded = job.delivery.excluded_ids
         if not self._dispatcher.has_upstreams(job.service, excluded):
             return self._without_repeat(job)
-        upstream = await self._dispatcher.acquire(job.service, job.waiting())
-        if upstream is None:
+        place = await self._dispatcher.acquire(job.service, job.waiting())
+        if place is None:
             return self._without_repeat(job)
-        job.upstream_ids.append(upstream.upstream_id)
+        upstream = place.upstream
         job.dispatched_at_seconds = anyio.current_time()
+        job.choices.append(_describe(place, job))
         try:
             return await self._attempt(job, upstream)
         finally:
@@ -346,7 +356,12 @@
                 )
                 return
         if action.outcome is attempts.Outcome.NOT_RUN:
-            await self._reject(job.exchange, job.caller, 'no free upstream')
+            await self._reject(
+                job.exchange,
+                job.caller,
+                'no free upstream',
+                retry_after_seconds(job.remaining_seconds),
+            )
             return
         status = const.HTTP_BAD_GATEWAY
         if job.remaining_seconds <= 0:
@@ -358,13 +373,14 @@
         exchange: server.Exchange,
         caller: models.CallerRequest,
         reason: str,
+        retry_after: float,
     ) -> None:
         """Say that a request has not run and when to come back."""
-        retry_after = const.RETRY_AFTER_LEAST_SECONDS
         logs.decision(
             'request:rejected',
             request_id=caller.request_id,
             reason=reason,
+            waiting=self._dispatcher.waiting_count,
             retry_after_seconds=retry_after,
         )
         await self._answer(
@@ -502,9 +518,32 @@
             request_id=job.caller.request_id,
             route=job.route.name,
             client_account=job.account.name,
-            upstreams=job.upstream_ids,
+            configuration=job.configuration_version,
+            choices=job.choices,
+            entries=self._dispatcher.entries,
             outcome=outcome,
+            status=job.exchange.status,
             seconds=round(seconds, 4),
             first_event_seconds=job.first_event_seconds,
             longest_pause_seconds=round(job.longest_pause_seconds, 4),
         )
+
+
+def retry_after_seconds(remaining_seconds: float) -> float:
+    """Return when a refused caller should come back."""
+    wanted = remaining_seconds * const.RETRY_AFTER_SHARE
+    least = max(wanted, const.RETRY_AFTER_LEAST_SECONDS)
+    return min(least, const.RETRY_AFTER_MOST_SECONDS)
+
+
+def _describe(place: selection.Place, job: _Job) -> dict[str, object]:
+    """Return what decided for an upstream, for the log."""
+    received_at = job.exchange.received_at_seconds
+    return {
+        'upstream': place.upstream.upstream_id,
+        'in_flight': place.in_flight,
+        'group_in_flight': place.group_in_flight,
+        'group_room': round(place.group_room, 1),
+        'pace_seconds': round(place.pace_seconds, 4),
+        'after_seconds': round(job.dispatched_at_seconds - received_at, 4),
+    }
--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -125,8 +125,8 @@
     excluded_ids: frozenset[str],
     failure_domain: str,
     room_share: float = 1.0,
-) -> models.Upstream | None:
-    """Return the free upstream with the least expected work, None if none.
+) -> Place | None:
+    """Return the free place with the least expected work, None if none.
 
     Ties go to the caller's failure domain, then to the first identifier.
     """
@@ -144,7 +144,7 @@
         typical_pace=min(known, default=1.0),
         failure_domain=failure_domain,
     )
-    return min(free, key=order).upstream
+    return min(free, key=order)
 
 
 def _expected_work(
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -24,7 +24,7 @@
         'kandla-a',
         room_share,
     )
-    return None if chosen is None else chosen.upstream_id
+    return None if chosen is None else chosen.upstream.upstream_id
 
 
 def _counts(**own):
