--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -61,7 +61,10 @@
 
 GOSSIP_INTERVAL_SECONDS: typing.Final = 0.05
 GOSSIP_TIMEOUT_SECONDS: typing.Final = 1.0
-GOSSIP_BYTES_LIMIT: typing.Final = 1_400
+# Upstreams in a datagram; 1,400 bytes pass every link in one piece.
+GOSSIP_UPSTREAMS: typing.Final = 48
+
+TASK_RETRY_SECONDS: typing.Final = 1.0
 
 REGISTRATION_TTL_SECONDS: typing.Final = 10
 REGISTRATION_INTERVAL_SECONDS: typing.Final = 3.0
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -75,7 +75,7 @@
         )
         async with anyio.create_task_group() as tasks:
             for run in self._background():
-                tasks.start_soon(run)
+                tasks.start_soon(supervise, run)
             async with anyio.create_task_group() as callers:
                 callers.start_soon(self._callers.serve)
                 await self._stopping.wait()
@@ -147,6 +147,16 @@
         )
 
 
+async def supervise(run: Task) -> None:
+    """Run a task that serves no caller, and again after a fault in it."""
+    while True:
+        try:
+            await run()
+        except Exception:
+            logs.failure('daemon:task-failed', task=str(run))
+        await anyio.sleep(const.TASK_RETRY_SECONDS)
+
+
 async def run(daemon: Gateway) -> None:
     """Run until a signal stops the entry; a reload keeps it running."""
     async with anyio.create_task_group() as tasks:
--- a/nutmegtrail/gateway/gossip.py
+++ b/nutmegtrail/gateway/gossip.py
@@ -16,6 +16,20 @@
 from nutmegtrail.ports import watched_store
 
 PREFIX: typing.Final = 'nutmegtrail/entries/'
+_MALFORMED: typing.Final = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+)
+
+
+class Report(typing.NamedTuple):
+    """A part of an entry's requests in flight, by upstream."""
+
+    entry: str
+    part: int
+    counts_by_id: dict[str, int]
 
 
 class Gossip:
@@ -124,33 +138,70 @@
         while True:
             await anyio.sleep(const.GOSSIP_INTERVAL_SECONDS)
             self._dispatcher.dispatch_all()
-            report = {
-                'entry': self._name,
-                'counts': dict(self._dispatcher.counts.own_by_id),
-            }
-            payload = orjson.dumps(report)
-            for address in set(self._address_by_key.values()):
-                if address != self._address:
-                    await _send_datagram(datagrams, payload, address)
+            payloads = encode(
+                self._name,
+                dict(self._dispatcher.counts.own_by_id),
+            )
+            await self._send_to_all(datagrams, payloads)
+
+    async def _send_to_all(
+        self,
+        datagrams: anyio.abc.UDPSocket,
+        payloads: list[bytes],
+    ) -> None:
+        """Send datagrams to each other entry."""
+        others = set(self._address_by_key.values()) - {self._address}
+        for address in others:
+            for payload in payloads:
+                await _send_datagram(datagrams, payload, address)
 
     async def _receive(self, datagrams: anyio.abc.UDPSocket) -> None:
         """Take the reports of other entries."""
         async for payload, _ in datagrams:
-            try:
-                report = orjson.loads(payload)
-                self._take_report(report['entry'], report['counts'])
-            except (ValueError, KeyError, TypeError) as error:
-                logs.decision('entry:malformed-report', detail=repr(error))
-
-    def _take_report(self, name: str, counts: dict[str, int]) -> None:
-        """Take the counts of another entry."""
-        if name != self._name:
-            self._dispatcher.counts = request_counts.reported(
-                self._dispatcher.counts,
-                name,
-                counts,
-                anyio.current_time(),
-            )
+            report = decode(payload)
+            if report is not None and report.entry != self._name:
+                self._dispatcher.counts = request_counts.reported(
+                    self._dispatcher.counts,
+                    f'{report.entry}#{report.part}',
+                    report.counts_by_id,
+                    anyio.current_time(),
+                )
+
+
+def encode(entry: str, counts_by_id: dict[str, int]) -> list[bytes]:
+    """Return datagrams with an entry's counts; none of them is too large."""
+    names = sorted(counts_by_id)
+    starts = range(0, max(len(names), 1), const.GOSSIP_UPSTREAMS)
+    return [
+        orjson.dumps(
+            {
+                'entry': entry,
+                'part': start,
+                'counts': {
+                    name: counts_by_id[name]
+                    for name in names[start : start + const.GOSSIP_UPSTREAMS]
+                },
+            },
+        )
+        for start in starts
+    ]
+
+
+def decode(payload: bytes) -> Report | None:
+    """Return a datagram's report, None where it is none."""
+    try:
+        document = orjson.loads(payload)
+        return Report(
+            str(document['entry']),
+            int(document['part']),
+            {
+                str(name): int(count)
+                for name, count in document['counts'].items()
+            },
+        )
+    except _MALFORMED as error:
+        logs.decision('entry:malformed-report', detail=repr(error))
+        return None
 
 
 async def _send_datagram(
--- /dev/null
+++ b/tests/gateway/test_daemon.py
@@ -0,0 +1,26 @@
+"""A fault in a background task does not end the entry."""
+
+import anyio
+import testtools
+
+from nutmegtrail.gateway import const
+from nutmegtrail.gateway import daemon
+
+
+class SuperviseTest(testtools.TestCase):
+    """Tasks that serve no caller."""
+
+    def test_started_again(self):
+        """A task that fails is started again after a pause."""
+        starts = []
+
+        async def _task():
+            starts.append(anyio.current_time())
+            raise ValueError('a fault')
+
+        async def _main():
+            with anyio.move_on_after(const.TASK_RETRY_SECONDS * 1.5):
+                await daemon.supervise(_task)
+
+        anyio.run(_main)
+        self.assertEqual(2, len(starts))
--- /dev/null
+++ b/tests/gateway/test_gossip.py
@@ -0,0 +1,36 @@
+"""Counts of requests travel in small datagrams."""
+
+import testtools
+
+from nutmegtrail.gateway import gossip
+
+
+class GossipTest(testtools.TestCase):
+    """Encoding and decoding."""
+
+    def test_many_upstreams(self):
+        """All counts arrive, in datagrams that pass every link whole."""
+        counts = {f'i-{number:010x}': number % 7 for number in range(200)}
+        payloads = gossip.encode('entry-1/0123abcd', counts)
+        self.assertTrue(all(len(payload) < 1_400 for payload in payloads))
+        reports = [gossip.decode(payload) for payload in payloads]
+        merged = {}
+        for report in reports:
+            merged.update(report.counts_by_id)
+        self.assertEqual(counts, merged)
+        parts = {report.part for report in reports}
+        self.assertEqual(len(payloads), len(parts))
+
+    def test_idle(self):
+        """An idle entry still tells that it lives."""
+        payloads = gossip.encode('entry-1', {})
+        self.assertEqual(1, len(payloads))
+        self.assertEqual({}, gossip.decode(payloads[0]).counts_by_id)
+
+    def test_other_bytes(self):
+        """What is no report is dropped."""
+        cases = (b'', b'\xff', b'[]', b'{}', b'{"entry":1,"part":0}')
+        for payload in cases:
+            self.assertIsNone(gossip.decode(payload))
+        bad = b'{"entry":"e","part":0,"counts":{"i":"many"}}'
+        self.assertIsNone(gossip.decode(bad))
