Keep the leadership's loop from spinning after a vacancy was taken

Ruled out: the store's watches (their calls did not grow). The event is made anew before each look; the test failed first.

--- a/nutmegtrail/gateway/leader_lease.py
+++ b/nutmegtrail/gateway/leader_lease.py
@@ -68,6 +68,8 @@
     async def run(self) -> None:
         """Acquire and renew until cancelled."""
         while True:
+            # A vacancy that is noticed from here on ends the wait below.
+            self._vacant = anyio.Event()
             wish = leadership.wish(self.state)
             if wish is leadership.Wish.RENEW:
                 await self._renew()
@@ -91,7 +93,6 @@
 
     async def _acquire(self) -> None:
         """Write the key where it does not exist."""
-        self._vacant = anyio.Event()
         spread = const.LEADER_SPREAD_SECONDS
         await anyio.sleep(self._generator.uniform(0, spread))
         if leadership.wish(self.state) is not leadership.Wish.ACQUIRE:
