--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -88,7 +88,10 @@
 LEADER_SPREAD_SECONDS: typing.Final = 0.05
 
 MAP_INTERVAL_SECONDS: typing.Final = 0.5
-SAMPLED_RANKS: typing.Final = 4
+# One rank in so many is read, since all groups get like requests; two at
+# least, so that one restart does not blind the leader.
+RANKS_PER_SAMPLE: typing.Final = 16
+SAMPLED_RANKS_LEAST: typing.Final = 2
 POPULARITY_HALF_LIFE_SECONDS: typing.Final = 0.6
 
 # Fall of a step's expert time that pays for the copies of a switch.
@@ -106,7 +109,7 @@
 
 # Strain is the pause between events over the longest allowed one; a fifth
 # of a step's time does not depend on the requests in flight.
-STRAIN_TARGET: typing.Final = 0.8
+STRAIN_TARGET: typing.Final = 0.9
 STRAIN_WITHOUT_LOAD: typing.Final = 0.25
 STRAIN_RISE: typing.Final = 0.2
 STRAIN_FALL: typing.Final = 0.05
--- a/nutmegtrail/gateway/map_keeper.py
+++ b/nutmegtrail/gateway/map_keeper.py
@@ -1,6 +1,5 @@
 """Keeps the expert maps of a service's rank groups balanced."""
 
-import itertools
 import typing
 
 import anyio
@@ -157,13 +156,7 @@
         """Read the counters of some ranks; all groups get like requests."""
         readings_by_id: dict[str, popularity.Reading] = {}
         members = [member for group in groups for member in group.members]
-        stride = max(len(members) // const.SAMPLED_RANKS, 1)
-        for member in itertools.islice(
-            members,
-            0,
-            stride * const.SAMPLED_RANKS,
-            stride,
-        ):
+        for member in _sampled(members):
             counts = await self._engines.counts(member)
             if counts is not None:
                 readings_by_id[member.upstream_id] = popularity.Reading(
@@ -277,6 +270,16 @@
         return tuple(group for group in groups if group is not None)
 
 
+def _sampled(members: list[models.Upstream]) -> list[models.Upstream]:
+    """Return some members, spread evenly over all of them."""
+    wanted = max(
+        len(members) // const.RANKS_PER_SAMPLE,
+        const.SAMPLED_RANKS_LEAST,
+    )
+    stride = max(len(members) // wanted, 1)
+    return members[::stride]
+
+
 def _complete_group(
     name: str,
     upstream_by_rank: dict[int, models.Upstream],
