--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -1,7 +1,5 @@
 """Gives waiting requests their upstreams; holds what the choice needs."""
 
-import typing
-
 import anyio
 
 from nutmegtrail.gateway import const
@@ -169,6 +167,3 @@
     if route.kind is models.Kind.STREAM:
         wait = min(wait, const.STREAM_WAIT_SECONDS)
     return received_at_seconds + wait
-
-
-Clock: typing.TypeAlias = typing.Callable[[], float]
--- a/nutmegtrail/gateway/flow.py
+++ b/nutmegtrail/gateway/flow.py
@@ -13,12 +13,11 @@
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import errors
 from nutmegtrail.gateway import events
-from nutmegtrail.gateway import health
+from nutmegtrail.gateway import jobs
 from nutmegtrail.gateway import models
+from nutmegtrail.gateway import observer
 from nutmegtrail.gateway import retry_budget
 from nutmegtrail.gateway import routes
-from nutmegtrail.gateway import selection
-from nutmegtrail.gateway import waiting_line
 from nutmegtrail.observability import logs
 from nutmegtrail.observability import metrics
 from nutmegtrail.ports import dialect as dialects
@@ -26,68 +25,6 @@
 _PROMISING_NOT_RUN: typing.Final = frozenset((408, 421, 429, 503))
 
 
-class _Failure(typing.NamedTuple):
-    """A whole failed answer of an upstream."""
-
-    head: messages.Head
-    body: bytes
-
-
-class _Job:
-    """A request on its way and what is known of it."""
-
-    def __init__(
-        self,
-        exchange: server.Exchange,
-        caller: models.CallerRequest,
-        route: models.Route,
-        account: models.Account,
-        configuration_version: int,
-    ) -> None:
-        """Start before the first attempt."""
-        self.configuration_version = configuration_version
-        self.exchange = exchange
-        self.caller = caller
-        self.route = route
-        self.account = account
-        self.service = routes.service_of(route, caller.request_id)
-        self.delivery = attempts.Delivery(route)
-        self.position = events.Position(caller.last_event)
-        self.failure: _Failure | None = None
-        budget = route.timeout_seconds
-        if caller.budget_seconds is not None:
-            budget = min(budget, caller.budget_seconds)
-        self.deadline = exchange.received_at_seconds + budget
-        self.choices: list[dict[str, object]] = []
-        self.dispatched_at_seconds = 0.0
-        self.first_event_seconds: float | None = None
-        self.longest_pause_seconds = 0.0
-
-    @property
-    def remaining_seconds(self) -> float:
-        """Return the time until the caller or the route gives up."""
-        return self.deadline - anyio.current_time()
-
-    @property
-    def priority(self) -> int:
-        """Return the priority of the account, or else of the route."""
-        if self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
-
-    def waiting(self) -> waiting_line.Waiting:
-        """Return the request as a line sees it."""
-        received_at = self.exchange.received_at_seconds
-        return waiting_line.Waiting(
-            self.caller.request_id,
-            self.account.name,
-            self.priority,
-            received_at + self.route.objective_seconds,
-            dispatching.latest_start(self.route, received_at, self.deadline),
-            self.delivery.excluded_ids,
-        )
-
-
 class Flow:
     """Serves callers' requests under the present configuration."""
 
@@ -102,6 +39,7 @@
         self.configuration: models.Configuration | None = None
         self._dialect = dialect
         self._dispatcher = dispatcher
+        self._observer = observer.Observer(dispatcher)
         self._allowance = allowance
         self._metrics = readings
         self._client = client.Client()
@@ -121,7 +59,7 @@
         finally:
             self._report(job)
 
-    async def _admit(self, exchange: server.Exchange) -> _Job | None:
+    async def _admit(self, exchange: server.Exchange) -> jobs.Job | None:
         """Return the job of an acceptable request, None once answered."""
         configuration = self.configuration
         try:
@@ -144,7 +82,7 @@
             account = routes.account_of(configuration, route, caller.api_key)
             if account is not None:
                 version = configuration.version
-                return _Job(exchange, caller, route, account, version)
+                return jobs.Job(exchange, caller, route, account, version)
             status = const.HTTP_UNAUTHORIZED
         logs.decision(
             'request:denied',
@@ -156,7 +94,7 @@
         await self._answer(exchange, caller.request_id, status)
         return None
 
-    async def _deliver(self, job: _Job) -> None:
+    async def _deliver(self, job: jobs.Job) -> None:
         """Send a request to upstreams until it is answered."""
         now = anyio.current_time()
         budget = self._budget(job.service)
@@ -186,7 +124,7 @@
 
     async def _next_attempt(
         self,
-        job: _Job,
+        job: jobs.Job,
     ) -> attempts.Event | attempts.GiveUp | None:
         """Wait for an upstream and try it; None where answered."""
         excluded = job.delivery.excluded_ids
@@ -197,7 +135,7 @@
             return self._without_repeat(job)
         upstream = place.upstream
         job.dispatched_at_seconds = anyio.current_time()
-        job.choices.append(_describe(place, job))
+        job.choices.append(jobs.describe(place, job))
         try:
             return await self._attempt(job, upstream)
         finally:
@@ -205,7 +143,7 @@
 
     async def _attempt(
         self,
-        job: _Job,
+        job: jobs.Job,
         upstream: models.Upstream,
     ) -> attempts.Event | attempts.GiveUp | None:
         """Send a request to an upstream; None where it was answered."""
@@ -218,12 +156,12 @@
             event = attempts.NotConnected(upstream.upstream_id)
         except http_errors.ExchangeBroken:
             event = attempts.Broken(upstream.upstream_id)
-        self._judge(upstream, event)
+        self._observer.judge(upstream, event)
         return event
 
     async def _exchange(
         self,
-        job: _Job,
+        job: jobs.Job,
         upstream: models.Upstream,
     ) -> attempts.Event | None:
         """Exchange a request and its answer with an upstream."""
@@ -254,7 +192,7 @@
                 return await self._pass_stream(job, upstream, response)
             body = await response.read(const.RESPONSE_BYTES_LIMIT)
             seconds = anyio.current_time() - sent_at
-        self._observe_pace(upstream, seconds)
+        self._observer.observe_pace(upstream, seconds)
         self._dispatcher.observe_start(job.service, seconds)
         headers = messages.end_to_end(response.head.headers)
         await job.exchange.answer(response.head.status, headers, body)
@@ -262,7 +200,7 @@
 
     async def _read_failure(
         self,
-        job: _Job,
+        job: jobs.Job,
         upstream: models.Upstream,
         response: client.Response,
         signs: models.AnswerSigns,
@@ -272,14 +210,14 @@
             return attempts.Broken(upstream.upstream_id)
         body = await response.read(const.RESPONSE_BYTES_LIMIT)
         if signs.verdict is models.Verdict.FAILURE:
-            job.failure = _Failure(response.head, body)
+            job.failure = jobs.Failure(response.head, body)
             return attempts.Failed(upstream.upstream_id)
-        self._blame(upstream, signs)
+        self._observer.blame(upstream, signs)
         return attempts.NotRun(upstream.upstream_id)
 
     async def _pass_stream(
         self,
-        job: _Job,
+        job: jobs.Job,
         upstream: models.Upstream,
         response: client.Response,
     ) -> attempts.Event | None:
@@ -291,7 +229,7 @@
                 with anyio.fail_after(const.STREAM_SILENCE_SECONDS):
                     part = await response.receive()
             except TimeoutError:
-                self._eject_group(upstream)
+                self._observer.leave_group_out(upstream)
                 return attempts.Broken(upstream.upstream_id)
             whole = splitter.feed(part)
             advance = events.advance(job.position, whole)
@@ -303,7 +241,9 @@
                         job.longest_pause_seconds,
                         pause,
                     )
-                    self._observe_pause(job, upstream, pause / len(whole))
+                    self._observer.observe_pause(
+                        job, upstream, pause / len(whole)
+                    )
                 last_at = now
                 await self._pass_events(job, response.head, advance)
             if advance.gap:
@@ -317,7 +257,7 @@
 
     async def _pass_events(
         self,
-        job: _Job,
+        job: jobs.Job,
         head: messages.Head,
         advance: events.Advance,
     ) -> None:
@@ -341,7 +281,7 @@
             advance.payload,
         )
 
-    async def _end(self, job: _Job, action: attempts.GiveUp) -> None:
+    async def _end(self, job: jobs.Job, action: attempts.GiveUp) -> None:
         """Give a request that got no success its final answer."""
         if job.exchange.started:
             job.exchange.keep_alive = False
@@ -360,7 +300,7 @@
                 job.exchange,
                 job.caller,
                 'no free upstream',
-                retry_after_seconds(job.remaining_seconds),
+                jobs.retry_after_seconds(job.remaining_seconds),
             )
             return
         status = const.HTTP_BAD_GATEWAY
@@ -404,7 +344,7 @@
         )
         await exchange.answer(status, headers, b'')
 
-    def _without_repeat(self, job: _Job) -> attempts.GiveUp:
+    def _without_repeat(self, job: jobs.Job) -> attempts.GiveUp:
         """Return the end of a request that gets no further attempt."""
         if job.failure is not None:
             return attempts.GiveUp(attempts.Outcome.PASS_ON)
@@ -429,70 +369,9 @@
         self._budgets_by_service[service] = left
         return True
 
-    def _judge(
-        self,
-        upstream: models.Upstream,
-        event: attempts.Event | None,
-    ) -> None:
-        """Take an attempt's outcome into the health of its upstream."""
-        standings = self._dispatcher.standings
-        if event is None or isinstance(event, attempts.Failed):
-            standings = health.succeeded(standings, upstream.upstream_id)
-            standings = health.succeeded(standings, upstream.pace_group)
-        else:
-            now = anyio.current_time()
-            standings = health.failed(standings, upstream.upstream_id, now)
-        self._dispatcher.standings = standings
-
-    def _blame(
-        self,
-        upstream: models.Upstream,
-        signs: models.AnswerSigns,
-    ) -> None:
-        """Leave a rank group out while another rank keeps it from working."""
-        faulty = signs.faulty_upstream_id
-        if faulty and faulty != upstream.upstream_id:
-            self._eject_group(upstream)
-
-    def _eject_group(self, upstream: models.Upstream) -> None:
-        """Leave an upstream and its rank group out for a while."""
-        logs.decision('upstream:group-left-out', group=upstream.pace_group)
-        self._dispatcher.standings = health.failed(
-            self._dispatcher.standings,
-            upstream.pace_group,
-            anyio.current_time(),
-            failures_to_eject=1,
-        )
-
-    def _observe_pace(self, upstream: models.Upstream, seconds: float) -> None:
-        """Take a sample of an upstream's pace."""
-        self._dispatcher.standings = health.observed(
-            self._dispatcher.standings,
-            upstream.pace_group,
-            seconds,
-            anyio.current_time(),
-        )
-
-    def _observe_pause(
-        self,
-        job: _Job,
-        upstream: models.Upstream,
-        seconds: float,
-    ) -> None:
-        """Take the pause before an event into pace and strain."""
-        self._observe_pace(upstream, seconds)
-        allowed = job.route.pause_objective_seconds
-        if allowed:
-            self._dispatcher.standings = health.strained(
-                self._dispatcher.standings,
-                upstream.pace_group,
-                seconds / allowed,
-                anyio.current_time(),
-            )
-
     def _log_failure(
         self,
-        job: _Job,
+        job: jobs.Job,
         event: attempts.Event,
         action: attempts.Repeat | attempts.GiveUp,
     ) -> None:
@@ -507,7 +386,7 @@
             action=type(action).__name__,
         )
 
-    def _report(self, job: _Job) -> None:
+    def _report(self, job: jobs.Job) -> None:
         """Log and count the end of a request."""
         seconds = anyio.current_time() - job.exchange.received_at_seconds
         outcome = 'answered' if job.exchange.complete else 'cut'
@@ -527,23 +406,3 @@
             first_event_seconds=job.first_event_seconds,
             longest_pause_seconds=round(job.longest_pause_seconds, 4),
         )
-
-
-def retry_after_seconds(remaining_seconds: float) -> float:
-    """Return when a refused caller should come back."""
-    wanted = remaining_seconds * const.RETRY_AFTER_SHARE
-    least = max(wanted, const.RETRY_AFTER_LEAST_SECONDS)
-    return min(least, const.RETRY_AFTER_MOST_SECONDS)
-
-
-def _describe(place: selection.Place, job: _Job) -> dict[str, object]:
-    """Return what decided for an upstream, for the log."""
-    received_at = job.exchange.received_at_seconds
-    return {
-        'upstream': place.upstream.upstream_id,
-        'in_flight': place.in_flight,
-        'group_in_flight': place.group_in_flight,
-        'group_room': round(place.group_room, 1),
-        'pace_seconds': round(place.pace_seconds, 4),
-        'after_seconds': round(job.dispatched_at_seconds - received_at, 4),
-    }
--- a/nutmegtrail/gateway/leader_lease.py
+++ b/nutmegtrail/gateway/leader_lease.py
@@ -1,7 +1,6 @@
 """Acquires and renews a leadership at the store."""
 
 import random
-import typing
 
 import anyio
 
@@ -124,6 +123,3 @@
                 event=type(event).__name__,
                 fence=self.state.fence,
             )
-
-
-Listener: typing.TypeAlias = LeaderLease
--- /dev/null
+++ b/nutmegtrail/gateway/observer.py
@@ -0,0 +1,79 @@
+"""Takes what exchanges show of upstreams into their health."""
+
+import anyio
+
+from nutmegtrail.gateway import attempts
+from nutmegtrail.gateway import dispatcher as dispatching
+from nutmegtrail.gateway import health
+from nutmegtrail.gateway import jobs
+from nutmegtrail.gateway import models
+from nutmegtrail.observability import logs
+
+
+class Observer:
+    """Keeps the health that the dispatcher chooses by."""
+
+    def __init__(self, dispatcher: dispatching.Dispatcher) -> None:
+        """Keep the dispatcher."""
+        self._dispatcher = dispatcher
+
+    def judge(
+        self,
+        upstream: models.Upstream,
+        event: attempts.Event | None,
+    ) -> None:
+        """Take an attempt's outcome into the health of its upstream."""
+        standings = self._dispatcher.standings
+        if event is None or isinstance(event, attempts.Failed):
+            standings = health.succeeded(standings, upstream.upstream_id)
+            standings = health.succeeded(standings, upstream.pace_group)
+        else:
+            now = anyio.current_time()
+            standings = health.failed(standings, upstream.upstream_id, now)
+        self._dispatcher.standings = standings
+
+    def blame(
+        self,
+        upstream: models.Upstream,
+        signs: models.AnswerSigns,
+    ) -> None:
+        """Leave a rank group out while another rank keeps it from working."""
+        faulty = signs.faulty_upstream_id
+        if faulty and faulty != upstream.upstream_id:
+            self.leave_group_out(upstream)
+
+    def leave_group_out(self, upstream: models.Upstream) -> None:
+        """Leave an upstream and its rank group out for a while."""
+        logs.decision('upstream:group-left-out', group=upstream.pace_group)
+        self._dispatcher.standings = health.failed(
+            self._dispatcher.standings,
+            upstream.pace_group,
+            anyio.current_time(),
+            failures_to_eject=1,
+        )
+
+    def observe_pace(self, upstream: models.Upstream, seconds: float) -> None:
+        """Take a sample of an upstream's pace."""
+        self._dispatcher.standings = health.observed(
+            self._dispatcher.standings,
+            upstream.pace_group,
+            seconds,
+            anyio.current_time(),
+        )
+
+    def observe_pause(
+        self,
+        job: jobs.Job,
+        upstream: models.Upstream,
+        seconds: float,
+    ) -> None:
+        """Take the pause before an event into pace and strain."""
+        self.observe_pace(upstream, seconds)
+        allowed = job.route.pause_objective_seconds
+        if allowed:
+            self._dispatcher.standings = health.strained(
+                self._dispatcher.standings,
+                upstream.pace_group,
+                seconds / allowed,
+                anyio.current_time(),
+            )
--- a/tests/gateway/test_flow.py
+++ b/tests/gateway/test_jobs.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from nutmegtrail.gateway import flow
+from nutmegtrail.gateway import jobs
 
 
 class RetryAfterTest(testtools.TestCase):
@@ -10,6 +10,6 @@
 
     def test_bounds(self):
         """Clients wait for a third of their time at most."""
-        self.assertEqual(1.0, flow.retry_after_seconds(8))
-        self.assertEqual(0.1, flow.retry_after_seconds(0.4))
-        self.assertEqual(2.0, flow.retry_after_seconds(60))
+        self.assertEqual(1.0, jobs.retry_after_seconds(8))
+        self.assertEqual(0.1, jobs.retry_after_seconds(0.4))
+        self.assertEqual(2.0, jobs.retry_after_seconds(60))
