--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -13,6 +13,8 @@
 
 _LIMITS = server.ConnectionLimits(messages.SizeLimits(65_536, 65_536), 9, 9)
 _JSON = ((b'content-type', b'application/json'),)
+# Longer than an entry waits before it resumes a stream elsewhere.
+_PAUSE_SECONDS = 1.3
 _KEPT = (b'keep-alive', b'timeout=9')
 
 
@@ -186,6 +188,16 @@
         if self.after_cut is not None:
             self.after_cut()
 
+    async def pausing(self, exchange, headers):
+        """Answer completely, with a long pause after the first event."""
+        request = exchange.request
+        asked = int(messages.find(request.headers, b'last-event-id') or 0)
+        await self._events(exchange, headers, asked + 1)
+        await anyio.sleep(_PAUSE_SECONDS)
+        for number in range(asked + 2, 6):
+            await exchange.write(b'id: %d\ndata: x\n\n' % number)
+        await exchange.finish()
+
     async def not_run(self, exchange, _):
         """Refuse the request."""
         refused = ((b'x-nutmegtrail-not-executed', b'1'),)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -154,6 +154,16 @@
 
         self._run(_scenario)
 
+    def test_silence_of_the_last_engine(self):
+        """A stream that can not go on elsewhere is not cut for a pause."""
+
+        async def _scenario():
+            self._script(self.drafts, 'pausing', 'pausing')
+            status, _, body = await self._ask(b'/long/prefix/a')
+            self.assertEqual((200, _STREAM), (status, body))
+
+        self._run(_scenario)
+
     def test_cut_everywhere(self):
         """A stream that nobody completes does not look complete."""
 
