Send the platform's JSON calls by one piece of code; drop what nothing uses

Cause: the clients of the store and of the engines each built headers, set time limits and turned errors on their own; three reads of an engine decoded alike, and failed reads left no log line. Status codes stood in four lists beside the standard library's, milliseconds in three, the test of a switch held one loop twice. Ruled out: sharing the decoding as well, since a store that answers with something else than JSON is an outage and an engine that does is unreadable. Change: platform/calls.py, http.HTTPStatus, the shared constant, one loop; unused constants and fields are gone. No behaviour changed but for the new log line 'engine:unreadable'; the tests keep their assertions (test_group_moves_again also checks the steps under faults).

--- a/nutmegtrail/adapters/http1/const.py
+++ b/nutmegtrail/adapters/http1/const.py
@@ -23,14 +23,6 @@
 IDLE_MARGIN_SECONDS: typing.Final = 0.5
 KEPT_CONNECTIONS_PER_ADDRESS: typing.Final = 8
 
-STATUS_CONTINUE_LIMIT: typing.Final = 200
-STATUS_NO_CONTENT: typing.Final = 204
-STATUS_NOT_MODIFIED: typing.Final = 304
-STATUS_BAD_REQUEST: typing.Final = 400
-STATUS_TIMEOUT: typing.Final = 408
-STATUS_TOO_LARGE: typing.Final = 413
-STATUS_HEADERS_TOO_LARGE: typing.Final = 431
-
 HOP_BY_HOP: typing.Final = frozenset(
     (
         b'connection',
--- a/nutmegtrail/adapters/http1/messages.py
+++ b/nutmegtrail/adapters/http1/messages.py
@@ -113,12 +113,12 @@
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade as error:
             raise errors.RequestRefused(
-                const.STATUS_BAD_REQUEST,
+                http.HTTPStatus.BAD_REQUEST,
                 'protocol upgrades are not offered',
             ) from error
         except httptools.HttpParserError as error:
             raise errors.RequestRefused(
-                self._fault or const.STATUS_BAD_REQUEST,
+                self._fault or http.HTTPStatus.BAD_REQUEST,
                 f'not an HTTP/1.1 request: {error}',
             ) from error
         if self._fault:
@@ -142,7 +142,7 @@
     def on_body(self, part: bytes) -> None:
         """Take a part of the body."""
         if len(self._body) + len(part) > self.limits.body_bytes:
-            self._fault = const.STATUS_TOO_LARGE
+            self._fault = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
             return
         self._body += part
 
@@ -162,7 +162,7 @@
         """Remember a fault where the head is over its limit."""
         self._header_bytes += size
         if self._header_bytes > self.limits.header_bytes:
-            self._fault = const.STATUS_HEADERS_TOO_LARGE
+            self._fault = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
 
     def _reset(self) -> None:
         """Forget the parts of a request."""
@@ -170,7 +170,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
         self._body = bytearray()
-        self._fault = 0
+        self._fault: int = 0
 
 
 class ResponseReader:
@@ -238,7 +238,7 @@
         status = self._parser.get_status_code()
         headers = tuple(self._headers)
         self._headers = []
-        if self.complete or status < const.STATUS_CONTINUE_LIMIT:
+        if self.complete or status < http.HTTPStatus.OK:
             return
         self.head = Head(status, headers)
         has_length = any(
@@ -246,8 +246,8 @@
             for name, _ in headers
         )
         self.ends_with_connection = not has_length and status not in {
-            const.STATUS_NO_CONTENT,
-            const.STATUS_NOT_MODIFIED,
+            http.HTTPStatus.NO_CONTENT,
+            http.HTTPStatus.NOT_MODIFIED,
         }
 
     def on_body(self, part: bytes) -> None:
--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server that sees a caller hang up while its answer is made."""
 
+import http
 import typing
 
 import anyio
@@ -212,7 +213,7 @@
                 self._server._idle_scopes.discard(scope)
         if inside and not self._server.is_stopping:
             raise errors.RequestRefused(
-                const.STATUS_TIMEOUT,
+                http.HTTPStatus.REQUEST_TIMEOUT,
                 'the request was not received in time',
             )
         return b''
--- a/nutmegtrail/configuration/settings.py
+++ b/nutmegtrail/configuration/settings.py
@@ -10,7 +10,7 @@
 from nutmegtrail.configuration import errors
 from nutmegtrail.contracts import models as contract_models
 
-_STRICT: typing.Final = pydantic.ConfigDict(extra='forbid', frozen=True)
+STRICT: typing.Final = pydantic.ConfigDict(extra='forbid', frozen=True)
 Schema = typing.TypeVar('Schema', bound=pydantic.BaseModel)
 
 
@@ -26,7 +26,7 @@
 class Process(pydantic.BaseModel):
     """Where a process runs and listens."""
 
-    model_config = _STRICT
+    model_config = STRICT
 
     host: contract_models.Name
     failure_domain: contract_models.Name
@@ -39,7 +39,7 @@
 class Platform(pydantic.BaseModel):
     """Addresses of the platform's services."""
 
-    model_config = _STRICT
+    model_config = STRICT
 
     key_value: AddressText
     host_list: AddressText
@@ -48,7 +48,7 @@
 class UpstreamSettings(pydantic.BaseModel):
     """The upstream beside a sidecar and the target that it serves."""
 
-    model_config = _STRICT
+    model_config = STRICT
 
     name: contract_models.Name
     kind: typing.Literal['model-engine', 'plain-service']
@@ -74,7 +74,7 @@
 class EntrySettings(pydantic.BaseModel):
     """Settings of an entry."""
 
-    model_config = _STRICT
+    model_config = STRICT
 
     process: Process
     platform: Platform
@@ -83,7 +83,7 @@
 class SidecarSettings(pydantic.BaseModel):
     """Settings of a sidecar."""
 
-    model_config = _STRICT
+    model_config = STRICT
 
     process: Process
     platform: Platform
--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -2,19 +2,8 @@
 
 import typing
 
-MILLISECONDS_PER_SECOND: typing.Final = 1_000
 RESPONSE_BYTES_LIMIT: typing.Final = 8_388_608
 
-HTTP_OK: typing.Final = 200
-HTTP_NO_CONTENT: typing.Final = 204
-HTTP_BAD_REQUEST: typing.Final = 400
-HTTP_UNAUTHORIZED: typing.Final = 401
-HTTP_NOT_FOUND: typing.Final = 404
-HTTP_SERVER_ERROR: typing.Final = 500
-HTTP_BAD_GATEWAY: typing.Final = 502
-HTTP_UNAVAILABLE: typing.Final = 503
-HTTP_GATEWAY_TIMEOUT: typing.Final = 504
-
 # Entries that lapsed in an outage of the store are back two seconds after
 # its return, by the platform's contract.
 RETURN_WINDOW_SECONDS: typing.Final = 2.2
@@ -57,8 +46,6 @@
 # Share of the platform's retry allowance that an entry uses.
 RETRY_ALLOWANCE_SHARE: typing.Final = 0.5
 
-DISPATCH_INTERVAL_SECONDS: typing.Final = 0.05
-
 GOSSIP_INTERVAL_SECONDS: typing.Final = 0.05
 GOSSIP_TIMEOUT_SECONDS: typing.Final = 1.0
 # Upstreams in a datagram; 1,400 bytes pass every link in one piece.
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -1,5 +1,6 @@
 """The entry that calls upstreams directly."""
 
+import http
 import signal
 import typing
 
@@ -118,13 +119,15 @@
             self._parts.flow.configuration is not None
             and not self._stopping.is_set()
         )
-        status = const.HTTP_OK if ready else const.HTTP_UNAVAILABLE
+        status = (
+            http.HTTPStatus.OK if ready else http.HTTPStatus.SERVICE_UNAVAILABLE
+        )
         await exchange.answer(status, (), b'')
 
     async def _serve_metrics(self, exchange: server.Exchange) -> None:
         """Answer with all readings."""
         payload = self._parts.readings.render().encode()
-        await exchange.answer(const.HTTP_OK, _TEXT, payload)
+        await exchange.answer(http.HTTPStatus.OK, _TEXT, payload)
 
     def _server(self, address: str, handler: server.Handler) -> server.Server:
         """Return a server on an address of the settings."""
--- a/nutmegtrail/gateway/flow.py
+++ b/nutmegtrail/gateway/flow.py
@@ -1,5 +1,6 @@
 """Way of a request from its caller to an upstream and back."""
 
+import http
 import typing
 
 import anyio
@@ -22,7 +23,14 @@
 from nutmegtrail.observability import metrics
 from nutmegtrail.ports import dialect as dialects
 
-_PROMISING_NOT_RUN: typing.Final = frozenset((408, 421, 429, 503))
+_PROMISING_NOT_RUN: typing.Final = frozenset(
+    (
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    ),
+)
 
 
 class Flow:
@@ -66,7 +74,7 @@
             caller = self._dialect.read_request(exchange.request)
         except errors.MalformedRequest as error:
             logs.decision('request:malformed', detail=str(error))
-            await self._answer(exchange, '', const.HTTP_BAD_REQUEST)
+            await self._answer(exchange, '', http.HTTPStatus.BAD_REQUEST)
             return None
         if configuration is None:
             await self._reject(
@@ -77,13 +85,13 @@
             )
             return None
         route = routes.match(configuration, caller.host, caller.path)
-        status = const.HTTP_NOT_FOUND
+        status = http.HTTPStatus.NOT_FOUND
         if route is not None:
             account = routes.account_of(configuration, route, caller.api_key)
             if account is not None:
                 version = configuration.version
                 return jobs.Job(exchange, caller, route, account, version)
-            status = const.HTTP_UNAUTHORIZED
+            status = http.HTTPStatus.UNAUTHORIZED
         logs.decision(
             'request:denied',
             request_id=caller.request_id,
@@ -303,9 +311,9 @@
                 jobs.retry_after_seconds(job.remaining_seconds),
             )
             return
-        status = const.HTTP_BAD_GATEWAY
+        status = http.HTTPStatus.BAD_GATEWAY
         if job.remaining_seconds <= 0:
-            status = const.HTTP_GATEWAY_TIMEOUT
+            status = http.HTTPStatus.GATEWAY_TIMEOUT
         await self._answer(job.exchange, job.caller.request_id, status)
 
     async def _reject(
@@ -326,7 +334,7 @@
         await self._answer(
             exchange,
             caller.request_id,
-            const.HTTP_UNAVAILABLE,
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
             retry_after,
         )
 
--- a/nutmegtrail/gateway/map_keeper.py
+++ b/nutmegtrail/gateway/map_keeper.py
@@ -157,11 +157,11 @@
         readings_by_id: dict[str, popularity.Reading] = {}
         members = [member for group in groups for member in group.members]
         for member in _sampled(members):
-            counts = await self._engines.counts(member)
-            if counts is not None:
+            choices = await self._engines.choices(member)
+            if choices is not None:
                 readings_by_id[member.upstream_id] = popularity.Reading(
                     member.started_at_ms,
-                    tuple(counts.choices),
+                    choices,
                 )
         self._popularity = popularity.observe(
             self._popularity,
--- a/nutmegtrail/gateway/models.py
+++ b/nutmegtrail/gateway/models.py
@@ -67,7 +67,6 @@
     """Upstreams of one kind."""
 
     name: str
-    connection_limit: int
     shape: GroupShape | None
 
 
--- a/nutmegtrail/gateway/settings.py
+++ b/nutmegtrail/gateway/settings.py
@@ -7,13 +7,11 @@
 from nutmegtrail.configuration import settings
 from nutmegtrail.contracts import models as contract_models
 
-_STRICT: typing.Final = pydantic.ConfigDict(extra='forbid', frozen=True)
-
 
 class Process(pydantic.BaseModel):
     """Where the entry runs."""
 
-    model_config = _STRICT
+    model_config = settings.STRICT
 
     host: contract_models.Name
     failure_domain: contract_models.Name
@@ -24,7 +22,7 @@
 class Listen(pydantic.BaseModel):
     """Addresses that the entry listens on."""
 
-    model_config = _STRICT
+    model_config = settings.STRICT
 
     callers: settings.AddressText
     readiness: settings.AddressText
@@ -35,7 +33,7 @@
 class Store(pydantic.BaseModel):
     """The platform's store."""
 
-    model_config = _STRICT
+    model_config = settings.STRICT
 
     address: settings.AddressText
 
@@ -43,7 +41,7 @@
 class Retries(pydantic.BaseModel):
     """Second sends that the platform allows a service, over all entries."""
 
-    model_config = _STRICT
+    model_config = settings.STRICT
 
     window_seconds: float = pydantic.Field(gt=0)
     share: float = pydantic.Field(ge=0)
@@ -53,7 +51,7 @@
 class Stop(pydantic.BaseModel):
     """The planned stop."""
 
-    model_config = _STRICT
+    model_config = settings.STRICT
 
     grace_seconds: float = pydantic.Field(gt=0)
 
@@ -61,7 +59,7 @@
 class GatewaySettings(pydantic.BaseModel):
     """Settings of an entry."""
 
-    model_config = _STRICT
+    model_config = settings.STRICT
 
     process: Process
     listen: Listen
--- a/nutmegtrail/gateway/switch_run.py
+++ b/nutmegtrail/gateway/switch_run.py
@@ -1,6 +1,6 @@
 """Sends the orders of one switch of expert maps."""
 
-import functools
+import types
 import typing
 
 import anyio
@@ -13,6 +13,19 @@
 from nutmegtrail.observability import logs
 from nutmegtrail.ports import rank_control
 
+# An order without an answer is no event: it is sent again.
+_EVENT_TYPE_BY_OUTCOME: typing.Final[
+    typing.Mapping[
+        rank_control.OrderOutcome,
+        type[switches.Accepted] | type[switches.Refused],
+    ]
+] = types.MappingProxyType(
+    {
+        rank_control.OrderOutcome.ACCEPTED: switches.Accepted,
+        rank_control.OrderOutcome.REFUSED: switches.Refused,
+    },
+)
+
 
 class Group(typing.NamedTuple):
     """A complete rank group, its members in the order of their ranks."""
@@ -131,31 +144,9 @@
             if outcome is rank_control.OrderOutcome.FENCED:
                 self._lease.fenced_off()
                 return
-            event = _event(outcome, send)
-            if event is not None:
+            event_type = _EVENT_TYPE_BY_OUTCOME.get(outcome)
+            if event_type is not None:
+                event = event_type(send.upstream_id, send.order)
                 self._take(switches.decide(event, self._state), tasks)
                 return
             await anyio.sleep(const.ORDER_RETRY_SECONDS)
-
-
-@functools.cache
-def _event_type(
-    outcome: rank_control.OrderOutcome,
-) -> type[switches.Accepted] | type[switches.Refused] | None:
-    """Return the event of an answered order, None for an unanswered one."""
-    if outcome is rank_control.OrderOutcome.ACCEPTED:
-        return switches.Accepted
-    if outcome is rank_control.OrderOutcome.REFUSED:
-        return switches.Refused
-    return None
-
-
-def _event(
-    outcome: rank_control.OrderOutcome,
-    send: switches.Send,
-) -> switches.Event | None:
-    """Return the event of an answered order, None for an unanswered one."""
-    event_type = _event_type(outcome)
-    if event_type is None:
-        return None
-    return event_type(send.upstream_id, send.order)
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -10,7 +10,6 @@
 UPSTREAM_PREFIX: typing.Final = 'servers/'
 
 # The store's calls.
-READ_ITEM: typing.Final = '/api/kv-key'
 READ_RANGE: typing.Final = '/api/kv-range'
 WATCH: typing.Final = '/api/kv-watch'
 TRANSACTION: typing.Final = '/api/kv-txn'
@@ -40,15 +39,6 @@
 OPEN_STATE: typing.Final = 'open'
 READY_STATE: typing.Final = 'ready'
 
-STATUS_OK: typing.Final = 200
-STATUS_SUCCESS_LIMIT: typing.Final = 300
-STATUS_ACCEPTED: typing.Final = 202
-STATUS_NOT_FOUND: typing.Final = 404
-STATUS_GONE: typing.Final = 410
-STATUS_CONFLICT: typing.Final = 412
-STATUS_MISDIRECTED: typing.Final = 421
-
-MILLISECONDS_PER_SECOND: typing.Final = 1_000
 CALL_TIMEOUT_SECONDS: typing.Final = 1.5
 # Added to the wait of a watch before it counts as lost.
 WATCH_SLACK_SECONDS: typing.Final = 1.5
--- a/nutmegtrail/platform/documents.py
+++ b/nutmegtrail/platform/documents.py
@@ -5,6 +5,7 @@
 
 import pyrsistent
 
+from nutmegtrail import const as shared_const
 from nutmegtrail import models as shared_models
 from nutmegtrail.gateway import const as gateway_const
 from nutmegtrail.gateway import errors
@@ -123,7 +124,7 @@
             int(engine['places']),
             int(engine['spare']),
         )
-    return models.Service(row['name'], int(row.get('max_conns') or 0), shape)
+    return models.Service(row['name'], shape)
 
 
 def _upstream(upstream_id: str, row: _Document) -> models.Upstream:
@@ -167,4 +168,4 @@
 
 def _seconds(milliseconds: float) -> float:
     """Return milliseconds in seconds."""
-    return float(milliseconds) / const.MILLISECONDS_PER_SECOND
+    return float(milliseconds) / shared_const.MILLISECONDS_PER_SECOND
--- a/nutmegtrail/platform/engines.py
+++ b/nutmegtrail/platform/engines.py
@@ -1,20 +1,19 @@
 """Client of the engines' control calls."""
 
+import http
 import json
 import typing
 
-import anyio
-
-from nutmegtrail.adapters.http1 import client
-from nutmegtrail.adapters.http1 import errors
-from nutmegtrail.adapters.http1 import messages
 from nutmegtrail.expert_map import layered
 from nutmegtrail.expert_map import switch
 from nutmegtrail.gateway import models
+from nutmegtrail.observability import logs
+from nutmegtrail.platform import calls
 from nutmegtrail.platform import const
 from nutmegtrail.ports import rank_control
 
-_Document: typing.TypeAlias = dict[str, typing.Any]
+_Decoded = typing.TypeVar('_Decoded')
+_MALFORMED: typing.Final = (KeyError, TypeError, ValueError)
 
 
 class PlatformEngines:
@@ -22,53 +21,32 @@
 
     def __init__(self) -> None:
         """Start without connections."""
-        self._client = client.Client()
+        self._calls = calls.Calls()
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._client.close()
+        await self._calls.close()
 
     async def report(
         self,
         upstream: models.Upstream,
     ) -> switch.Report | None:
         """Return an engine's state of some 200 ms ago, None if unreadable."""
-        document = await self._get(upstream, const.READ_REPORT)
-        try:
-            return None if document is None else _report(document)
-        except (KeyError, TypeError, ValueError):
-            return None
+        return await self._read(upstream, const.READ_REPORT, _report)
 
-    async def counts(
+    async def choices(
         self,
         upstream: models.Upstream,
-    ) -> rank_control.Counts | None:
+    ) -> rank_control.Choices | None:
         """Return an engine's choices of experts, None if unreadable."""
-        document = await self._get(upstream, const.READ_COUNTS)
-        try:
-            if document is None:
-                return None
-            return rank_control.Counts(
-                int(document['step']),
-                int(document['epoch']),
-                document['counts'],
-            )
-        except (KeyError, TypeError, ValueError):
-            return None
+        return await self._read(upstream, const.READ_COUNTS, _choices)
 
     async def held_experts(
         self,
         upstream: models.Upstream,
     ) -> layered.Layer | None:
         """Return the experts that a rank holds, by layer."""
-        document = await self._get(upstream, const.READ_LISTS)
-        try:
-            if document is None:
-                return None
-            experts = document['map']['experts']
-            return tuple(tuple(int(one) for one in layer) for layer in experts)
-        except (KeyError, TypeError, ValueError):
-            return None
+        return await self._read(upstream, const.READ_LISTS, _held_experts)
 
     async def order(
         self,
@@ -77,7 +55,7 @@
         fence: int,
     ) -> rank_control.OrderOutcome:
         """Send an order; one without an answer may still be carried out."""
-        body: _Document = {
+        body: calls.Document = {
             'operation': order.operation.value,
             'epoch': order.epoch,
             'fence_token': fence,
@@ -88,63 +66,76 @@
             body['step'] = order.step
         if order.layers is not None:
             body['map'] = order.layers
-        answer = await self._send(
-            upstream,
+        answer = await self._calls.send(
+            upstream.address,
             b'POST',
             const.SEND_ORDER,
+            (_expect(upstream), *calls.JSON_BODY),
             json.dumps(body).encode(),
+            const.ENGINE_ORDER_TIMEOUT_SECONDS,
         )
-        if answer is None:
+        if isinstance(answer, calls.NoAnswer):
             return rank_control.OrderOutcome.UNANSWERED
-        status = answer[0].status
-        if status in {const.STATUS_OK, const.STATUS_ACCEPTED}:
+        if answer.status in {http.HTTPStatus.OK, http.HTTPStatus.ACCEPTED}:
             return rank_control.OrderOutcome.ACCEPTED
-        if status == const.STATUS_CONFLICT:
+        if answer.status == http.HTTPStatus.PRECONDITION_FAILED:
             return rank_control.OrderOutcome.FENCED
         return rank_control.OrderOutcome.REFUSED
 
-    async def _get(
+    async def _read(
         self,
         upstream: models.Upstream,
         target: bytes,
-    ) -> _Document | None:
-        """Return the document that an engine answers with."""
-        answer = await self._send(upstream, b'GET', target)
-        if answer is None or answer[0].status != const.STATUS_OK:
-            return None
+        decode: typing.Callable[[calls.Document], _Decoded],
+    ) -> _Decoded | None:
+        """Return what an engine answers with, None if unreadable."""
+        answer = await self._calls.send(
+            upstream.address,
+            b'GET',
+            target,
+            (_expect(upstream),),
+            b'',
+            const.ENGINE_READ_TIMEOUT_SECONDS,
+        )
         try:
-            document = json.loads(answer[1])
-        except ValueError:
+            return decode(_document(answer))
+        except _MALFORMED as error:
+            logs.decision(
+                'engine:unreadable',
+                upstream=upstream.upstream_id,
+                call=target.decode(),
+                detail=str(error),
+            )
             return None
-        return document if isinstance(document, dict) else None
 
-    async def _send(
-        self,
-        upstream: models.Upstream,
-        method: bytes,
-        target: bytes,
-        body: bytes = b'',
-    ) -> tuple[messages.Head, bytes] | None:
-        """Return an engine's answer, None if none came."""
-        headers: messages.Headers = (
-            (b'host', str(upstream.address).encode()),
-            (const.EXPECTED_UPSTREAM, upstream.upstream_id.encode()),
-        )
-        if body:
-            headers = (*headers, (b'content-type', b'application/json'))
-        call = client.Call(upstream.address, method, target, headers, body)
-        timeout = const.ENGINE_READ_TIMEOUT_SECONDS
-        if body:
-            timeout = const.ENGINE_ORDER_TIMEOUT_SECONDS
-        with anyio.move_on_after(timeout):
-            try:
-                return await self._client.fetch(call, const.ANSWER_BYTES_LIMIT)
-            except (errors.NotConnected, errors.ExchangeBroken):
-                return None
-        return None
-
-
-def _report(document: _Document) -> switch.Report:
+
+def _expect(upstream: models.Upstream) -> tuple[bytes, bytes]:
+    """Return the header by which another engine refuses the call."""
+    return const.EXPECTED_UPSTREAM, upstream.upstream_id.encode()
+
+
+def _document(answer: calls.Answer | calls.NoAnswer) -> calls.Document:
+    """Return the document of an answer; raise ValueError if there is none."""
+    if isinstance(answer, calls.NoAnswer):
+        raise ValueError(answer.detail)
+    if answer.status != http.HTTPStatus.OK:
+        raise ValueError(f'status {answer.status}')
+    document: calls.Document = json.loads(answer.body)
+    return document
+
+
+def _choices(document: calls.Document) -> rank_control.Choices:
+    """Return the choices of experts."""
+    return tuple(document['counts'])
+
+
+def _held_experts(document: calls.Document) -> layered.Layer:
+    """Return a rank's experts by layer."""
+    experts = document['map']['experts']
+    return tuple(tuple(int(one) for one in layer) for layer in experts)
+
+
+def _report(document: calls.Document) -> switch.Report:
     """Return an engine's report."""
     group = document['group']
     return switch.Report(
--- a/nutmegtrail/platform/headers.py
+++ b/nutmegtrail/platform/headers.py
@@ -1,7 +1,9 @@
 """Headers between callers, the system and upstreams."""
 
+import http
 import typing
 
+from nutmegtrail import const as shared_const
 from nutmegtrail.adapters.http1 import messages
 from nutmegtrail.gateway import errors
 from nutmegtrail.gateway import models
@@ -55,7 +57,10 @@
             if header[0] not in replaced
         )
         milliseconds = max(
-            int(dispatch.remaining_seconds * const.MILLISECONDS_PER_SECOND),
+            int(
+                dispatch.remaining_seconds
+                * shared_const.MILLISECONDS_PER_SECOND
+            ),
             1,
         )
         added = [
@@ -97,7 +102,7 @@
     echoed = head.header(const.REQUEST_ID).decode('latin-1')
     if echoed and echoed != request_id:
         return models.Verdict.FOREIGN
-    if head.status == const.STATUS_MISDIRECTED:
+    if head.status == http.HTTPStatus.MISDIRECTED_REQUEST:
         return models.Verdict.WRONG_UPSTREAM
     if head.header(const.NOT_EXECUTED):
         return models.Verdict.NOT_RUN
@@ -105,7 +110,7 @@
     encoded = bool(head.header(b'content-encoding'))
     if not sealed or encoded or not echoed:
         return models.Verdict.FOREIGN
-    if const.STATUS_OK <= head.status < const.STATUS_SUCCESS_LIMIT:
+    if http.HTTPStatus.OK <= head.status < http.HTTPStatus.MULTIPLE_CHOICES:
         return models.Verdict.SUCCESS
     return models.Verdict.FAILURE
 
@@ -113,6 +118,6 @@
 def _seconds(milliseconds: bytes) -> float | None:
     """Return a header's milliseconds in seconds, None if not a number."""
     try:
-        return float(milliseconds) / const.MILLISECONDS_PER_SECOND
+        return float(milliseconds) / shared_const.MILLISECONDS_PER_SECOND
     except ValueError:
         return None
--- a/nutmegtrail/platform/store.py
+++ b/nutmegtrail/platform/store.py
@@ -1,32 +1,26 @@
 """Client of the platform's store."""
 
 import base64
+import http
 import json
 import typing
 import urllib.parse
 
-import anyio
 import expression
 
+from nutmegtrail import const as shared_const
 from nutmegtrail import models
-from nutmegtrail.adapters.http1 import client
-from nutmegtrail.adapters.http1 import errors
-from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.platform import calls
 from nutmegtrail.platform import const
 from nutmegtrail.ports import key_value
 from nutmegtrail.ports import watched_store
 
-_Document: typing.TypeAlias = dict[str, typing.Any]
-_JSON_BODY: typing.Final[messages.Headers] = (
-    (b'content-type', b'application/json'),
-)
-
 
 class _Answer(typing.NamedTuple):
     """Status and body of a call that was answered."""
 
     status: int
-    document: _Document
+    document: calls.Document
 
 
 class PlatformStore:
@@ -38,12 +32,11 @@
     def __init__(self, address: models.Address) -> None:
         """Keep the address; nothing is connected yet."""
         self._address = address
-        self._client = client.Client()
-        self.calls = 0
+        self._calls = calls.Calls()
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._client.close()
+        await self._calls.close()
 
     async def snapshot(
         self,
@@ -59,7 +52,7 @@
             answer = await self._call(b'GET', const.READ_RANGE, query)
             if isinstance(answer, watched_store.StoreUnavailable):
                 return expression.Error(answer)
-            if answer.status != const.STATUS_OK:
+            if answer.status != http.HTTPStatus.OK:
                 return expression.Error(_refused(answer))
             page = answer.document
             if revision is None:
@@ -78,7 +71,7 @@
         wait_seconds: float,
     ) -> expression.Result[watched_store.Changes, watched_store.ReadError]:
         """Return the changes after a revision as soon as there is one."""
-        milliseconds = int(wait_seconds * const.MILLISECONDS_PER_SECOND)
+        milliseconds = int(wait_seconds * shared_const.MILLISECONDS_PER_SECOND)
         answer = await self._call(
             b'GET',
             const.WATCH,
@@ -91,9 +84,9 @@
         )
         if isinstance(answer, watched_store.StoreUnavailable):
             return expression.Error(answer)
-        if answer.status == const.STATUS_GONE:
+        if answer.status == http.HTTPStatus.GONE:
             return expression.Error(watched_store.HistoryLost(after_revision))
-        if answer.status != const.STATUS_OK:
+        if answer.status != http.HTTPStatus.OK:
             return expression.Error(_refused(answer))
         return expression.Ok(
             watched_store.Changes(
@@ -110,7 +103,7 @@
         lease_id: int = 0,
     ) -> expression.Result[int, key_value.SwapError]:
         """Write if the key is at the revision; return the new revision."""
-        write: _Document = {
+        write: calls.Document = {
             'key': key,
             'value': base64.b64encode(content).decode(),
         }
@@ -127,9 +120,9 @@
         )
         if isinstance(answer, watched_store.StoreUnavailable):
             return expression.Error(key_value.OutcomeUnknown(key))
-        if answer.status == const.STATUS_CONFLICT:
+        if answer.status == http.HTTPStatus.PRECONDITION_FAILED:
             return expression.Error(key_value.CompareFailed(key))
-        if answer.status != const.STATUS_OK:
+        if answer.status != http.HTTPStatus.OK:
             return expression.Error(key_value.Unavailable(key))
         return expression.Ok(int(answer.document['revision']))
 
@@ -138,13 +131,13 @@
         ttl_seconds: int,
     ) -> expression.Result[int, key_value.Unavailable]:
         """Return the identifier of a new lease."""
-        ttl_ms = ttl_seconds * const.MILLISECONDS_PER_SECOND
+        ttl_ms = ttl_seconds * shared_const.MILLISECONDS_PER_SECOND
         answer = await self._call(
             b'POST',
             const.GRANT_LEASE,
             body={'ttl_ms': ttl_ms},
         )
-        if isinstance(answer, _Answer) and answer.status == const.STATUS_OK:
+        if isinstance(answer, _Answer) and answer.status == http.HTTPStatus.OK:
             return expression.Ok(int(answer.document['lease']))
         return expression.Error(key_value.Unavailable(const.GRANT_LEASE))
 
@@ -156,9 +149,9 @@
         path = f'{const.RENEW_LEASE}/{lease_id}'
         answer = await self._call(b'POST', path)
         if isinstance(answer, _Answer):
-            if answer.status == const.STATUS_OK:
+            if answer.status == http.HTTPStatus.OK:
                 return expression.Ok(value=True)
-            if answer.status == const.STATUS_NOT_FOUND:
+            if answer.status == http.HTTPStatus.NOT_FOUND:
                 return expression.Ok(value=False)
         return expression.Error(key_value.Unavailable(path))
 
@@ -170,8 +163,8 @@
         path = f'{const.END_LEASE}/{lease_id}'
         answer = await self._call(b'DELETE', path)
         if isinstance(answer, _Answer) and answer.status in {
-            const.STATUS_OK,
-            const.STATUS_NOT_FOUND,
+            http.HTTPStatus.OK,
+            http.HTTPStatus.NOT_FOUND,
         }:
             return expression.Ok(None)
         return expression.Error(key_value.Unavailable(path))
@@ -181,44 +174,34 @@
         method: bytes,
         path: str,
         query: dict[str, str] | None = None,
-        body: _Document | None = None,
+        body: calls.Document | None = None,
         timeout_seconds: float = const.CALL_TIMEOUT_SECONDS,
     ) -> _Answer | watched_store.StoreUnavailable:
         """Return the answer of a call, or why there is none."""
-        self.calls += 1
         target = path
         if query:
             target = f'{path}?{urllib.parse.urlencode(query, safe="/")}'
-        call = client.Call(
+        answer = await self._calls.send(
             self._address,
             method,
             target.encode(),
-            ((b'host', str(self._address).encode()), *_JSON_BODY),
+            calls.JSON_BODY,
             b'' if body is None else json.dumps(body).encode(),
+            timeout_seconds,
         )
+        if isinstance(answer, calls.NoAnswer):
+            return watched_store.StoreUnavailable(f'{path}: {answer.detail}')
         try:
-            with anyio.fail_after(timeout_seconds):
-                head, raw = await self._client.fetch(
-                    call,
-                    const.ANSWER_BYTES_LIMIT,
-                )
-            return _Answer(head.status, _parse(raw))
-        except (errors.NotConnected, errors.ExchangeBroken) as error:
-            return watched_store.StoreUnavailable(f'{path}: {error}')
-        except TimeoutError:
+            return _Answer(answer.status, _parse(answer.body))
+        except ValueError as error:
             return watched_store.StoreUnavailable(
-                f'{path}: no answer within {timeout_seconds} s',
+                f'{path}: the answer is not JSON: {error}',
             )
 
 
-def _parse(raw: bytes) -> _Document:
-    """Return the JSON object of a body; raise ExchangeBroken if none."""
-    try:
-        document = json.loads(raw or b'{}')
-    except ValueError as error:
-        raise errors.ExchangeBroken(
-            f'the answer is not JSON: {error}'
-        ) from error
+def _parse(body: bytes) -> calls.Document:
+    """Return the JSON object of a body; raise ValueError if not JSON."""
+    document = json.loads(body or b'{}')
     return document if isinstance(document, dict) else {}
 
 
@@ -227,14 +210,14 @@
     return watched_store.StoreUnavailable(f'status {answer.status}')
 
 
-def _change(row: _Document) -> watched_store.Item | watched_store.Removal:
+def _change(row: calls.Document) -> watched_store.Item | watched_store.Removal:
     """Return a change of the watch."""
     if row.get('removed'):
         return watched_store.Removal(row['key'], int(row['revision']))
     return _item(row)
 
 
-def _item(row: _Document) -> watched_store.Item:
+def _item(row: calls.Document) -> watched_store.Item:
     """Return a stored item."""
     return watched_store.Item(
         row['key'],
--- a/nutmegtrail/ports/rank_control.py
+++ b/nutmegtrail/ports/rank_control.py
@@ -17,12 +17,8 @@
     UNANSWERED = 'unanswered'
 
 
-class Counts(typing.NamedTuple):
-    """Choices of experts at a rank since its start, layer after layer."""
-
-    step: int
-    epoch: int
-    choices: list[int]
+# Choices of each expert at a rank since its start, layer after layer.
+Choices: typing.TypeAlias = tuple[int, ...]
 
 
 class RankControl(typing.Protocol):
@@ -31,7 +27,7 @@
     async def report(self, upstream: models.Upstream) -> switch.Report | None:
         """Return an engine's state of some 200 ms ago, None if unreadable."""
 
-    async def counts(self, upstream: models.Upstream) -> Counts | None:
+    async def choices(self, upstream: models.Upstream) -> Choices | None:
         """Return an engine's choices of experts, None if unreadable."""
 
     async def held_experts(
--- a/tests/expert_map/test_switch.py
+++ b/tests/expert_map/test_switch.py
@@ -149,6 +149,20 @@
         send = self.generator.choice(leader.sends)
         self._send(leader, send, faults=faults)
 
+    def act_for(self, rounds):
+        """Let things happen without faults."""
+        for _ in range(rounds):
+            self.act(faults=False)
+
+    def harm_for(self, rounds):
+        """Let things happen with faults; yield whether each step agrees."""
+        for _ in range(rounds):
+            self.act(faults=True)
+            if self.generator.random() < 0.02:
+                self.take_over()
+            if self.generator.random() < 0.15:
+                yield self.advance()
+
     def take_over(self):
         """Let a new leader read the reports and complete a held switch."""
         fence = max(leader.fence for leader in self.leaders) + 1
@@ -218,12 +232,8 @@
         """Faults and take-overs never let a step begin on two maps."""
         for seed in range(_SEEDS):
             world = World(seed)
-            for _ in range(_ROUNDS):
-                world.act(faults=True)
-                if world.generator.random() < 0.02:
-                    world.take_over()
-                if world.generator.random() < 0.15:
-                    self.assertTrue(world.advance(), f'seed {seed}')
+            for agrees in world.harm_for(_ROUNDS):
+                self.assertTrue(agrees, f'seed {seed}')
 
     def test_late_leader_after_a_take_over(self):
         """Ranks that prepared different versions are fenced before a go.
@@ -244,8 +254,7 @@
         world.leaders.append(Leader(switch.begin(_MEMBERS, 1, 2, _MAP), 2))
         world.leaders[1].stopped = True
         world.take_over()
-        for _ in range(_ROUNDS):
-            world.act(faults=False)
+        world.act_for(_ROUNDS)
         arm = switch.Order(switch.Operation.ARM, 1, 1, 12)
         for engine in world.engines_by_id.values():
             engine.take(arm, 1, world.step)
@@ -257,20 +266,15 @@
         """After the faults a last leader lets the group go on."""
         for seed in range(_SEEDS):
             world = World(seed)
-            for _ in range(_ROUNDS):
-                world.act(faults=True)
-                if world.generator.random() < 0.02:
-                    world.take_over()
-                if world.generator.random() < 0.15:
-                    world.advance()
+            for agrees in world.harm_for(_ROUNDS):
+                self.assertTrue(agrees, f'seed {seed}')
             world.late.clear()
             for leader in world.leaders:
                 leader.stopped = True
             for _ in range(3):
                 world.leaders[-1].stopped = True
                 world.take_over()
-                for _ in range(_ROUNDS):
-                    world.act(faults=False)
+                world.act_for(_ROUNDS)
             before = world.step
             for _ in range(20):
                 self.assertTrue(world.advance(), f'seed {seed}')
