Work out what a group shares once for each choice of an upstream

Cause: room and pace of a group were worked out for each of its ranks, and all places anew for each waiting request that had to be passed over. Ruled out: keeping sums between choices (state that could go wrong). Three smoothings call one function. No change of behaviour; the tests are as they were.

--- a/nutmegtrail/adapters/http1/messages.py
+++ b/nutmegtrail/adapters/http1/messages.py
@@ -103,6 +103,7 @@
         self.ready: collections.deque[Request] = collections.deque()
         self.is_inside = False
         self.limits = limits
+        self._fault: int = 0
         self._parser = httptools.HttpRequestParser(self)
         self._reset()
 
@@ -170,7 +171,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
         self._body = bytearray()
-        self._fault: int = 0
+        self._fault = 0
 
 
 class ResponseReader:
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -65,8 +65,11 @@
     def observe_start(self, service: str, seconds: float) -> None:
         """Take the time from an upstream's choice to its first event."""
         known = self._expected_seconds_by_service.get(service, seconds)
-        smooth = known + const.PACE_SMOOTHING * (seconds - known)
-        self._expected_seconds_by_service[service] = smooth
+        self._expected_seconds_by_service[service] = health.smoothed(
+            known,
+            seconds,
+            const.PACE_SMOOTHING,
+        )
 
     def dispatch_all(self) -> None:
         """Serve all lines, for example after a change of the fleet."""
@@ -84,10 +87,13 @@
             return
         now = anyio.current_time()
         expected = self._expected_seconds_by_service.get(service, 0)
+        places: tuple[selection.Place, ...] | None = None
         for waiting in waiting_line.in_order(line, now + expected):
+            if places is None:
+                places = self._places(service, now)
             late = now + expected > waiting.objective_at_seconds
             place = selection.choose(
-                selection.places(self._situation(), service, now),
+                places,
                 waiting.excluded_ids,
                 self._failure_domain,
                 const.ROOM_FOR_LATE if late else 1.0,
@@ -102,6 +108,7 @@
                 place.upstream.upstream_id,
             )
             self._decide(waiting.request_id, place)
+            places = None
         self._lines_by_service[service] = self._shorten(service, line, now)
 
     def has_upstreams(self, service: str, excluded: frozenset[str]) -> bool:
@@ -126,9 +133,14 @@
             self._decide(request_id, None)
         return cut.line
 
-    def _situation(self) -> selection.Situation:
-        """Return what a choice depends on."""
-        return selection.Situation(self.members, self.standings, self.counts)
+    def _places(self, service: str, now: float) -> tuple[selection.Place, ...]:
+        """Return the places of a service as they are now."""
+        situation = selection.Situation(
+            self.members,
+            self.standings,
+            self.counts,
+        )
+        return selection.places(situation, service, now)
 
     def _decide(
         self,
--- a/nutmegtrail/gateway/health.py
+++ b/nutmegtrail/gateway/health.py
@@ -47,6 +47,11 @@
     strains_by_group: StrainsByGroup = pyrsistent.pmap()
 
 
+def smoothed(known: float, sample: float, weight: float) -> float:
+    """Return a known level moved towards a sample by the sample's weight."""
+    return known + weight * (sample - known)
+
+
 def succeeded(health: Health, name: str) -> Health:
     """Return the health after a good answer."""
     if name not in health.standings_by_id:
@@ -96,8 +101,7 @@
     known = health.paces_by_group.get(group)
     smooth = seconds
     if known is not None:
-        difference = seconds - known.seconds
-        smooth = known.seconds + const.PACE_SMOOTHING * difference
+        smooth = smoothed(known.seconds, seconds, const.PACE_SMOOTHING)
     return health._replace(
         paces_by_group=health.paces_by_group.set(
             group,
@@ -135,7 +139,7 @@
     if known is not None:
         rising = sample > known.level
         weight = const.STRAIN_RISE if rising else const.STRAIN_FALL
-        level = known.level + weight * (sample - known.level)
+        level = smoothed(known.level, sample, weight)
     return health._replace(
         strains_by_group=health.strains_by_group.set(
             group,
--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -54,31 +54,36 @@
         for upstream in fleet.usable(situation.members, service)
         if not _is_ejected(situation.standings, upstream, now_seconds)
     )
-    crowd_by_group = _crowds(upstreams, counts_by_id)
+    shared_by_group = {
+        group: _Shared(
+            crowd.in_flight,
+            _room(situation, group, crowd, now_seconds),
+            health.pace(situation.standings, group, now_seconds),
+        )
+        for group, crowd in _crowds(upstreams, counts_by_id).items()
+    }
     return tuple(
         Place(
             upstream,
             counts_by_id.get(upstream.upstream_id, 0),
-            crowd_by_group[upstream.pace_group].in_flight,
-            _room(
-                situation,
-                upstream,
-                crowd_by_group[upstream.pace_group],
-                now_seconds,
-            ),
-            health.pace(
-                situation.standings,
-                upstream.pace_group,
-                now_seconds,
-            ),
+            *shared_by_group[upstream.pace_group],
         )
         for upstream in upstreams
     )
 
 
+class _Shared(typing.NamedTuple):
+    """What the upstreams of a group share; the last fields of a `Place`."""
+
+    in_flight: int
+    room: float
+    pace_seconds: float
+
+
 class _Crowd(typing.NamedTuple):
     """Upstreams that share their pace, and the requests at them."""
 
+    is_rank_group: bool
     ranks: int = 0
     slots: int = 0
     in_flight: int = 0
@@ -91,8 +96,10 @@
     """Return the sums over each group."""
     crowd_by_group: dict[str, _Crowd] = {}
     for upstream in upstreams:
-        crowd = crowd_by_group.get(upstream.pace_group, _Crowd())
+        grouped = upstream.membership is not None
+        crowd = crowd_by_group.get(upstream.pace_group, _Crowd(grouped))
         crowd_by_group[upstream.pace_group] = _Crowd(
+            grouped,
             crowd.ranks + 1,
             crowd.slots + upstream.slots,
             crowd.in_flight + counts_by_id.get(upstream.upstream_id, 0),
@@ -102,20 +109,19 @@
 
 def _room(
     situation: Situation,
-    upstream: models.Upstream,
+    group: str,
     crowd: _Crowd,
     now_seconds: float,
 ) -> float:
-    """Return the requests that an upstream's group can hold."""
+    """Return the requests that a group can hold."""
     room = health.room(
         situation.standings,
-        upstream.pace_group,
+        group,
         crowd.in_flight,
         now_seconds,
     )
     if room is None:
-        grouped = upstream.membership is not None
-        share = const.ROOM_BEFORE_STRAIN if grouped else 1.0
+        share = const.ROOM_BEFORE_STRAIN if crowd.is_rank_group else 1.0
         room = crowd.slots * share
     return max(room, crowd.ranks * const.ROOM_PER_RANK_LEAST)
 
