--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -91,13 +91,7 @@
         for waiting in waiting_line.in_order(line, now + expected):
             if places is None:
                 places = self._places(service, now)
-            late = now + expected > waiting.objective_at_seconds
-            place = selection.choose(
-                places,
-                waiting.excluded_ids,
-                self._failure_domain,
-                const.ROOM_FOR_LATE if late else 1.0,
-            )
+            place = self._choose(places, waiting, now + expected)
             if place is None and waiting.excluded_ids:
                 continue
             if place is None:
@@ -133,6 +127,21 @@
             self._decide(request_id, None)
         return cut.line
 
+    def _choose(
+        self,
+        places: tuple[selection.Place, ...],
+        waiting: waiting_line.Waiting,
+        answer_at_seconds: float,
+    ) -> selection.Place | None:
+        """Return the place of a request; a late one leaves some room."""
+        late = answer_at_seconds > waiting.objective_at_seconds
+        return selection.choose(
+            places,
+            waiting.excluded_ids,
+            self._failure_domain,
+            const.ROOM_FOR_LATE if late else 1.0,
+        )
+
     def _places(self, service: str, now: float) -> tuple[selection.Place, ...]:
         """Return the places of a service as they are now."""
         situation = selection.Situation(
