Close the clients of the store and the engines at the end of a stop

Cause: the entry closed its callers' connections only; two unused properties of a response are gone. Ruled out: leaving it to the end of the process (the house rule asks for an explicit close).

--- a/nutmegtrail/adapters/http1/client.py
+++ b/nutmegtrail/adapters/http1/client.py
@@ -56,16 +56,6 @@
         self._reader = reader
         self.head = typing.cast('messages.Head', reader.head)
 
-    @property
-    def complete(self) -> bool:
-        """Return whether the whole body has been received."""
-        return self._reader.complete
-
-    @property
-    def surplus(self) -> bool:
-        """Return whether bytes followed the answer."""
-        return self._reader.surplus
-
     async def receive(self) -> bytes:
         """Return a part of the body, b'' at its end."""
         part = self._reader.take_body()
--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -55,8 +55,9 @@
         core.store,
         random.Random(),
     )
+    engines = platform_engines.PlatformEngines()
     keeper = map_keeper.MapKeeper(
-        platform_engines.PlatformEngines(),
+        engines,
         core.dispatcher,
         lease,
         core.readings,
@@ -90,6 +91,7 @@
             core.readings,
             lease,
             keeper,
+            (engines, core.store),
         ),
     )
 
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -38,6 +38,13 @@
 ]
 
 
+class Closeable(typing.Protocol):
+    """Holds connections until it is closed."""
+
+    async def close(self) -> None:
+        """Close the connections."""
+
+
 class Parts(typing.NamedTuple):
     """Collaborators of the entry, wired by the composition root."""
 
@@ -48,6 +55,7 @@
     readings: metrics.Metrics
     lease: leader_lease.LeaderLease
     keeper: map_keeper.MapKeeper
+    clients: tuple[Closeable, ...]
 
 
 class Gateway:
@@ -85,6 +93,8 @@
         await self._parts.lease.resign()
         await self._parts.gossip.close()
         await self._parts.flow.close()
+        for client in self._parts.clients:
+            await client.close()
         logs.decision('daemon:stopped', host=self._configured.process.host)
 
     def _background(self) -> tuple[Task, ...]:
