Mend twins that earlier work had left

Cause: a message was handed to a sidecar's connection in two places, a chat was streamed twice in the process tests, two experiments spread their seeds over processes alike, and milliseconds stood in three more modules. Ruled out: the two refusals of a repeated call without key, which differ, and the searches for a placement, whose maps have another shape.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -12,13 +12,13 @@
 from benchmarks import launcher
 from benchmarks import report
 from benchmarks import scene
+from nutmegtrail import const as shared_const
 
 _REQUESTS: typing.Final = 200
 _RATE_PER_SECOND: typing.Final = 20
 _STREAMS: typing.Final = (8, 16, 32, 64)
 _TOKENS: typing.Final = 400
 _TICKS_PER_SECOND: typing.Final = os.sysconf('SC_CLK_TCK')
-_MILLISECONDS: typing.Final = 1_000
 _PAGE_BYTES: typing.Final = os.sysconf('SC_PAGE_SIZE')
 _BYTES_PER_MEBIBYTE: typing.Final = 1_048_576
 _TIMEOUT_SECONDS: typing.Final = 120.0
@@ -75,7 +75,7 @@
     began = time.perf_counter()
     response = await client.get(url, headers=headers)
     response.raise_for_status()
-    return (time.perf_counter() - began) * _MILLISECONDS
+    return (time.perf_counter() - began) * shared_const.MILLISECONDS_PER_SECOND
 
 
 def _latency_row(name: str, milliseconds: list[float]) -> _Row:
--- a/benchmarks/rebalancing.py
+++ b/benchmarks/rebalancing.py
@@ -1,7 +1,6 @@
 """Rebalancing policies on seeded traces: mean skew and experts moved."""
 
 import collections.abc
-import concurrent.futures
 import itertools
 import statistics
 import types
@@ -10,6 +9,7 @@
 import numpy as np
 
 from benchmarks import report
+from benchmarks import seeded_runs
 from benchmarks import traces
 from nutmegtrail.expert_map import placement
 from nutmegtrail.expert_map import popularity
@@ -24,7 +24,6 @@
 BOARD: typing.Final = rebalancing.Weights(4, 1, 600)
 ZAVOD: typing.Final = rebalancing.Weights(1, 4, 600)
 _THRESHOLD_SKEW: typing.Final = 1.1
-_WORKERS: typing.Final = 6
 
 
 class Situation(typing.NamedTuple):
@@ -120,16 +119,14 @@
 def run(seed: int, seeds: int = 10) -> report.Table:
     """Return the table of all policies, traces and sizes."""
     cases = list(itertools.product(SIZES, traces.NAMES, POLICIES))
-    jobs = [
-        (policy, trace, SIZES[size], seed + offset)
-        for size, trace, policy in cases
-        for offset in range(seeds)
-    ]
-    with concurrent.futures.ProcessPoolExecutor(_WORKERS) as pool:
-        outcomes = list(pool.map(run_trace, *zip(*jobs, strict=True)))
+    outcomes = seeded_runs.outcomes_by_case(
+        run_trace,
+        cases,
+        _arguments,
+        range(seed, seed + seeds),
+    )
     rows = []
-    for place, (size, trace, policy) in enumerate(cases):
-        group = outcomes[place * seeds : (place + 1) * seeds]
+    for (size, trace, policy), group in outcomes:
         skews = [outcome.skew for outcome in group]
         moves = [outcome.moves for outcome in group]
         rows.append(
@@ -147,6 +144,15 @@
     return report.Table('rebalancing', heads, tuple(rows))
 
 
+def _arguments(
+    case: tuple[str, str, Policy],
+    seed: int,
+) -> tuple[Policy, str, traces.Size, int]:
+    """Return the arguments of one run of a case."""
+    size, trace, policy = case
+    return policy, trace, SIZES[size], seed
+
+
 def _decide(
     situation: Situation,
     weights: rebalancing.Weights,
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -6,7 +6,6 @@
 
 import collections
 import collections.abc
-import concurrent.futures
 import heapq
 import itertools
 import random
@@ -14,6 +13,7 @@
 import typing
 
 from benchmarks import report
+from benchmarks import seeded_runs
 from nutmegtrail.routing import candidates
 from nutmegtrail.routing import load as load_estimate
 from nutmegtrail.routing import models
@@ -32,7 +32,6 @@
 _LOST_REPORTS: typing.Final = 0.2
 _HOT_SHARE: typing.Final = 0.3
 _SLOWNESS: typing.Final = 2.0
-_WORKERS: typing.Final = 6
 TRACES: typing.Final = ('steady', 'hot-prefix', 'straggler', 'vanishing')
 POLICIES: typing.Final = (
     'random',
@@ -204,16 +203,14 @@
 def run(seed: int, seeds: int = 10) -> report.Table:
     """Return the table of all policies and traces."""
     cases = list(itertools.product(TRACES, POLICIES))
-    jobs = [
-        (policy, trace, seed + offset)
-        for trace, policy in cases
-        for offset in range(seeds)
-    ]
-    with concurrent.futures.ProcessPoolExecutor(_WORKERS) as pool:
-        outcomes = list(pool.map(_run_case, *zip(*jobs, strict=True)))
+    outcomes = seeded_runs.outcomes_by_case(
+        _run_case,
+        cases,
+        _arguments,
+        range(seed, seed + seeds),
+    )
     rows = []
-    for place, (trace, policy) in enumerate(cases):
-        group = outcomes[place * seeds : (place + 1) * seeds]
+    for (trace, policy), group in outcomes:
         times = [outcome.first_token for outcome in group]
         hits = [outcome.hits for outcome in group]
         rows.append(
@@ -229,6 +226,12 @@
     return report.Table('routing', heads, tuple(rows))
 
 
+def _arguments(case: tuple[str, str], seed: int) -> tuple[str, str, int]:
+    """Return the arguments of one run of a case."""
+    trace, policy = case
+    return policy, trace, seed
+
+
 def _run_case(policy: str, trace: str, seed: int) -> Outcome:
     """Return the outcome of one run."""
     return _World(policy, trace, seed).run()
--- a/nutmegtrail/daemons/request_flow.py
+++ b/nutmegtrail/daemons/request_flow.py
@@ -24,8 +24,6 @@
 from nutmegtrail.wire import errors as wire_errors
 from nutmegtrail.wire import models
 
-_MILLISECONDS: typing.Final = 1_000
-
 
 class Collaborators(typing.NamedTuple):
     """What the flows of an entry share."""
@@ -116,13 +114,16 @@
             self._request,
             self._delivery.attempts,
             self._delivery.next_offset,
-            max(round(self._remaining_seconds() * _MILLISECONDS), 0),
+            max(
+                round(
+                    self._remaining_seconds()
+                    * shared_const.MILLISECONDS_PER_SECOND
+                ),
+                0,
+            ),
             suspect=self._shared.selector.is_suspect(self._request),
         )
-        try:
-            await self._shared.pool.send(host, self._pending, call)
-        except wire_errors.ConnectionLost:
-            self._shared.selector.refused(host.upstream)
+        if not await self._hand_over(host, call):
             return delivery_models.NotSent()
         self._shared.selector.started(host.upstream)
         try:
@@ -240,15 +241,25 @@
             self._request.target,
             self._request.idempotency_key,
         )
-        try:
-            await self._shared.pool.send(host, self._pending, tombstone)
-        except wire_errors.ConnectionLost:
-            self._shared.selector.refused(host.upstream)
+        if not await self._hand_over(host, tombstone):
             return delivery_models.NotSent()
         with anyio.move_on_after(const.TOMBSTONE_TIMEOUT_SECONDS):
             return await self._receive()
         return delivery_models.Lost()
 
+    async def _hand_over(
+        self,
+        host: host_list.Host,
+        message: models.Call | models.Tombstone,
+    ) -> bool:
+        """Return whether a connection to a sidecar took a message."""
+        try:
+            await self._shared.pool.send(host, self._pending, message)
+        except wire_errors.ConnectionLost:
+            self._shared.selector.refused(host.upstream)
+            return False
+        return True
+
     async def _give_up(self, reason: retry_models.Reason) -> None:
         """Give the caller its final answer at once."""
         self._shared.pool.cancel(self._pending)
--- a/nutmegtrail/daemons/sidecar_calls.py
+++ b/nutmegtrail/daemons/sidecar_calls.py
@@ -6,6 +6,7 @@
 import anyio
 import anyio.abc
 
+from nutmegtrail import const as shared_const
 from nutmegtrail.daemons import shard_driver
 from nutmegtrail.delivery import answers
 from nutmegtrail.delivery import const as delivery_const
@@ -20,7 +21,6 @@
 from nutmegtrail.wire import models
 
 _Reason: typing.TypeAlias = retry_models.Reason
-_MILLISECONDS: typing.Final = 1_000
 
 
 class Calls:
@@ -188,7 +188,8 @@
             call.request_id,
             call.attempt,
             keys.body_digest(call),
-            time.time() + call.deadline_ms / _MILLISECONDS,
+            time.time()
+            + call.deadline_ms / shared_const.MILLISECONDS_PER_SECOND,
         )
         shards.submit(record_id, idempotency_models.CallArrived(keyed))
 
@@ -309,7 +310,10 @@
         recording = self.store.get(request_id)
         if recording is None:
             return
-        base_ms = round(retry_const.RETRY_AFTER_BASE_SECONDS * _MILLISECONDS)
+        base_ms = round(
+            retry_const.RETRY_AFTER_BASE_SECONDS
+            * shared_const.MILLISECONDS_PER_SECOND
+        )
         recording.refuse(reason, time.monotonic(), base_ms, owner)
         call = self._calls_by_id.get(request_id)
         if call is None or call.idempotent or call.idempotency_key:
--- a/tests/daemons/test_processes.py
+++ b/tests/daemons/test_processes.py
@@ -61,6 +61,16 @@
             timeout=_WAIT_SECONDS,
         )
 
+    def stream(self, entry, chat):
+        """Return the context of an answer that is read line by line."""
+        return httpx.stream(
+            'POST',
+            f'{self.deployment.url(entry)}/v1/chat/completions',
+            json=chat,
+            headers=_HEADERS,
+            timeout=_WAIT_SECONDS,
+        )
+
     def runs(self, key):
         """Return how often the services ran a key."""
         return sum(
@@ -283,15 +293,8 @@
 
     def test_stream_goes_on_over_a_new_connection(self):
         """No event is lost or doubled, and the engine runs it once."""
-        url = f'{self.deployment.url("entry-a")}/v1/chat/completions'
         events = []
-        with httpx.stream(
-            'POST',
-            url,
-            json=_chat('silent', 150),
-            headers=_HEADERS,
-            timeout=_WAIT_SECONDS,
-        ) as response:
+        with self.stream('entry-a', _chat('silent', 150)) as response:
             for line in response.iter_lines():
                 if line.startswith('data: '):
                     events.append(line)
@@ -413,15 +416,8 @@
 
     def test_stream_ends_by_an_error_event(self):
         """A caller is told that its answer is not whole."""
-        url = f'{self.deployment.url("entry-a")}/v1/chat/completions'
         lines = []
-        with httpx.stream(
-            'POST',
-            url,
-            json=_chat('cut', 300),
-            headers=_HEADERS,
-            timeout=_WAIT_SECONDS,
-        ) as response:
+        with self.stream('entry-a', _chat('cut', 300)) as response:
             for line in response.iter_lines():
                 lines.append(line)
                 if len(lines) == 10:
