Cut a silent stream only where another upstream may go on with it

Ruled out: a longer silence limit, since callers leave after two seconds and a resume needs the rest. Change: after a silence the group is left out as before; the stream is given up only where the route, the fleet and the retry budget allow another upstream, otherwise the entry waits on, up to the deadline.

--- a/nutmegtrail/gateway/flow.py
+++ b/nutmegtrail/gateway/flow.py
@@ -233,11 +233,8 @@
         splitter = events.Splitter()
         last_at = anyio.current_time()
         while True:
-            try:
-                with anyio.fail_after(const.STREAM_SILENCE_SECONDS):
-                    part = await response.receive()
-            except TimeoutError:
-                self._observer.leave_group_out(upstream)
+            part = await self._next_part(job, upstream, response)
+            if part is None:
                 return attempts.Broken(upstream.upstream_id)
             whole = splitter.feed(part)
             advance = events.advance(job.position, whole)
@@ -263,6 +260,35 @@
         await job.exchange.finish()
         return None
 
+    async def _next_part(
+        self,
+        job: jobs.Job,
+        upstream: models.Upstream,
+        response: client.Response,
+    ) -> bytes | None:
+        """Return a part of a stream, None where it should go on elsewhere."""
+        while True:
+            with anyio.move_on_after(const.STREAM_SILENCE_SECONDS):
+                return await response.receive()
+            self._observer.leave_group_out(upstream)
+            if self._may_resume(job, upstream):
+                return None
+
+    def _may_resume(self, job: jobs.Job, upstream: models.Upstream) -> bool:
+        """Return whether another upstream may go on with a stream."""
+        decided = attempts.decide(
+            attempts.Broken(upstream.upstream_id),
+            job.delivery,
+        )
+        return (
+            isinstance(decided.action, attempts.Repeat)
+            and self._dispatcher.has_upstreams(
+                job.service,
+                decided.delivery.excluded_ids,
+            )
+            and self._budget_after_repeat(job.service) is not None
+        )
+
     async def _pass_events(
         self,
         job: jobs.Job,
@@ -362,15 +388,19 @@
         """Return the retry budget of a service."""
         return self._budgets_by_service.get(service, retry_budget.Budget())
 
-    def _spend(self, service: str) -> bool:
-        """Return whether the budget allows a second send."""
+    def _budget_after_repeat(self, service: str) -> retry_budget.Budget | None:
+        """Return the budget after a second send, None where not allowed."""
         entries = self._dispatcher.entries
         base = self._allowance.base * const.RETRY_ALLOWANCE_SHARE / entries
-        left = retry_budget.spend(
+        return retry_budget.spend(
             self._budget(service),
             self._allowance._replace(base=base),
             anyio.current_time(),
         )
+
+    def _spend(self, service: str) -> bool:
+        """Return whether the budget allows a second send."""
+        left = self._budget_after_repeat(service)
         if left is None:
             self._metrics.count('retries_refused', service)
             return False
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -18,7 +18,7 @@
 _STREAM = b''.join(b'id: %d\ndata: x\n\n' % number for number in range(1, 6))
 
 
-def _settings(addresses, store):
+def _settings(addresses, store, retry_base):
     """Return the settings of an entry."""
     names = ('callers', 'readiness', 'peers', 'metrics')
     listen = {
@@ -30,7 +30,11 @@
             'process': {'host': 'entry-1', 'failure_domain': 'kandla-a'},
             'listen': listen,
             'store': {'address': str(store.address)},
-            'retries': {'window_seconds': 10, 'share': 0.2, 'base': 92},
+            'retries': {
+                'window_seconds': 10,
+                'share': 0.2,
+                'base': retry_base,
+            },
             'stop': {'grace_seconds': 8},
         },
     )
@@ -39,6 +43,8 @@
 class PathTest(testtools.TestCase):
     """One entry before two engines of each service."""
 
+    retry_base = 92
+
     def _run(self, scenario):
         """Run a scenario beside the entry and its stand-ins."""
 
@@ -71,7 +77,7 @@
         self.configure(version=7)
         self.addresses = [loopback.free_address() for _ in range(4)]
         self.entry = gateway.create_gateway(
-            _settings(self.addresses, self.store),
+            _settings(self.addresses, self.store, self.retry_base),
         )
         self.caller = client.Client()
         tasks.start_soon(self.entry.start)
@@ -164,6 +170,18 @@
 
         self._run(_scenario)
 
+    def test_silence_without_retries_left(self):
+        """A stream is not cut for a pause when no retry is left for it."""
+        self.retry_base = 0
+
+        async def _scenario():
+            self._script(self.drafts, 'pausing')
+            status, _, body = await self._ask(b'/long/prefix/a')
+            self.assertEqual((200, _STREAM), (status, body))
+            self.assertEqual(1, self._ran(self.drafts))
+
+        self._run(_scenario)
+
     def test_cut_everywhere(self):
         """A stream that nobody completes does not look complete."""
 
