--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -43,20 +43,18 @@
 class PathTest(testtools.TestCase):
     """One entry before two engines of each service."""
 
-    retry_base = 92
-
-    def _run(self, scenario):
+    def _run(self, scenario, retry_base=92):
         """Run a scenario beside the entry and its stand-ins."""
 
         async def _main():
             with anyio.fail_after(_WAIT_SECONDS):
                 async with contextlib.AsyncExitStack() as stack:
-                    await self._start(stack)
+                    await self._start(stack, retry_base)
                     await scenario()
 
         anyio.run(_main)
 
-    async def _start(self, stack):
+    async def _start(self, stack, retry_base):
         """Start the stand-ins and the entry; wait until it is ready."""
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
@@ -77,7 +75,7 @@
         self.configure(version=7)
         self.addresses = [loopback.free_address() for _ in range(4)]
         self.entry = gateway.create_gateway(
-            _settings(self.addresses, self.store, self.retry_base),
+            _settings(self.addresses, self.store, retry_base),
         )
         self.caller = client.Client()
         tasks.start_soon(self.entry.start)
@@ -172,7 +170,6 @@
 
     def test_silence_without_retries_left(self):
         """A stream is not cut for a pause when no retry is left for it."""
-        self.retry_base = 0
 
         async def _scenario():
             self._script(self.drafts, 'pausing')
@@ -180,7 +177,7 @@
             self.assertEqual((200, _STREAM), (status, body))
             self.assertEqual(1, self._ran(self.drafts))
 
-        self._run(_scenario)
+        self._run(_scenario, retry_base=0)
 
     def test_cut_everywhere(self):
         """A stream that nobody completes does not look complete."""
