Explain a request from the log lines: nutmegtrail explain ID FILE...

Ruled out: one merged timeline of all files, since clocks of hosts differ; each file tells its own. Change: observability/explain.py turns lines into a timeline with the process's lines of the second before, and names the cause in the last line; the entry does not load it.

--- a/nutmegtrail/cli/main.py
+++ b/nutmegtrail/cli/main.py
@@ -1,5 +1,6 @@
 """The command `nutmegtrail`."""
 
+import pathlib
 import secrets
 
 import httpx
@@ -15,6 +16,7 @@
 from nutmegtrail.configuration import errors
 from nutmegtrail.configuration import settings
 from nutmegtrail.contracts import credentials
+from nutmegtrail.observability import explain
 
 application = typer.Typer(
     help='Load balancer for expert-parallel model groups.',
@@ -97,6 +99,28 @@
     typer.echo(f'key:    {key}\ndigest: {credentials.digest_of(key)}')
 
 
+@application.command('explain')
+def explain_request(request_id: str, files: list[pathlib.Path]) -> None:
+    """Show what the logs say of a request, and the cause of its end.
+
+    Example: nutmegtrail explain 9c41d07be2a35f68 entry-*.log
+    """
+    found = []
+    for path in files:
+        try:
+            with path.open(encoding='utf-8', errors='replace') as lines:
+                found.append(explain.explain(str(path), lines, request_id))
+        except OSError as error:
+            typer.echo(f'error: {path} can not be read: {error}', err=True)
+            raise typer.Exit(const.EXIT_SETTINGS) from error
+    timelines = [timeline for timeline in found if timeline is not None]
+    if not timelines:
+        typer.echo(f'error: no file has a line about {request_id}', err=True)
+        raise typer.Exit(const.EXIT_UNAVAILABLE)
+    for timeline in timelines:
+        typer.echo(explain.describe(timeline))
+
+
 def _ask_operator(
     method: str,
     address: str,
--- a/nutmegtrail/observability/const.py
+++ b/nutmegtrail/observability/const.py
@@ -1,4 +1,4 @@
-"""Ranges of the histograms."""
+"""Ranges of the histograms, bounds of the log lines and their reading."""
 
 import typing
 
@@ -13,3 +13,7 @@
 LOG_LINES_PER_SECOND: typing.Final = 500
 # A pipe that is ready takes 4,096 bytes without blocking.
 LOG_LINE_CHARACTERS: typing.Final = 4_000
+
+# What the process learned shortly before a request may have decided it.
+CONTEXT_SECONDS: typing.Final = 1.0
+FIRST_FAILURE_STATUS: typing.Final = 400
