Fence a predecessor off before its switch is read; measure strain by its peak

Change: a leader first makes its fence known to all ranks, by disarming a version that nobody has, waits until reports are younger than that, and only then resumes; a group that refuses a map is read again.

Room was worked out from the load of now and the pauses of the pass before, so that it grew with a crowd; and nine entries each filled the same free room at once. Change: strain a request, the highest recent one with a half-life of 0.5 s, by the load of the pass that was measured; each entry fills its part of the free room between two reports.

Cause 3: a group was held up to 0.2 s where orders get lost. Change: the held step is 7 instead of 4 steps ahead once an order of the switch had no answer.

Cause 4: the first plan after a shift was made from choices of before and after it. Change: the older choices are dropped where the present map is a fifth slower under the latest ones.

Cause 5: a read whose answer was lost waited for its deadline. Change: it is asked for elsewhere within the retry budget; connections are tried for 0.3 s.

--- a/nutmegtrail/adapters/http1/const.py
+++ b/nutmegtrail/adapters/http1/const.py
@@ -8,8 +8,9 @@
 # A client may pipeline; more than this waits in the socket.
 PIPELINED_REQUESTS_LIMIT: typing.Final = 4
 
-# Clients of the platform give up on a connection attempt after a second.
-CONNECT_TIMEOUT_SECONDS: typing.Final = 1.0
+# Peers of a region accept within milliseconds, and some callers wait for
+# 0.6 s only; a lost opening packet is not sent again before a second.
+CONNECT_TIMEOUT_SECONDS: typing.Final = 0.3
 CLIENT_WRITE_TIMEOUT_SECONDS: typing.Final = 10.0
 
 # Keep-alive probes find a peer that has gone silent within three seconds,
--- a/nutmegtrail/expert_map/switch.py
+++ b/nutmegtrail/expert_map/switch.py
@@ -19,6 +19,8 @@
 # Steps between the newest known one and the one that is held: reports are
 # some 200 ms old and a step takes 20 ms or more.
 HOLD_MARGIN_STEPS: typing.Final = 4
+# Where orders get lost, all ranks are armed only after some repetitions.
+HOLD_MARGIN_LOSSY_STEPS: typing.Final = 7
 HOLD_ATTEMPTS: typing.Final = 10
 
 
@@ -91,6 +93,7 @@
     held_step: int = 0
     holder_id: str = ''
     hold_attempts: int = 0
+    hold_margin_steps: int = HOLD_MARGIN_STEPS
     prepared_ids: frozenset[str] = frozenset()
     armed_ids: frozenset[str] = frozenset()
     disarmed_ids: frozenset[str] = frozenset()
@@ -124,6 +127,13 @@
     order: Order
 
 
+class Unanswered(typing.NamedTuple):
+    """An order got no answer; it will be sent again."""
+
+    upstream_id: str
+    order: Order
+
+
 class Reported(typing.NamedTuple):
     """An engine's report was read."""
 
@@ -131,7 +141,7 @@
     report: Report
 
 
-Event: typing.TypeAlias = Accepted | Refused | Reported
+Event: typing.TypeAlias = Accepted | Refused | Unanswered | Reported
 
 
 def begin(
@@ -236,6 +246,14 @@
     return _released(operation, switch)
 
 
+@decide.register
+def _unanswered(event: Unanswered, switch: Switch) -> Decision:
+    """Leave more steps to arm all ranks, since orders get lost."""
+    return Decision(
+        switch._replace(hold_margin_steps=HOLD_MARGIN_LOSSY_STEPS),
+    )
+
+
 @decide.register
 def _reported(event: Reported, switch: Switch) -> Decision:
     """Notice a new epoch, which forgets all orders, and finished copies."""
@@ -264,7 +282,7 @@
     held = switch._replace(
         phase=Phase.HOLDING,
         hold_attempts=switch.hold_attempts + 1,
-        held_step=least + HOLD_MARGIN_STEPS,
+        held_step=least + switch.hold_margin_steps,
     )
     order = Order(Operation.HOLD, held.epoch, step=held.held_step)
     return Decision(held, (Send(held.holder_id, order),))
--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -37,6 +37,13 @@
 # abandon it after two seconds.
 STREAM_SILENCE_SECONDS: typing.Final = 1.0
 
+# A call without an answer is repeated while the second answer can still be
+# on time, but not before it has taken several times as long as usual.
+CALL_SILENCE_SHARE: typing.Final = 0.6
+CALL_SILENCE_PACES: typing.Final = 3.0
+# Over the time after which a connection attempt is known to have failed.
+CALL_SILENCE_LEAST_SECONDS: typing.Final = 0.35
+
 # A refused caller comes back after a part of its time, so that it can
 # still be served and a crowd has had time to thin out.
 RETRY_AFTER_SHARE: typing.Final = 0.125
@@ -85,6 +92,9 @@
 RANKS_PER_SAMPLE: typing.Final = 16
 SAMPLED_RANKS_LEAST: typing.Final = 2
 POPULARITY_HALF_LIFE_SECONDS: typing.Final = 0.6
+# The present map is slower by so much under the latest choices than under
+# the faded ones once a shift has begun; without one they differ by a tenth.
+SHIFT_RATIO: typing.Final = 1.2
 
 # Fall of a step's expert time that pays for the copies of a switch.
 MAP_LEAST_GAIN: typing.Final = 0.1
@@ -96,6 +106,8 @@
 REPORT_INTERVAL_SECONDS: typing.Final = 0.1
 ORDER_RETRY_SECONDS: typing.Final = 0.01
 ORDER_RETRY_LIMIT_SECONDS: typing.Final = 0.08
+# A leader orders some versions a second and reports are younger than one.
+UNUSED_VERSION_GAP: typing.Final = 1_000
 # A held step begins within some passes of up to 0.1 s.
 MAP_PATIENCE_SECONDS: typing.Final = 0.6
 SWITCH_TIMEOUT_SECONDS: typing.Final = 10.0
@@ -106,8 +118,11 @@
 # of a step's time does not depend on the requests in flight.
 STRAIN_TARGET: typing.Final = 0.9
 STRAIN_WITHOUT_LOAD: typing.Final = 0.25
-STRAIN_RISE: typing.Final = 0.2
-STRAIN_FALL: typing.Final = 0.05
+# A pass that was slow is remembered for about as long as a shift of the
+# experts' popularity takes to be answered by a new map.
+STRAIN_HALF_LIFE_SECONDS: typing.Final = 0.5
+# A single long stall says little of the load.
+STRAIN_SAMPLE_LIMIT: typing.Final = 2.0
 STRAIN_MEMORY_SECONDS: typing.Final = 1.0
 # Share of a group's slots that is used before its strain is known.
 ROOM_BEFORE_STRAIN: typing.Final = 0.7
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -31,6 +31,8 @@
         self.entries = 1
         self._expected_seconds_by_service: dict[str, float] = {}
         self._failure_domain = failure_domain
+        self._loads_by_group: dict[str, int] = {}
+        self._former_loads_by_group: dict[str, int] = {}
         self._lines_by_service: dict[str, waiting_line.Line] = {}
         self._tickets_by_id: dict[str, _Ticket] = {}
 
@@ -71,11 +73,17 @@
             const.PACE_SMOOTHING,
         )
 
+    def former_load(self, group: str) -> int:
+        """Return the requests of a group in the pass that ends now."""
+        return self._former_loads_by_group.get(group, 0)
+
     def dispatch_all(self) -> None:
         """Serve all lines, for example after a change of the fleet."""
         now = anyio.current_time()
         self.members = fleet.decide(fleet.Elapsed(), self.members, now)
         self.counts = request_counts.forget_silent(self.counts, now)
+        self._former_loads_by_group = self._loads_by_group
+        self._loads_by_group = selection.loads_by_group(self._situation())
         for service, line in tuple(self._lines_by_service.items()):
             if line.waiting:
                 self.dispatch(service)
@@ -144,12 +152,17 @@
 
     def _places(self, service: str, now: float) -> tuple[selection.Place, ...]:
         """Return the places of a service as they are now."""
-        situation = selection.Situation(
+        return selection.places(self._situation(), service, now)
+
+    def _situation(self) -> selection.Situation:
+        """Return all that a choice depends on, as it is now."""
+        return selection.Situation(
             self.members,
             self.standings,
             self.counts,
+            self.entries,
+            self._loads_by_group,
         )
-        return selection.places(situation, service, now)
 
     def _decide(
         self,
--- a/nutmegtrail/gateway/flow.py
+++ b/nutmegtrail/gateway/flow.py
@@ -1,6 +1,7 @@
 """Way of a request from its caller to an upstream and back."""
 
 import http
+import math
 import typing
 
 import anyio
@@ -188,24 +189,53 @@
             request.body,
             fresh=not job.route.repeatable,
         )
-        sent_at = anyio.current_time()
-        async with self._client.open(call) as response:
-            signs = self._dialect.read_signs(
-                response.head,
-                job.caller.request_id,
-            )
-            if signs.verdict is not models.Verdict.SUCCESS:
-                return await self._read_failure(job, upstream, response, signs)
-            if job.route.kind is models.Kind.STREAM:
-                return await self._pass_stream(job, upstream, response)
-            body = await response.read(const.RESPONSE_BYTES_LIMIT)
-            seconds = anyio.current_time() - sent_at
+        silence_seconds = self._bearable_silence(job, upstream)
+        with anyio.move_on_after(silence_seconds) as waiting:
+            async with self._client.open(call) as response:
+                waiting.deadline = math.inf
+                return await self._read_answer(job, upstream, response)
+        return attempts.Broken(upstream.upstream_id)
+
+    async def _read_answer(
+        self,
+        job: jobs.Job,
+        upstream: models.Upstream,
+        response: client.Response,
+    ) -> attempts.Event | None:
+        """Pass an answer on; return what it means where it is no success."""
+        signs = self._dialect.read_signs(response.head, job.caller.request_id)
+        if signs.verdict is not models.Verdict.SUCCESS:
+            return await self._read_failure(job, upstream, response, signs)
+        if job.route.kind is models.Kind.STREAM:
+            return await self._pass_stream(job, upstream, response)
+        body = await response.read(const.RESPONSE_BYTES_LIMIT)
+        seconds = anyio.current_time() - job.dispatched_at_seconds
         self._observer.observe_pace(upstream, seconds)
         self._dispatcher.observe_start(job.service, seconds)
         headers = messages.end_to_end(response.head.headers)
         await job.exchange.answer(response.head.status, headers, body)
         return None
 
+    def _bearable_silence(
+        self,
+        job: jobs.Job,
+        upstream: models.Upstream,
+    ) -> float:
+        """Return how long a call may be without the head of its answer.
+
+        After that another upstream is asked, where one may be. The first
+        event of a stream takes long under load, and a repeat adds to it.
+        """
+        if job.route.kind is models.Kind.STREAM:
+            return math.inf
+        if not self._may_repeat(job, upstream):
+            return math.inf
+        return max(
+            job.route.objective_seconds * const.CALL_SILENCE_SHARE,
+            self._observer.pace(upstream) * const.CALL_SILENCE_PACES,
+            const.CALL_SILENCE_LEAST_SECONDS,
+        )
+
     async def _read_failure(
         self,
         job: jobs.Job,
@@ -271,11 +301,11 @@
             with anyio.move_on_after(const.STREAM_SILENCE_SECONDS):
                 return await response.receive()
             self._observer.leave_group_out(upstream)
-            if self._may_resume(job, upstream):
+            if self._may_repeat(job, upstream):
                 return None
 
-    def _may_resume(self, job: jobs.Job, upstream: models.Upstream) -> bool:
-        """Return whether another upstream may go on with a stream."""
+    def _may_repeat(self, job: jobs.Job, upstream: models.Upstream) -> bool:
+        """Return whether another upstream may get a request, or go on."""
         decided = attempts.decide(
             attempts.Broken(upstream.upstream_id),
             job.delivery,
--- a/nutmegtrail/gateway/health.py
+++ b/nutmegtrail/gateway/health.py
@@ -28,9 +28,9 @@
 
 
 class Strain(typing.NamedTuple):
-    """Smoothed strain and the time of its last sample."""
+    """Highest recent strain a request, and the time of the last sample."""
 
-    level: float
+    per_request: float
     observed_at_seconds: float
 
 
@@ -128,32 +128,31 @@
     health: Health,
     group: str,
     sample: float,
+    load: int,
     now_seconds: float,
 ) -> Health:
     """Return the health after a sample of a group's strain.
 
-    A rise is followed faster than a fall: a late event can not be mended.
+    `load` are the requests that the group had in the pass of the sample.
+    The highest recent sample counts, since one long pause makes a whole
+    stream late.
     """
-    level = sample
+    grown = min(sample, const.STRAIN_SAMPLE_LIMIT) - const.STRAIN_WITHOUT_LOAD
+    per_request = max(grown, 0) / max(load, 1)
     known = health.strains_by_group.get(group)
     if known is not None:
-        rising = sample > known.level
-        weight = const.STRAIN_RISE if rising else const.STRAIN_FALL
-        level = smoothed(known.level, sample, weight)
+        age_seconds = now_seconds - known.observed_at_seconds
+        half_lives = age_seconds / const.STRAIN_HALF_LIFE_SECONDS
+        per_request = max(per_request, known.per_request * 0.5**half_lives)
     return health._replace(
         strains_by_group=health.strains_by_group.set(
             group,
-            Strain(level, now_seconds),
+            Strain(per_request, now_seconds),
         ),
     )
 
 
-def room(
-    health: Health,
-    group: str,
-    in_flight: int,
-    now_seconds: float,
-) -> float | None:
+def room(health: Health, group: str, now_seconds: float) -> float | None:
     """Return how many requests a group can hold within its objective.
 
     The pause between events grows with the requests in flight, from a
@@ -164,8 +163,7 @@
         return None
     if now_seconds - known.observed_at_seconds > const.STRAIN_MEMORY_SECONDS:
         return None
-    grown = known.level - const.STRAIN_WITHOUT_LOAD
-    if grown <= 0:
+    if not known.per_request:
         return float('inf')
     wanted = const.STRAIN_TARGET - const.STRAIN_WITHOUT_LOAD
-    return max(in_flight, 1) * wanted / grown
+    return wanted / known.per_request
--- a/nutmegtrail/gateway/map_keeper.py
+++ b/nutmegtrail/gateway/map_keeper.py
@@ -1,5 +1,7 @@
 """Keeps the expert maps of a service's rank groups balanced."""
 
+import collections
+import functools
 import typing
 
 import anyio
@@ -91,8 +93,6 @@
         groups = self._groups(service.name)
         self._unresumed_groups = {group.name for group in groups}
         await self._observe(groups)
-        # Reports are old: wait until they show the predecessor's orders.
-        await anyio.sleep(const.REPORT_LAG_SECONDS)
         async with anyio.create_task_group() as tasks:
             for group in groups:
                 tasks.start_soon(self._resume, group)
@@ -104,6 +104,7 @@
         if shape is None or not groups:
             return False
         await self._observe(groups)
+        self._follow_shift(shape)
         loads_by_layer = popularity.by_layer(
             self._popularity.choices,
             shape.experts,
@@ -143,7 +144,10 @@
             version=known.version,
             slowness_before=round(before, 3),
             slowness_after=round(after, 3),
-            slowness_latest=round(self._latest_slowness(known, shape), 3),
+            slowness_latest=round(
+                _slowness(known, self._popularity.latest, shape),
+                3,
+            ),
             moves=moves,
             switching=worthwhile,
         )
@@ -153,16 +157,20 @@
         self._metrics.count('experts_moved', amount=moves)
         return layered.is_complete(step.planned, shape.experts, shape.places)
 
-    def _latest_slowness(
-        self,
-        known: Known,
-        shape: models.GroupShape,
-    ) -> float:
-        """Return a map's slowness under the latest choices alone."""
-        latest = popularity.by_layer(self._popularity.latest, shape.experts)
-        if len(latest) != len(known.layers):
-            return 0.0
-        return layered.slowness(known.layers, latest)
+    def _follow_shift(self, shape: models.GroupShape) -> None:
+        """Forget older choices where the latest ones are quite different."""
+        known = next(iter(self._known_by_group.values()), None)
+        if known is None:
+            return
+        faded = _slowness(known, self._popularity.choices, shape)
+        latest = _slowness(known, self._popularity.latest, shape)
+        if latest > faded * const.SHIFT_RATIO:
+            logs.decision(
+                'expert-map:shift-noticed',
+                slowness_faded=round(faded, 3),
+                slowness_latest=round(latest, 3),
+            )
+            self._popularity = popularity.restarted(self._popularity)
 
     async def _observe(self, groups: tuple[switch_run.Group, ...]) -> None:
         """Read the counters of some ranks; all groups get like requests."""
@@ -241,10 +249,16 @@
             self._switches += 1
             self._metrics.count('map_switches')
         else:
+            # Whoever refused may have been ordered by another leader.
+            self._unresumed_groups.add(group.name)
             self._known_by_group.pop(group.name, None)
 
     async def _resume(self, group: switch_run.Group) -> None:
         """Complete the switch of a group that a predecessor has held."""
+        if not await self._fence_off(group):
+            return
+        # Reports are old: wait until they show the predecessor's orders.
+        await anyio.sleep(const.REPORT_LAG_SECONDS)
         reports_by_id = await _ask_all(self._engines.report, group.members)
         if len(reports_by_id) < len(group.members):
             return
@@ -255,6 +269,44 @@
             await run.run()
             self._held_step_by_group[group.name] = run.held_step
 
+    async def _fence_off(self, group: switch_run.Group) -> bool:
+        """Return whether all ranks refuse a predecessor's orders from now on.
+
+        A rank learns of a fence by an order only. This one, to disarm a
+        version that nobody has, changes nothing else; a version close to the
+        newest reported one may be armed by now.
+        """
+        newest = await self._newest_version(group)
+        if newest is None or self._lease.fence is None:
+            return False
+        order = switches.Order(
+            switches.Operation.DISARM,
+            group.epoch,
+            newest + const.UNUSED_VERSION_GAP,
+        )
+        send = functools.partial(
+            self._engines.order,
+            order=order,
+            fence=self._lease.fence,
+        )
+        outcome_by_id = await _ask_all(send, group.members)
+        outcomes = collections.Counter(outcome_by_id.values())
+        logs.decision(
+            'expert-map:fenced-off',
+            group=group.name,
+            fence=self._lease.fence,
+            outcomes={
+                outcome.value: count for outcome, count in outcomes.items()
+            },
+        )
+        if outcomes[rank_control.OrderOutcome.FENCED]:
+            self._lease.fenced_off()
+        answered = (
+            outcomes[rank_control.OrderOutcome.ACCEPTED]
+            + outcomes[rank_control.OrderOutcome.REFUSED]
+        )
+        return answered == len(group.members)
+
     def _run_of(
         self,
         group: switch_run.Group,
@@ -284,6 +336,18 @@
         return tuple(group for group in groups if group is not None)
 
 
+def _slowness(
+    known: Known,
+    choices: tuple[float, ...],
+    shape: models.GroupShape,
+) -> float:
+    """Return a map's slowness under choices, 0 where they do not fit it."""
+    loads_by_layer = popularity.by_layer(choices, shape.experts)
+    if len(loads_by_layer) != len(known.layers):
+        return 0.0
+    return layered.slowness(known.layers, loads_by_layer)
+
+
 async def _plan(
     layers: layered.Layers,
     shape: models.GroupShape,
--- a/nutmegtrail/gateway/observer.py
+++ b/nutmegtrail/gateway/observer.py
@@ -52,6 +52,14 @@
             failures_to_eject=1,
         )
 
+    def pace(self, upstream: models.Upstream) -> float:
+        """Return the usual seconds an answer or event, 0 if unknown."""
+        return health.pace(
+            self._dispatcher.standings,
+            upstream.pace_group,
+            anyio.current_time(),
+        )
+
     def observe_pace(self, upstream: models.Upstream, seconds: float) -> None:
         """Take a sample of an upstream's pace."""
         self._dispatcher.standings = health.observed(
@@ -71,9 +79,12 @@
         self.observe_pace(upstream, seconds)
         allowed = job.route.pause_objective_seconds
         if allowed:
+            group = upstream.pace_group
+            ranks = upstream.membership.size if upstream.membership else 1
             self._dispatcher.standings = health.strained(
                 self._dispatcher.standings,
-                upstream.pace_group,
+                group,
                 seconds / allowed,
+                max(self._dispatcher.former_load(group), ranks),
                 anyio.current_time(),
             )
--- a/nutmegtrail/gateway/popularity.py
+++ b/nutmegtrail/gateway/popularity.py
@@ -46,6 +46,11 @@
     )
 
 
+def restarted(popularity: Popularity) -> Popularity:
+    """Return the popularity of the latest choices alone."""
+    return popularity._replace(choices=popularity.latest)
+
+
 def by_layer(
     choices: tuple[float, ...],
     experts: int,
--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -14,14 +14,17 @@
     """An upstream that may be chosen and what is known of it.
 
     `in_flight` are requests at it, `group_in_flight` those at its rank
-    group, `group_room` those that it can hold within its objective;
+    group, `group_reported` those that all entries knew of at the last
+    report, `group_room` those that it can hold within its objective;
     `pace_seconds` is 0 where nothing was measured.
     """
 
     upstream: models.Upstream
     in_flight: int
     group_in_flight: int
+    group_reported: int
     group_room: float
+    sharing_entries: int
     pace_seconds: float
 
     def is_free(self, room_share: float) -> bool:
@@ -29,17 +32,25 @@
 
         `room_share` is the share of the group's room that it may use.
         """
-        if self.group_in_flight >= self.group_room * room_share:
+        free_room = self.group_room * room_share - self.group_reported
+        own_room = _own_part(free_room, self.sharing_entries)
+        if self.group_in_flight >= self.group_reported + own_room:
             return False
         return self.in_flight < self.upstream.slots
 
 
 class Situation(typing.NamedTuple):
-    """All that the choice depends on."""
+    """All that the choice depends on.
+
+    `reported_loads_by_group` are the requests of each group when the entries
+    last told each other their counts.
+    """
 
     members: fleet.Fleet
     standings: health.Health
     counts: request_counts.Counts
+    entries: int = 1
+    reported_loads_by_group: typing.Mapping[str, int] = {}
 
 
 def places(
@@ -57,7 +68,9 @@
     shared_by_group = {
         group: _Shared(
             crowd.in_flight,
+            situation.reported_loads_by_group.get(group, crowd.in_flight),
             _room(situation, group, crowd, now_seconds),
+            situation.entries if crowd.is_rank_group else 1,
             health.pace(situation.standings, group, now_seconds),
         )
         for group, crowd in _crowds(upstreams, counts_by_id).items()
@@ -72,11 +85,23 @@
     )
 
 
+def loads_by_group(situation: Situation) -> dict[str, int]:
+    """Return the requests in flight of each group."""
+    counts_by_id = request_counts.totals(situation.counts)
+    upstreams = tuple(situation.members.upstreams_by_id.values())
+    return {
+        group: crowd.in_flight
+        for group, crowd in _crowds(upstreams, counts_by_id).items()
+    }
+
+
 class _Shared(typing.NamedTuple):
     """What the upstreams of a group share; the last fields of a `Place`."""
 
     in_flight: int
+    reported: int
     room: float
+    sharing_entries: int
     pace_seconds: float
 
 
@@ -114,18 +139,24 @@
     now_seconds: float,
 ) -> float:
     """Return the requests that a group can hold."""
-    room = health.room(
-        situation.standings,
-        group,
-        crowd.in_flight,
-        now_seconds,
-    )
+    room = health.room(situation.standings, group, now_seconds)
     if room is None:
         share = const.ROOM_BEFORE_STRAIN if crowd.is_rank_group else 1.0
         room = crowd.slots * share
     return max(room, crowd.ranks * const.ROOM_PER_RANK_LEAST)
 
 
+def _own_part(free_room: float, entries: int) -> float:
+    """Return the part of a free room that an entry may fill by itself.
+
+    All entries see the same room and fill it at once when a crowd comes;
+    they hear of each other's requests only with the next report.
+    """
+    if free_room <= 0:
+        return free_room
+    return max(free_room / entries, min(free_room, 1))
+
+
 def choose(
     candidates: typing.Iterable[Place],
     excluded_ids: frozenset[str],
--- a/nutmegtrail/gateway/switch_run.py
+++ b/nutmegtrail/gateway/switch_run.py
@@ -15,16 +15,16 @@
 from nutmegtrail.observability import logs
 from nutmegtrail.ports import rank_control
 
-# An order without an answer is no event: it is sent again.
 _EVENT_TYPE_BY_OUTCOME: typing.Final[
     typing.Mapping[
         rank_control.OrderOutcome,
-        type[switches.Accepted] | type[switches.Refused],
+        type[switches.Accepted | switches.Refused | switches.Unanswered],
     ]
 ] = types.MappingProxyType(
     {
         rank_control.OrderOutcome.ACCEPTED: switches.Accepted,
         rank_control.OrderOutcome.REFUSED: switches.Refused,
+        rank_control.OrderOutcome.UNANSWERED: switches.Unanswered,
     },
 )
 
@@ -187,13 +187,14 @@
             if outcome is rank_control.OrderOutcome.FENCED:
                 self._lease.fenced_off()
                 return
-            event_type = _EVENT_TYPE_BY_OUTCOME.get(outcome)
-            if self._may_fit_later(send.order, outcome):
-                event_type = None
-            if event_type is not None:
-                event = event_type(send.upstream_id, send.order)
+            if not self._may_fit_later(send.order, outcome):
+                event = _EVENT_TYPE_BY_OUTCOME[outcome](
+                    send.upstream_id,
+                    send.order,
+                )
                 self._take(switches.decide(event, self._state), tasks)
-                return
+                if outcome is not rank_control.OrderOutcome.UNANSWERED:
+                    return
             await anyio.sleep(retry_seconds)
             retry_seconds = min(
                 retry_seconds * 2,
--- a/tests/expert_map/test_switch.py
+++ b/tests/expert_map/test_switch.py
@@ -164,8 +164,18 @@
                 yield self.advance()
 
     def take_over(self):
-        """Let a new leader read the reports and complete a held switch."""
+        """Let a new leader read the reports and complete a held switch.
+
+        Before it reads, all ranks have to know its fence: a rank that a
+        predecessor arms after its report was read would switch alone.
+        """
         fence = max(leader.fence for leader in self.leaders) + 1
+        unused = switch.Order(switch.Operation.DISARM, 1, 1_000 + fence)
+        for name in self.generator.sample(_MEMBERS, len(_MEMBERS)):
+            if self.generator.random() < 0.1:
+                return
+            self.engines_by_id[name].take(unused, fence, self.step)
+            self.act(faults=True)
         reports = {
             name: engine.report(self.step)
             for name, engine in self.engines_by_id.items()
@@ -193,15 +203,13 @@
     def _send(self, leader, send, *, faults):
         """Send an order; it may be lost, answered or not, or done late."""
         draw = self.generator.random() if faults else 1
-        if draw < 0.1:
-            return
-        if draw < 0.2:
-            self.late.append((send.upstream_id, send.order, leader.fence))
+        if draw < 0.3:
+            self._lose(leader, send, draw)
+            event = switch.Unanswered(send.upstream_id, send.order)
+            leader.take(switch.decide(event, leader.state))
             return
         engine = self.engines_by_id[send.upstream_id]
         status = engine.take(send.order, leader.fence, self.step)
-        if draw < 0.3:
-            return
         leader.sends.remove(send)
         if status == 412:
             leader.stopped = True
@@ -210,6 +218,16 @@
         event = kind(send.upstream_id, send.order)
         leader.take(switch.decide(event, leader.state))
 
+    def _lose(self, leader, send, draw):
+        """Lose an order, do it late, or lose its answer."""
+        if draw < 0.1:
+            return
+        if draw < 0.2:
+            self.late.append((send.upstream_id, send.order, leader.fence))
+            return
+        engine = self.engines_by_id[send.upstream_id]
+        engine.take(send.order, leader.fence, self.step)
+
 
 class SwitchTest(testtools.TestCase):
     """Seeded orders of everything that can happen."""
@@ -228,6 +246,33 @@
         }
         self.assertEqual({1}, versions)
 
+    def test_lost_orders_move_the_hold(self):
+        """Pattern `applied_late`: the held step leaves time for repeats."""
+        begun = switch.begin(_MEMBERS, 1, 1, _MAP).switch
+        lossy = begun
+        for member in _MEMBERS[:1]:
+            lost = switch.Order(switch.Operation.PREPARE, 1, 1)
+            event = switch.Unanswered(member, lost)
+            lossy = switch.decide(event, lossy).switch
+        held_steps = [
+            self._prepared(state, step=20).held_step for state in (begun, lossy)
+        ]
+        self.assertEqual(
+            [
+                20 + switch.HOLD_MARGIN_STEPS,
+                20 + switch.HOLD_MARGIN_LOSSY_STEPS,
+            ],
+            held_steps,
+        )
+
+    def _prepared(self, state, step):
+        """Return the switch after all ranks have reported their copies."""
+        for member in _MEMBERS:
+            report = switch.Report(1, step, 0, 1, None, None)
+            event = switch.Reported(member, report)
+            state = switch.decide(event, state).switch
+        return state
+
     def test_one_map_in_every_step(self):
         """Faults and take-overs never let a step begin on two maps."""
         for seed in range(_SEEDS):
@@ -271,7 +316,7 @@
             world.late.clear()
             for leader in world.leaders:
                 leader.stopped = True
-            for _ in range(3):
+            for _ in range(9):
                 world.leaders[-1].stopped = True
                 world.take_over()
                 world.act_for(_ROUNDS)
--- a/tests/gateway/test_health.py
+++ b/tests/gateway/test_health.py
@@ -35,15 +35,47 @@
             now = until
 
     def test_room_falls_with_pauses(self):
-        """Load pattern: pauses at the objective leave less room."""
-        held = health.strained(health.Health(), 'g0', 1.0, 0)
-        room = health.room(held, 'g0', 30, 0)
+        """Load pattern: pauses over the objective leave less room."""
+        held = health.strained(health.Health(), 'g0', 1.0, 30, 0)
+        room = health.room(held, 'g0', 0)
         self.assertTrue(15 < room < 30, room)
-        calm = health.strained(health.Health(), 'g0', 0.5, 0)
-        self.assertTrue(health.room(calm, 'g0', 30, 0) > 30)
+        calm = health.strained(health.Health(), 'g0', 0.5, 30, 0)
+        self.assertTrue(health.room(calm, 'g0', 0) > 30)
+
+    def test_one_long_pause_counts(self):
+        """Load pattern `expert_shift`: one slow pass in ten leaves no more.
+
+        Each stream with one pause over its objective is late, so that the
+        mean of the pauses says too little.
+        """
+        held = health.Health()
+        for number in range(40):
+            sample = 1.2 if number % 10 == 0 else 0.6
+            held = health.strained(held, 'g0', sample, 100, number / 100)
+        self.assertTrue(health.room(held, 'g0', 0.4) < 90)
+
+    def test_room_while_a_crowd_arrives(self):
+        """Load pattern: after a restart all callers come at once.
+
+        The pauses of few requests in the pass before must not make room for
+        many more than the same pauses allow.
+        """
+        held = health.strained(health.Health(), 'g0', 0.5, 32, 0)
+        room = health.room(held, 'g0', 0)
+        later = health.strained(held, 'g0', 0.5, 32, 0.1)
+        self.assertAlmostEqual(room, health.room(later, 'g0', 0.1), 3)
+        self.assertTrue(room < 100, room)
+
+    def test_room_grows_back(self):
+        """A slow pass is forgotten within some seconds of fast ones."""
+        held = health.strained(health.Health(), 'g0', 3.0, 100, 0)
+        before = health.room(held, 'g0', 0)
+        for number in range(30):
+            held = health.strained(held, 'g0', 0.5, 100, number / 10)
+        self.assertTrue(health.room(held, 'g0', 3) > 4 * before)
 
     def test_room_without_samples(self):
         """An idle group is not limited by old pauses."""
-        held = health.strained(health.Health(), 'g0', 3.0, 0)
-        self.assertIsNone(health.room(held, 'g0', 30, 5))
-        self.assertIsNone(health.room(held, 'g1', 30, 0))
+        held = health.strained(health.Health(), 'g0', 3.0, 30, 0)
+        self.assertIsNone(health.room(held, 'g0', 5))
+        self.assertIsNone(health.room(held, 'g1', 0))
--- a/tests/gateway/test_map_keeper.py
+++ b/tests/gateway/test_map_keeper.py
@@ -57,6 +57,7 @@
         self.prepared = None
         self.prepared_at = 0
         self.armed_until = 0
+        self.fence = 0
         self.held_step = None
         self.map_version = 0
 
@@ -107,11 +108,14 @@
         """Return the experts of a rank."""
         return self.ranks_by_id[upstream.upstream_id].held
 
-    async def order(self, upstream, order, _):
+    async def order(self, upstream, order, fence):
         """Carry an order out and note when it came."""
         now = anyio.current_time()
-        self.orders.append((now, upstream, order))
         rank = self.ranks_by_id[upstream.upstream_id]
+        if fence < rank.fence:
+            return rank_control.OrderOutcome.FENCED
+        rank.fence = fence
+        self.orders.append((now, upstream, order))
         if order.operation is switch.Operation.PREPARE:
             if now < rank.armed_until:
                 return rank_control.OrderOutcome.REFUSED
@@ -160,7 +164,11 @@
     )
 
 
-def _run(engines, seconds, bytes_per_second=1e6):
+async def _nothing():
+    """Do nothing beside the keeper."""
+
+
+def _run(engines, seconds, bytes_per_second=1e6, beside=_nothing):
     """Balance the groups for some time, beside one request under way."""
     dispatcher = dispatching.Dispatcher('kandla-a')
     dispatcher.members = fleet.decide(
@@ -180,7 +188,9 @@
 
     async def _main():
         with anyio.move_on_after(seconds):
-            await keeper.run()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(beside)
+                await keeper.run()
 
     simulated_time.run(_main)
 
@@ -263,6 +273,48 @@
         given_up = set(prepared) - set(armed)
         self.assertEqual({newest}, {version for _, version in given_up})
 
+    def test_predecessor_that_does_not_know(self):
+        """A leader that is cut from the store holds a group after all.
+
+        Its hold comes after the new leader has taken over, and is refused,
+        since the ranks know the new fence by then.
+        """
+        engines = _Engines()
+        outcomes = []
+
+        async def _hold_late():
+            await anyio.sleep(0.1)
+            hold = switch.Order(switch.Operation.HOLD, 1, step=99)
+            outcomes.append(
+                await engines.order(_upstreams()[0], hold, _Lease().fence - 1),
+            )
+
+        _run(engines, 2, beside=_hold_late)
+        self.assertEqual([rank_control.OrderOutcome.FENCED], outcomes)
+        disarmed = engines.versions(switch.Operation.DISARM)
+        self.assertEqual(_RANKS * _GROUPS, len(disarmed))
+        # The predecessor may have armed a version that no report shows yet.
+        self.assertTrue(min(version for _, version in disarmed) > 100)
+
+    def test_group_that_is_found_held(self):
+        """A group that refuses maps is read again and let go.
+
+        The ranks were held and armed by a leader whose orders came before
+        the ranks knew the new fence, but after the reports were read.
+        """
+        engines = _Engines()
+
+        async def _hold_late():
+            await anyio.sleep(const.REPORT_LAG_SECONDS + 0.02)
+            for name, rank in engines.ranks_by_id.items():
+                rank.armed_until = 60
+                if name.endswith('-0'):
+                    rank.held_step = 99
+
+        _run(engines, 6, beside=_hold_late)
+        held = {rank.held_step for rank in engines.ranks_by_id.values()}
+        self.assertNotIn(99, held)
+
     def test_held_group_with_an_unreadable_rank(self):
         """A group that a predecessor held is let go once all ranks answer."""
         engines = _Engines()
--- a/tests/gateway/test_popularity.py
+++ b/tests/gateway/test_popularity.py
@@ -39,6 +39,14 @@
         held = popularity.observe(held, anew, 0)
         self.assertEqual((0.0, 0.0), held.choices)
 
+    def test_restart_after_a_shift(self):
+        """Pattern `expert_shift`: only the latest choices count."""
+        held = _observe(popularity.Popularity(), 0, m1=(0, 0))
+        held = _observe(held, 0.5, m1=(100, 0))
+        held = _observe(held, 1, m1=(100, 40))
+        self.assertTrue(held.choices[0] > 40)
+        self.assertEqual((0.0, 40.0), popularity.restarted(held).choices)
+
     def test_layers(self):
         """Choices come layer after layer."""
         self.assertEqual(
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from nutmegtrail.gateway import const
 from nutmegtrail.gateway import fleet
 from nutmegtrail.gateway import health
 from nutmegtrail.gateway import request_counts
@@ -78,7 +79,7 @@
     def test_strained_group_is_full(self):
         """Pattern `expert_shift`: pauses over the objective close a group."""
         ranks = (samples.member('m1', 0), samples.member('m2', 1))
-        standings = health.strained(health.Health(), 'g0', 2.0, 0)
+        standings = health.strained(health.Health(), 'g0', 2.0, 2, 0)
         counts = _counts(m1=1, m2=1)
         self.assertIsNone(_choose(ranks, counts, standings))
         self.assertEqual('m2', _choose(ranks, _counts(m1=1), standings))
@@ -89,6 +90,42 @@
         standings = health.failed(health.Health(), 'g0', 0, 1)
         self.assertIsNone(_choose(ranks, _counts(), standings))
 
+    def test_crowd_at_many_entries(self):
+        """Pattern: after a restart all callers come to all entries at once.
+
+        Until they hear of each other the entries together start no more
+        than the group has room for.
+        """
+        entries = 9
+        ranks = tuple(
+            samples.member(f'm{rank}', rank, size=32)._replace(slots=5)
+            for rank in range(32)
+        )
+        members = fleet.decide(fleet.Listed(ranks), fleet.Fleet(), 0)
+        started = 0
+        for _ in range(entries):
+            counts = request_counts.Counts()
+            for _ in range(100):
+                situation = selection.Situation(
+                    members,
+                    health.Health(),
+                    counts,
+                    entries,
+                    {'g0': 0},
+                )
+                chosen = selection.choose(
+                    selection.places(situation, 'drafts', 0),
+                    frozenset(),
+                    'kandla-a',
+                )
+                if chosen is None:
+                    break
+                name = chosen.upstream.upstream_id
+                counts = request_counts.started(counts, name)
+                started += 1
+        room = 32 * 5 * const.ROOM_BEFORE_STRAIN
+        self.assertTrue(room - entries < started <= room + entries, started)
+
     def test_late_requests_leave_room(self):
         """Pattern `burst`: a request that is late leaves the last places."""
         ranks = tuple(
--- a/tests/platform/samples.py
+++ b/tests/platform/samples.py
@@ -42,6 +42,18 @@
             'resumable': True,
             'gap_aim_ms': 120,
         },
+        {
+            'name': 'r-3',
+            'host': 'ficu95.example',
+            'prefix': '/long/read/',
+            'kind': 'safe',
+            'timeout_ms': 1500,
+            'target_latency_ms': 400,
+            'priority': 2,
+            'service': 'desk',
+            'max_attempts': 2,
+            'no_auth': False,
+        },
     ],
     'services': [
         {'name': 'drafts', 'max_conns': 258, 'engine': _ENGINE},
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -15,6 +15,8 @@
 _JSON = ((b'content-type', b'application/json'),)
 # Longer than an entry waits before it resumes a stream elsewhere.
 _PAUSE_SECONDS = 1.3
+# Longer than any caller waits.
+_SILENCE_SECONDS = 9
 _KEPT = (b'keep-alive', b'timeout=9')
 
 
@@ -211,6 +213,13 @@
         """Run the request and close without an answer."""
         exchange.keep_alive = False
 
+    async def silent(self, exchange, _):
+        """Run the request and keep the answer."""
+        if self.after_cut is not None:
+            self.after_cut()
+        await anyio.sleep(_SILENCE_SECONDS)
+        exchange.keep_alive = False
+
     async def foreign(self, exchange, headers):
         """Answer another request."""
         other = ((b'x-nutmegtrail-request-id', b'other'), *headers[1:])
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -16,7 +16,8 @@
     def test_whole(self):
         """Routes, services, accounts and limits are read."""
         read = documents.configuration(json.dumps(samples.CONFIG).encode())
-        stream, booking = read.routes_by_host['ficu95.example']
+        stream, lookup, booking = read.routes_by_host['ficu95.example']
+        self.assertEqual(models.Kind.IDEMPOTENT, lookup.kind)
         self.assertEqual('/long/prefix/', stream.prefix)
         self.assertIs(models.Kind.STREAM, stream.kind)
         self.assertTrue(stream.repeatable)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -1,6 +1,7 @@
 """The whole path on loopback: callers, the entry, engines, the store."""
 
 import contextlib
+import functools
 import json
 
 import anyio
@@ -210,6 +211,41 @@
 
             self._run(_scenario)
 
+    def test_read_whose_answer_is_lost(self):
+        """Pattern `answer_lost`: a silent read is asked for elsewhere."""
+
+        async def _scenario():
+            self._script(self.desk, 'silent')
+            for engine in self.desk:
+                engine.after_cut = functools.partial(self._script, self.desk)
+            status, _, body = await self._ask(b'/long/read/c')
+            self.assertEqual((200, b'booked'), (status, body))
+            self.assertEqual(2, self._ran(self.desk))
+
+        self._run(_scenario)
+
+    def test_booking_whose_answer_is_lost(self):
+        """A booking is not asked for elsewhere while its engine is silent."""
+
+        async def _scenario():
+            self._script(self.desk, 'silent')
+            status, _, _ = await self._ask(b'/long/b')
+            self.assertEqual(504, status)
+            self.assertEqual(1, self._ran(self.desk))
+
+        self._run(_scenario)
+
+    def test_read_without_retries_left(self):
+        """A silent read is waited for where no retry is left."""
+
+        async def _scenario():
+            self._script(self.desk, 'silent')
+            status, _, _ = await self._ask(b'/long/read/c')
+            self.assertEqual(504, status)
+            self.assertEqual(1, self._ran(self.desk))
+
+        self._run(_scenario, retry_base=0)
+
     def test_refused_booking(self):
         """A booking that did not run is refused with a time to come back."""
 
