Split the map keeper; tell each rank of a fence until it answers

Cause: map_keeper.py had grown to 429 lines with two jobs, and the take-over asked each rank once: with a tenth of the orders lost, 32 ranks hardly ever all answered in one round, so that no group was balanced meanwhile. Change: take_over.py resumes groups, rank_groups.py holds groups and their reads; an order to disarm goes on until it is answered, for a second; a leader that can not reach all ranks of a group in five attempts resigns. Ruled out: counting ranks over several rounds (a rank may restart between them). The new test fails with one attempt a rank.

--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -108,6 +108,9 @@
 ORDER_RETRY_LIMIT_SECONDS: typing.Final = 0.08
 # A leader orders some versions a second and reports are younger than one.
 UNUSED_VERSION_GAP: typing.Final = 1_000
+# Lost orders are sent again meanwhile.
+FENCE_TIMEOUT_SECONDS: typing.Final = 1.0
+RESUME_ATTEMPTS_LIMIT: typing.Final = 5
 # A held step begins within some passes of up to 0.1 s.
 MAP_PATIENCE_SECONDS: typing.Final = 0.6
 SWITCH_TIMEOUT_SECONDS: typing.Final = 10.0
--- a/nutmegtrail/gateway/map_keeper.py
+++ b/nutmegtrail/gateway/map_keeper.py
@@ -1,7 +1,5 @@
 """Keeps the expert maps of a service's rank groups balanced."""
 
-import collections
-import functools
 import typing
 
 import anyio
@@ -15,13 +13,14 @@
 from nutmegtrail.gateway import models
 from nutmegtrail.gateway import pacer as pacing
 from nutmegtrail.gateway import popularity
+from nutmegtrail.gateway import rank_groups
 from nutmegtrail.gateway import request_counts
 from nutmegtrail.gateway import switch_run
+from nutmegtrail.gateway import take_over
 from nutmegtrail.observability import logs
 from nutmegtrail.observability import metrics
 from nutmegtrail.ports import rank_control
 
-_Answer = typing.TypeVar('_Answer')
 LEADER_KEY: typing.Final = 'nutmegtrail/maps/leader'
 
 
@@ -36,7 +35,7 @@
 class _Step(typing.NamedTuple):
     """A step from a group's present map to a planned one."""
 
-    group: switch_run.Group
+    group: rank_groups.Group
     known: Known
     planned: layered.Layers
     loads_by_layer: tuple[layered.Loads, ...]
@@ -64,8 +63,7 @@
         self._known_by_group: dict[str, Known] = {}
         self._tried_by_group: dict[str, int] = {}
         self._held_step_by_group: dict[str, int] = {}
-        self._led_fence: int | None = None
-        self._unresumed_groups: set[str] = set()
+        self._take_over = take_over.TakeOver(engines, lease, pacer)
         self._switches = 0
 
     async def run(self) -> None:
@@ -73,12 +71,10 @@
         while True:
             service = self.service
             if self._lease.fence is None or service is None:
-                self._led_fence = None
                 await anyio.sleep(const.LEADERSHIP_CHECK_SECONDS)
                 continue
-            if self._led_fence != self._lease.fence:
-                self._led_fence = self._lease.fence
-                await self._take_over(service)
+            if self._take_over.is_due:
+                await self._begin_leadership(service)
             # A group that was just switched is measured anew at once.
             if not (self._has_traffic() and await self._balance(service)):
                 await anyio.sleep(const.MAP_INTERVAL_SECONDS)
@@ -87,11 +83,11 @@
         """Return whether any request is under way."""
         return bool(request_counts.totals(self._dispatcher.counts))
 
-    async def _take_over(self, service: models.Service) -> None:
-        """Complete what a predecessor may have left under way."""
+    async def _begin_leadership(self, service: models.Service) -> None:
+        """Read a baseline and complete what a predecessor left under way."""
         self._known_by_group.clear()
         groups = self._groups(service.name)
-        self._unresumed_groups = {group.name for group in groups}
+        self._take_over.begin(groups)
         await self._observe(groups)
         async with anyio.create_task_group() as tasks:
             for group in groups:
@@ -115,7 +111,7 @@
         planned_by_layers: dict[layered.Layers, layered.Layers] = {}
         async with anyio.create_task_group() as tasks:
             for group in groups:
-                if group.name in self._unresumed_groups:
+                if self._take_over.awaits(group):
                     tasks.start_soon(self._resume, group)
                     continue
                 known = await self._read_map(group)
@@ -172,11 +168,13 @@
             )
             self._popularity = popularity.restarted(self._popularity)
 
-    async def _observe(self, groups: tuple[switch_run.Group, ...]) -> None:
+    async def _observe(self, groups: tuple[rank_groups.Group, ...]) -> None:
         """Read the counters of some ranks; all groups get like requests."""
         members = [member for group in groups for member in group.members]
-        sampled = _sampled(members)
-        choices_by_id = await _ask_all(self._engines.choices, sampled)
+        sampled = rank_groups.sampled(members)
+        choices_by_id = await rank_groups.ask_all(
+            self._engines.choices, sampled
+        )
         readings_by_id = {
             member.upstream_id: popularity.Reading(
                 member.started_at_ms,
@@ -191,37 +189,22 @@
             anyio.current_time(),
         )
 
-    async def _read_map(self, group: switch_run.Group) -> Known | None:
+    async def _read_map(self, group: rank_groups.Group) -> Known | None:
         """Return a group's map, read from its ranks where not known."""
         known = self._known_by_group.get(group.name)
         if known is not None and known.epoch == group.epoch:
             return known
-        held_by_id = await _ask_all(self._engines.held_experts, group.members)
-        version = await self._newest_version(group)
-        if version is None or len(held_by_id) < len(group.members):
+        layers = await rank_groups.held_layers(self._engines, group)
+        version = await rank_groups.newest_version(self._engines, group)
+        if version is None or layers is None:
             return None
-        ranks = [held_by_id[member_id] for member_id in group.member_ids]
-        layers = tuple(zip(*ranks, strict=True))
         found = Known(group.epoch, version, layers)
         self._known_by_group[group.name] = found
         return found
 
-    async def _newest_version(self, group: switch_run.Group) -> int | None:
-        """Return the highest version that any rank has had."""
-        reports_by_id = await _ask_all(self._engines.report, group.members)
-        reports = tuple(reports_by_id.values())
-        if len(reports) < len(group.members):
-            return None
-        if any(report.epoch != group.epoch for report in reports):
-            return None
-        return max(
-            max(report.map_version, report.prepared or 0, report.armed or 0)
-            for report in reports
-        )
-
     async def _switch_to(
         self,
-        group: switch_run.Group,
+        group: rank_groups.Group,
         known: Known,
         layers: layered.Layers,
     ) -> None:
@@ -237,7 +220,13 @@
             self._held_step_by_group.get(group.name, 0),
         )
         copies = layered.copies_by_rank(known.layers, layers)
-        run = self._run_of(group, _longest_first(begun, copies))
+        run = switch_run.SwitchRun(
+            group,
+            _longest_first(begun, copies),
+            self._engines,
+            self._lease,
+            self._pacer,
+        )
         switched = await run.run()
         self._held_step_by_group[group.name] = run.held_step
         if switched:
@@ -250,90 +239,20 @@
             self._metrics.count('map_switches')
         else:
             # Whoever refused may have been ordered by another leader.
-            self._unresumed_groups.add(group.name)
+            self._take_over.doubt(group)
             self._known_by_group.pop(group.name, None)
 
-    async def _resume(self, group: switch_run.Group) -> None:
+    async def _resume(self, group: rank_groups.Group) -> None:
         """Complete the switch of a group that a predecessor has held."""
-        if not await self._fence_off(group):
-            return
-        # Reports are old: wait until they show the predecessor's orders.
-        await anyio.sleep(const.REPORT_LAG_SECONDS)
-        reports_by_id = await _ask_all(self._engines.report, group.members)
-        if len(reports_by_id) < len(group.members):
-            return
-        self._unresumed_groups.discard(group.name)
-        resumed = switches.resume(group.member_ids, reports_by_id)
-        if resumed is not None:
-            run = self._run_of(group, resumed)
-            await run.run()
-            self._held_step_by_group[group.name] = run.held_step
-
-    async def _fence_off(self, group: switch_run.Group) -> bool:
-        """Return whether all ranks refuse a predecessor's orders from now on.
-
-        A rank learns of a fence by an order only. This one, to disarm a
-        version that nobody has, changes nothing else; a version close to the
-        newest reported one may be armed by now.
-        """
-        newest = await self._newest_version(group)
-        if newest is None or self._lease.fence is None:
-            return False
-        order = switches.Order(
-            switches.Operation.DISARM,
-            group.epoch,
-            newest + const.UNUSED_VERSION_GAP,
-        )
-        send = functools.partial(
-            self._engines.order,
-            order=order,
-            fence=self._lease.fence,
-        )
-        outcome_by_id = await _ask_all(send, group.members)
-        outcomes = collections.Counter(outcome_by_id.values())
-        logs.decision(
-            'expert-map:fenced-off',
-            group=group.name,
-            fence=self._lease.fence,
-            outcomes={
-                outcome.value: count for outcome, count in outcomes.items()
-            },
-        )
-        if outcomes[rank_control.OrderOutcome.FENCED]:
-            self._lease.fenced_off()
-        answered = (
-            outcomes[rank_control.OrderOutcome.ACCEPTED]
-            + outcomes[rank_control.OrderOutcome.REFUSED]
-        )
-        return answered == len(group.members)
-
-    def _run_of(
-        self,
-        group: switch_run.Group,
-        begun: switches.Decision,
-    ) -> switch_run.SwitchRun:
-        """Return the run of a switch."""
-        return switch_run.SwitchRun(
-            group,
-            begun,
-            self._engines,
-            self._lease,
-            self._pacer,
-        )
+        held_step = await self._take_over.resume(group)
+        if held_step is not None:
+            self._held_step_by_group[group.name] = held_step
 
-    def _groups(self, service: str) -> tuple[switch_run.Group, ...]:
+    def _groups(self, service: str) -> tuple[rank_groups.Group, ...]:
         """Return the complete groups of a service."""
-        members_by_group: dict[str, dict[int, models.Upstream]] = {}
-        for upstream in fleet.registered(self._dispatcher.members, service):
-            member = upstream.membership
-            if member is not None and member.is_open:
-                ranks = members_by_group.setdefault(member.group, {})
-                ranks[member.rank] = upstream
-        groups = (
-            _complete_group(name, upstream_by_rank)
-            for name, upstream_by_rank in sorted(members_by_group.items())
+        return rank_groups.complete_groups(
+            fleet.registered(self._dispatcher.members, service),
         )
-        return tuple(group for group in groups if group is not None)
 
 
 def _slowness(
@@ -379,51 +298,3 @@
 def _copies(copies_and_send: tuple[int, switches.Send]) -> int:
     """Return the sort key of an order to prepare."""
     return copies_and_send[0]
-
-
-async def _ask_all(
-    ask: typing.Callable[[models.Upstream], typing.Awaitable[_Answer | None]],
-    members: typing.Iterable[models.Upstream],
-) -> dict[str, _Answer]:
-    """Return the answers of engines that are asked side by side."""
-    answers_by_id: dict[str, _Answer] = {}
-    async with anyio.create_task_group() as tasks:
-        for member in members:
-            tasks.start_soon(_ask, ask, member, answers_by_id)
-    return answers_by_id
-
-
-async def _ask(
-    ask: typing.Callable[[models.Upstream], typing.Awaitable[_Answer | None]],
-    member: models.Upstream,
-    answers_by_id: dict[str, _Answer],
-) -> None:
-    """Add the answer of an engine, if it gives one."""
-    answer = await ask(member)
-    if answer is not None:
-        answers_by_id[member.upstream_id] = answer
-
-
-def _sampled(members: list[models.Upstream]) -> list[models.Upstream]:
-    """Return some members, spread evenly over all of them."""
-    wanted = max(
-        len(members) // const.RANKS_PER_SAMPLE,
-        const.SAMPLED_RANKS_LEAST,
-    )
-    stride = max(len(members) // wanted, 1)
-    return members[::stride]
-
-
-def _complete_group(
-    name: str,
-    upstream_by_rank: dict[int, models.Upstream],
-) -> switch_run.Group | None:
-    """Return a group whose ranks are all there in one epoch."""
-    members = tuple(upstream_by_rank[rank] for rank in sorted(upstream_by_rank))
-    memberships = [
-        member.membership for member in members if member.membership is not None
-    ]
-    epochs = {membership.epoch for membership in memberships}
-    if len(epochs) > 1 or len(members) != memberships[0].size:
-        return None
-    return switch_run.Group(name, epochs.pop(), members)
--- a/nutmegtrail/gateway/switch_run.py
+++ b/nutmegtrail/gateway/switch_run.py
@@ -12,6 +12,7 @@
 from nutmegtrail.gateway import leader_lease
 from nutmegtrail.gateway import models
 from nutmegtrail.gateway import pacer as pacing
+from nutmegtrail.gateway import rank_groups
 from nutmegtrail.observability import logs
 from nutmegtrail.ports import rank_control
 
@@ -29,25 +30,12 @@
 )
 
 
-class Group(typing.NamedTuple):
-    """A complete rank group, its members in the order of their ranks."""
-
-    name: str
-    epoch: int
-    members: tuple[models.Upstream, ...]
-
-    @property
-    def member_ids(self) -> tuple[str, ...]:
-        """Return the identifiers of the members."""
-        return tuple(member.upstream_id for member in self.members)
-
-
 class SwitchRun:
     """Sends the orders of one switch and feeds back their outcomes."""
 
     def __init__(
         self,
-        group: Group,
+        group: rank_groups.Group,
         begun: switches.Decision,
         engines: rank_control.RankControl,
         lease: leader_lease.LeaderLease,
--- a/tests/gateway/test_map_keeper.py
+++ b/tests/gateway/test_map_keeper.py
@@ -4,6 +4,8 @@
 map of some 8 KB for each rank, and streams of callers on the same link.
 """
 
+import random
+
 import anyio
 import testtools
 
@@ -69,6 +71,8 @@
         """Start all ranks with the first map."""
         self.orders = []
         self.unreadable_until_by_id = {}
+        self.generator = random.Random(1)
+        self.lost_share = 0
         self.ranks_by_id = {
             f'm{group}-{rank}': _Rank(rank)
             for group in range(_GROUPS)
@@ -111,6 +115,8 @@
     async def order(self, upstream, order, fence):
         """Carry an order out and note when it came."""
         now = anyio.current_time()
+        if self.generator.random() < self.lost_share:
+            return rank_control.OrderOutcome.UNANSWERED
         rank = self.ranks_by_id[upstream.upstream_id]
         if fence < rank.fence:
             return rank_control.OrderOutcome.FENCED
@@ -220,6 +226,14 @@
         first = min(engines.times(switch.Operation.PREPARE))
         self.assertTrue(first < const.REPORT_LAG_SECONDS + 0.1, first)
 
+    def test_take_over_while_orders_get_lost(self):
+        """Pattern `applied_late`: each rank is told until it has answered."""
+        engines = _Engines()
+        engines.lost_share = 0.3
+        _run(engines, 3)
+        released = engines.versions(switch.Operation.RELEASE)
+        self.assertEqual({'g0', 'g1'}, {group for group, _ in released})
+
     def test_orders_leave_room_on_the_link(self):
         """The maps in any tenth of a second keep to the pacer's rate."""
         engines = _Engines()
