--- a/nutmegtrail/platform/store.py
+++ b/nutmegtrail/platform/store.py
@@ -16,6 +16,23 @@
 from nutmegtrail.ports import watched_store
 
 
+_MALFORMED: typing.Final = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
+
+
+class _Page(typing.NamedTuple):
+    """Items of a listing; `last_key` is set where more follow."""
+
+    items: tuple[watched_store.Item, ...]
+    revision: int
+    last_key: str | None
+
+
 class _Answer(typing.NamedTuple):
     """Status and body of a call that was answered."""
 
@@ -54,15 +71,18 @@
                 return expression.Error(answer)
             if answer.status != http.HTTPStatus.OK:
                 return expression.Error(_refused(answer))
-            page = answer.document
+            try:
+                page = _page(answer.document)
+            except _MALFORMED as error:
+                return expression.Error(_unreadable(error))
             if revision is None:
-                revision = int(page['current_rev'])
-            items.extend(_item(row) for row in page['items'])
-            if not page['has_more']:
+                revision = page.revision
+            items.extend(page.items)
+            if page.last_key is None:
                 return expression.Ok(
                     watched_store.Snapshot(tuple(items), revision),
                 )
-            query = {'prefix': prefix, 'after': items[-1].key}
+            query = {'prefix': prefix, 'after': page.last_key}
 
     async def changes(
         self,
@@ -88,12 +108,10 @@
             return expression.Error(watched_store.HistoryLost(after_revision))
         if answer.status != http.HTTPStatus.OK:
             return expression.Error(_refused(answer))
-        return expression.Ok(
-            watched_store.Changes(
-                tuple(_change(row) for row in answer.document['events']),
-                int(answer.document['current_rev']),
-            ),
-        )
+        try:
+            return expression.Ok(_changes(answer.document))
+        except _MALFORMED as error:
+            return expression.Error(_unreadable(error))
 
     async def swap(
         self,
@@ -124,7 +142,10 @@
             return expression.Error(key_value.CompareFailed(key))
         if answer.status != http.HTTPStatus.OK:
             return expression.Error(key_value.Unavailable(key))
-        return expression.Ok(int(answer.document['revision']))
+        written = _number(answer, 'revision')
+        if written is None:
+            return expression.Error(key_value.OutcomeUnknown(key))
+        return expression.Ok(written)
 
     async def grant_lease(
         self,
@@ -138,7 +159,9 @@
             body={'ttl_ms': ttl_ms},
         )
         if isinstance(answer, _Answer) and answer.status == http.HTTPStatus.OK:
-            return expression.Ok(int(answer.document['lease']))
+            lease_id = _number(answer, 'lease')
+            if lease_id is not None:
+                return expression.Ok(lease_id)
         return expression.Error(key_value.Unavailable(const.GRANT_LEASE))
 
     async def keep_alive(
@@ -210,6 +233,32 @@
     return watched_store.StoreUnavailable(f'status {answer.status}')
 
 
+def _unreadable(error: Exception) -> watched_store.StoreUnavailable:
+    """Return the error for an answer of another shape."""
+    return watched_store.StoreUnavailable(f'unreadable answer: {error!r}')
+
+
+def _number(answer: _Answer, field: str) -> int | None:
+    """Return a number of an answer, None where there is none."""
+    number = answer.document.get(field)
+    return number if isinstance(number, int) else None
+
+
+def _page(document: calls.Document) -> _Page:
+    """Return a page of a listing."""
+    items = tuple(_item(row) for row in document['items'])
+    last_key = items[-1].key if document['has_more'] else None
+    return _Page(items, int(document['current_rev']), last_key)
+
+
+def _changes(document: calls.Document) -> watched_store.Changes:
+    """Return the changes that a watch shows."""
+    return watched_store.Changes(
+        tuple(_change(row) for row in document['events']),
+        int(document['current_rev']),
+    )
+
+
 def _change(row: calls.Document) -> watched_store.Item | watched_store.Removal:
     """Return a change of the watch."""
     if row.get('removed'):
