Let the soak's engines be a rank group; cut single entries from the store

Ruled out: engines that restart (a new epoch), kept for later. New promises: one map in each step, and a group that moves after the faults.

--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -15,6 +15,7 @@
 _JSON = ((b'content-type', b'application/json'),)
 # Longer than an entry waits before it resumes a stream elsewhere.
 _PAUSE_SECONDS = 1.3
+_EXPIRY_SECONDS = 0.05
 # Longer than any caller waits.
 _SILENCE_SECONDS = 9
 _KEPT = (b'keep-alive', b'timeout=9')
@@ -30,8 +31,20 @@
         self.events = []
         self.revision = 1
         self.refuses = False
+        self._leases = 0
+        self._ttl_by_lease = {}
+        self._ends_by_lease = {}
         self._changed = anyio.Event()
 
+    async def expire(self):
+        """End leases that were not renewed in time, until cancelled."""
+        while True:
+            await anyio.sleep(_EXPIRY_SECONDS)
+            now = anyio.current_time()
+            for lease, end in tuple(self._ends_by_lease.items()):
+                if now > end:
+                    self._end(lease)
+
     def put(self, key, content, lease=0):
         """Write a key."""
         self.revision += 1
@@ -59,7 +72,8 @@
             return
         path, _, query = exchange.request.target.decode().partition('?')
         arguments = dict(urllib.parse.parse_qsl(query))
-        call = path.removeprefix('/api/').partition('/')[0].replace('-', '_')
+        call, _, arguments['id'] = path.removeprefix('/api/').partition('/')
+        call = call.replace('-', '_')
         body = json.loads(exchange.request.body or b'{}')
         status, document = await getattr(self, f'_{call}')(arguments, body)
         await exchange.answer(status, _JSON, json.dumps(document).encode())
@@ -115,19 +129,36 @@
         return 200, {'revision': self.revision}
 
     async def _kv_lease(self, _, body):
-        """Grant a lease that does not lapse."""
-        return 200, {'lease': 9, 'ttl_ms': body['ttl_ms']}
+        """Grant a lease."""
+        self._leases += 1
+        self._ttl_by_lease[self._leases] = body['ttl_ms'] / 1_000
+        self._renew(self._leases)
+        return 200, {'lease': self._leases, 'ttl_ms': body['ttl_ms']}
+
+    async def _kv_keep(self, arguments, _):
+        """Renew a lease that has not ended."""
+        lease = int(arguments['id'])
+        if lease not in self._ends_by_lease:
+            return 404, {}
+        self._renew(lease)
+        return 200, {'ttl_ms': int(self._ttl_by_lease[lease] * 1_000)}
+
+    async def _kv_lease_end(self, arguments, _):
+        """End a lease."""
+        self._end(int(arguments['id']))
+        return 200, {}
 
-    async def _kv_keep(self, *_):
-        """Renew a lease."""
-        return 200, {'ttl_ms': 1_000}
+    def _renew(self, lease):
+        """Let a lease run from now on."""
+        ttl_seconds = self._ttl_by_lease[lease]
+        self._ends_by_lease[lease] = anyio.current_time() + ttl_seconds
 
-    async def _kv_lease_end(self, *_):
-        """End all leases."""
+    def _end(self, lease):
+        """End a lease and remove its keys."""
+        self._ends_by_lease.pop(lease, None)
         for key, item in tuple(self.items_by_key.items()):
-            if item['lease']:
+            if item['lease'] == lease:
                 self.remove(key)
-        return 200, {}
 
 
 class Engine:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -29,6 +29,8 @@
                     for _ in range(2):
                         harms.start_soon(_harm_on, world)
             await _mend(world)
+            if world.is_held():
+                broken.append('the group was held after the faults')
             since = len(world.answers_by_id)
             world.leave()
             await world.stop_calmly()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,7 +11,7 @@
 
 
 class SoakTest(testtools.TestCase):
-    """Real entries under kills, freezes, stops and harmed links."""
+    """Real entries before a rank group under kills, stops and harmed links."""
 
     def test_seeds(self):
         """Every promise is kept, and callers are served afterwards."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,18 +17,23 @@
 from tests import loopback
 from tests.platform import samples
 from tests.platform import stand_in
+from tests.soak import group as groups
 from tests.soak import relay
 
 ENTRIES = 3
+_ENGINES = 3
 _EVENTS = 8
-_EVENT_SECONDS = 0.03
 _BOOKING_SECONDS = 0.05
 _CALL_SECONDS = 3.0
 _READY_SECONDS = 20.0
 # Bounds of the platform: an engine that leaves, and two failed probes.
 _DRAIN_SECONDS = 2.0
 _BALANCER_SECONDS = 2.0
-_FAULT_SECONDS = (0.3, 1.2)
+# A dead leader's lease lapses after a second; its successor waits for reports
+# and lets the group go.
+_HELD_SECONDS = 4.0
+# Some last longer than the lease of the leader.
+_FAULT_SECONDS = (0.3, 2.5)
 _NOT_RUN = (408, 421, 429, 503)
 _LINK_FAULTS = ('delayed', 'silent', 'no requests', 'no answers')
 STREAM = b''.join(
@@ -55,13 +60,27 @@
 
 
 class Engine(stand_in.Engine):
-    """An engine that takes its time and notes each run by request."""
+    """An engine that takes its time and notes each run by request.
 
-    def __init__(self, name, service):
+    `ranks` is the rank group that a drafting engine belongs to.
+    """
+
+    def __init__(self, name, service, ranks, place):
         """Start without runs."""
-        super().__init__(name, service)
+        drafting = service == 'drafts'
+        membership = ranks.membership(place) if drafting else None
+        super().__init__(name, service, membership)
         self.runs = []
         self.leaving_at = None
+        self._ranks = ranks
+        self._place = place
+
+    async def handle(self, exchange):
+        """Serve a control call or a request."""
+        if exchange.request.target.startswith(b'/api/'):
+            await self._ranks.answer(exchange, self._place)
+            return
+        await super().handle(exchange)
 
     async def whole(self, exchange, headers):
         """Run a request slowly."""
@@ -72,7 +91,7 @@
             return
         asked = messages.find(exchange.request.headers, b'last-event-id')
         for number in range(int(asked or 0) + 1, _EVENTS + 1):
-            await anyio.sleep(_EVENT_SECONDS)
+            await self._ranks.next_step()
             event = b'id: %d\ndata: x\n\n' % number
             if exchange.started:
                 await exchange.write(event)
@@ -131,16 +150,19 @@
         self.generator = random.Random(seed)
         self.folder = tempfile.mkdtemp(prefix=f'nutmegtrail-soak-{seed}-')
         self.store = stand_in.Store()
+        self.ranks = groups.Group(_ENGINES)
         self.engines = [
-            Engine(f'{service}-{number}', service)
+            Engine(f'{service}-{number}', service, self.ranks, number)
             for service in ('drafts', 'desk')
-            for number in range(3)
+            for number in range(_ENGINES)
         ]
         self.relays = [relay.Relay(one.address) for one in self.engines]
-        self.store_relay = relay.Relay(self.store.address)
+        self.store_relays = [
+            relay.Relay(self.store.address) for _ in range(ENTRIES)
+        ]
         self.entries = [
-            Entry(name, self.folder, self.store_relay.address)
-            for name in range(ENTRIES)
+            Entry(name, self.folder, link.address)
+            for name, link in enumerate(self.store_relays)
         ]
         self.answers_by_id = {}
         self.cut_by_stop = []
@@ -152,8 +174,10 @@
             served = stand_in.serve(one)
             await served.start()
             tasks.start_soon(served.serve)
-        for link in (self.store_relay, *self.relays):
+        for link in (*self.store_relays, *self.relays):
             tasks.start_soon(link.serve)
+        tasks.start_soon(self.ranks.run)
+        tasks.start_soon(self.store.expire)
         self.store.put('op/config', json.dumps(_configuration()).encode())
         for engine in self.engines:
             self.register(engine)
@@ -172,7 +196,7 @@
     def register(self, engine, **changes):
         """Write an engine's registration, at the address of its relay."""
         address = self.relays[self.engines.index(engine)].address
-        content = engine.registration(**changes)
+        content = engine.registration(size=_ENGINES, **changes)
         document = {**json.loads(content), 'address': str(address)}
         key = f'servers/{engine.name}'
         self.store.put(key, json.dumps(document).encode())
@@ -248,7 +272,9 @@
             for request_id, _ in engine.runs:
                 name = request_id.decode()
                 runs_by_id[name] = runs_by_id.get(name, 0) + 1
-        broken = list(self.cut_by_stop)
+        broken = [*self.cut_by_stop, *self.ranks.disagreements]
+        if not self.ranks.switches:
+            broken.append('no map was switched')
         for engine in self.engines:
             if engine.leaving_at is None:
                 continue
@@ -267,6 +293,11 @@
                 broken.append(f'{name} got {body!r}')
         return broken
 
+    def is_held(self):
+        """Return whether the group has not moved for too long."""
+        waited = anyio.current_time() - self.ranks.stepped_at
+        return waited > _HELD_SECONDS
+
     def served_share(self, since):
         """Return the share of success among the later answers."""
         answers = list(self.answers_by_id.values())[since:]
@@ -306,13 +337,22 @@
             link.reset_all()
 
     async def _store(self, seconds):
-        """Let the store refuse, fall silent or lose its connections."""
-        self.store.refuses = self.generator.random() < 0.5
-        self.store_relay.fault = self.generator.choice(('', *_LINK_FAULTS))
+        """Let the store refuse, fall silent or lose its connections.
+
+        This strikes all entries, or one of them, which may lead.
+        """
+        one = [self.generator.choice(self.store_relays)]
+        links = self.generator.choice((one, self.store_relays))
+        fault = self.generator.choice(('', *_LINK_FAULTS))
+        if len(links) > 1:
+            self.store.refuses = self.generator.random() < 0.5
+        for link in links:
+            link.fault = fault
         await anyio.sleep(seconds)
         self.store.refuses = False
-        self.store_relay.fault = ''
-        self.store_relay.reset_all()
+        for link in links:
+            link.fault = ''
+            link.reset_all()
 
 
 def _configuration():
@@ -320,5 +360,11 @@
     document = json.loads(json.dumps(samples.CONFIG))
     document['routes'][1].pop('traffic_split')
     document['routes'][1]['service'] = 'drafts'
+    document['services'][0]['engine'].update(
+        sets=groups.SETS,
+        experts=groups.EXPERTS,
+        places=groups.PLACES,
+        spare=groups.SPARE,
+    )
     document['routes'][0]['timeout_ms'] = 2500
     return document
