--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -186,6 +186,40 @@
 )
 
 
+_TAKE_OVER: typing.Final = 'nutmegtrail/gateway/take_over.py'
+_KEEPER: typing.Final = 'tests/gateway/test_map_keeper.py'
+_TAKE_OVER_GUARDS: typing.Final = (
+    Guard(
+        'fence made known before the reports are read',
+        _TAKE_OVER,
+        'if not await self._fence_off(group):',
+        'if False:',
+        _KEEPER,
+    ),
+    Guard(
+        'version that nobody can have armed',
+        _TAKE_OVER,
+        'newest + const.UNUSED_VERSION_GAP',
+        'newest + 1',
+        _KEEPER,
+    ),
+    Guard(
+        'order to disarm until it is answered',
+        _TAKE_OVER,
+        'await anyio.sleep(const.ORDER_RETRY_SECONDS)',
+        'return',
+        _KEEPER,
+    ),
+    Guard(
+        'doubt about a group that refuses a map',
+        'nutmegtrail/gateway/map_keeper.py',
+        'self._take_over.doubt(group)',
+        'pass',
+        _KEEPER,
+    ),
+)
+
+
 def main() -> int:
     """Print a line for each guard; return 1 if a removal stays green.
 
@@ -193,7 +227,9 @@
     """
     chosen = sys.argv[1] if len(sys.argv) > 1 else ''
     guards = [
-        guard for guard in (*GUARDS, *_SWITCH_GUARDS) if chosen in guard.tests
+        guard
+        for guard in (*GUARDS, *_SWITCH_GUARDS, *_TAKE_OVER_GUARDS)
+        if chosen in guard.tests
     ]
     with concurrent.futures.ThreadPoolExecutor(_WORKERS) as pool:
         outcomes = list(pool.map(_is_red, guards))
