Say outcome-unknown for a keyed repeat at a stopping engine's sidecar

Cause: two places decided whether an earlier attempt may have run. A sidecar that is stopping asked only for a key, though beside an engine no claims are kept: a second attempt of a keyed call was told "draining", which callers read as not run. Ruled out: leaving it to the entry, which does turn it into unknown after its own first attempt, but not after another entry's. Change: one function serves both. The new test fails without it. The entry on the platform loads neither module; its measurements are not touched.

--- a/nutmegtrail/daemons/sidecar.py
+++ b/nutmegtrail/daemons/sidecar.py
@@ -279,10 +279,13 @@
     reason = sidecar.refusal()
     known = sidecar.calls.store.get(message.request_id) is not None
     if reason is not None and not known:
+        keeps_claims = sidecar.calls.shards is not None
+        if sidecar_calls.is_unproved_repeat(message, keeps_claims=keeps_claims):
+            reason = retry_models.Reason.OUTCOME_UNKNOWN
         refusal = models.Refusal(
             message.request_id,
             message.attempt,
-            _reason_for(message, reason).value,
+            reason.value,
             retry_after_ms=0,
         )
         post(refusal)
@@ -324,14 +327,3 @@
         sidecar.calls.in_flight,
     )
     post(ack)
-
-
-def _reason_for(
-    call: models.Call,
-    reason: retry_models.Reason,
-) -> retry_models.Reason:
-    """Return a true reason for a call that an unknown attempt precedes."""
-    unkeyed = not call.idempotent and not call.idempotency_key
-    if unkeyed and call.attempt > 1:
-        return retry_models.Reason.OUTCOME_UNKNOWN
-    return reason
--- a/nutmegtrail/daemons/sidecar_calls.py
+++ b/nutmegtrail/daemons/sidecar_calls.py
@@ -161,8 +161,7 @@
 
     def _refusal(self, call: models.Call) -> retry_models.Reason | None:
         """Return why a call must not start here, None if it may."""
-        claimed = call.idempotency_key and self.shards is not None
-        if call.attempt > 1 and not call.idempotent and not claimed:
+        if is_unproved_repeat(call, keeps_claims=self.shards is not None):
             return _Reason.OUTCOME_UNKNOWN
         if call.suspect and self._runs_suspect():
             return _Reason.OVERLOADED
@@ -320,6 +319,12 @@
             self.store.drop(request_id)
 
 
+def is_unproved_repeat(call: models.Call, *, keeps_claims: bool) -> bool:
+    """Return whether an attempt may have run of which no claim is kept."""
+    claimed = call.idempotency_key and keeps_claims
+    return call.attempt > 1 and not call.idempotent and not claimed
+
+
 def _tombstone_name(waiter: idempotency_models.Waiter) -> str:
     """Return the name under which a tombstone's outcome is recorded."""
     return f'{waiter.request_id}#{waiter.attempt}'
