--- a/nutmegtrail/cli/config.py
+++ b/nutmegtrail/cli/config.py
@@ -21,6 +21,7 @@
 from nutmegtrail.configuration import models
 from nutmegtrail.configuration import settings
 from nutmegtrail.contracts import models as contract_models
+from nutmegtrail.gateway import settings as gateway_settings
 
 application = typer.Typer(help='Settings and the deployment configuration.')
 _TIMEOUT_SECONDS: typing.Final = 2.0
@@ -28,6 +29,7 @@
 _SCHEMAS_BY_KIND: typing.Final = types.MappingProxyType[str, _Schema](
     {
         'entry': settings.EntrySettings,
+        'gateway': gateway_settings.GatewaySettings,
         'sidecar': settings.SidecarSettings,
         'deployment': models.Deployment,
         'contracts': contract_models.ContractFile,
@@ -37,7 +39,9 @@
 
 @application.command('check')
 def check(kind: str, file: options.File) -> None:
-    """Check a file: KIND is entry, sidecar, deployment or contracts.
+    """Check a file: KIND is entry, gateway, sidecar, deployment or contracts.
+
+    `gateway` are the settings of an entry that calls upstreams itself.
 
     Example: nutmegtrail config check entry entry.toml
     """
