--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -11,6 +11,7 @@
 _EXPERIMENTS: typing.Final = (
     'capacity',
     'idle',
+    'logging',
     'path',
     'rebalancing',
     'routing',
