--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,6 +7,7 @@
 
 from tests.soak import world as worlds
 
+ENTRIES = 3
 HARM_SECONDS = 8.0
 _CALM_SECONDS = 4.0
 _SETTLE_SECONDS = 4.0
@@ -16,9 +17,9 @@
 LEAST_SERVED_AFTER_FAULTS = 0.95
 
 
-async def run_seed(seed, harm_seconds=HARM_SECONDS):
+async def run_seed(seed, harm_seconds=HARM_SECONDS, entries=ENTRIES):
     """Return the promises that a seed has broken, and where its logs are."""
-    world = worlds.World(seed)
+    world = worlds.World(seed, entries)
     broken = []
     try:
         async with anyio.create_task_group() as tasks:
@@ -77,10 +78,16 @@
     parser = argparse.ArgumentParser()
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=50)
+    parser.add_argument('--entries', type=int, default=ENTRIES)
     options = parser.parse_args()
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
-        broken, folder = anyio.run(run_seed, seed)
+        broken, folder = anyio.run(
+            run_seed,
+            seed,
+            HARM_SECONDS,
+            options.entries,
+        )
         failed += bool(broken)
         sys.stdout.write(f'seed {seed}: {broken or "kept"} {folder}\n')
         sys.stdout.flush()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -20,7 +20,6 @@
 from tests.soak import group as groups
 from tests.soak import relay
 
-ENTRIES = 3
 _ENGINES = 3
 _EVENTS = 8
 _BOOKING_SECONDS = 0.05
@@ -145,7 +144,7 @@
 class World:
     """A deployment on loopback, its callers and what they saw."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, entries):
         """Create everything; nothing runs yet."""
         self.generator = random.Random(seed)
         self.folder = tempfile.mkdtemp(prefix=f'nutmegtrail-soak-{seed}-')
@@ -158,7 +157,7 @@
         ]
         self.relays = [relay.Relay(one.address) for one in self.engines]
         self.store_relays = [
-            relay.Relay(self.store.address) for _ in range(ENTRIES)
+            relay.Relay(self.store.address) for _ in range(entries)
         ]
         self.entries = [
             Entry(name, self.folder, link.address)
