Count only accepted orders as a fence made known

Cause: the take-over took a refused order to disarm for one by which a rank had learned the fence. Change: a group with such a rank is not resumed. The new test fails without it.

--- a/nutmegtrail/gateway/take_over.py
+++ b/nutmegtrail/gateway/take_over.py
@@ -130,7 +130,8 @@
         if rank_control.OrderOutcome.FENCED in outcomes:
             self._lease.fenced_off()
             return False
-        return len(outcomes) == len(group.members)
+        accepted = outcomes.count(rank_control.OrderOutcome.ACCEPTED)
+        return accepted == len(group.members)
 
     async def _send(
         self,
--- a/tests/gateway/test_map_keeper.py
+++ b/tests/gateway/test_map_keeper.py
@@ -73,6 +73,7 @@
         self.unreadable_until_by_id = {}
         self.generator = random.Random(1)
         self.lost_share = 0
+        self.refused_operations = set()
         self.ranks_by_id = {
             f'm{group}-{rank}': _Rank(rank)
             for group in range(_GROUPS)
@@ -117,6 +118,8 @@
         now = anyio.current_time()
         if self.generator.random() < self.lost_share:
             return rank_control.OrderOutcome.UNANSWERED
+        if order.operation in self.refused_operations:
+            return rank_control.OrderOutcome.REFUSED
         rank = self.ranks_by_id[upstream.upstream_id]
         if fence < rank.fence:
             return rank_control.OrderOutcome.FENCED
@@ -310,6 +313,13 @@
         # The predecessor may have armed a version that no report shows yet.
         self.assertTrue(min(version for _, version in disarmed) > 100)
 
+    def test_rank_that_refuses_the_fence(self):
+        """A refused order may not make the fence known: no group is moved."""
+        engines = _Engines()
+        engines.refused_operations.add(switch.Operation.DISARM)
+        _run(engines, 3)
+        self.assertEqual([], engines.times(switch.Operation.PREPARE))
+
     def test_group_that_is_found_held(self):
         """A group that refuses maps is read again and let go.
 
