--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,8 +6,10 @@
 from tests.soak import run
 
 _HARM_SECONDS = 3.0
-# Seed 1 is a sample; no seed has failed yet.
-_SEEDS = (1,)
+# Seed 1 is a sample. Seed 244 failed once beside two other soaks: an entry of
+# one of them, seed 227, looked for its readiness port, which an engine of this
+# one had taken meanwhile.
+_SEEDS = (1, 244)
 
 
 class SoakTest(testtools.TestCase):
