--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -2,7 +2,10 @@
 
 import testtools
 
+from nutmegtrail import models
+from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import gossip
+from nutmegtrail.ports import watched_store
 
 
 class GossipTest(testtools.TestCase):
@@ -34,3 +37,26 @@
             self.assertIsNone(gossip.decode(payload))
         bad = b'{"entry":"e","part":0,"counts":{"i":"many"}}'
         self.assertIsNone(gossip.decode(bad))
+
+    def test_restarted_entries_count_once(self):
+        """Pattern: after all entries were killed, their old keys linger.
+
+        Each restart registers under a new name at the same address; the old
+        registration lasts until its lease ends. Lines, rooms and retries are
+        shared by the entries that live.
+        """
+        dispatcher = dispatching.Dispatcher('kandla-a')
+        own = models.Address('10.1.0.40', 7340)
+        told = gossip.Gossip('front-1/new', own, None, dispatcher)
+        told.listed(
+            tuple(
+                watched_store.Item(
+                    f'{gossip.PREFIX}front-{number}/{life}',
+                    revision,
+                    f'10.{number}.0.40:7340'.encode(),
+                )
+                for revision, life in ((5, 'old'), (9, 'new'))
+                for number in range(1, 4)
+            ),
+        )
+        self.assertEqual(3, dispatcher.entries)
