Log a fingerprint of requests and the detail of broken responses

Copies of one request, each with its own identifier, have nothing in common in the logs, and a response that an upstream's end cut looks like any other broken one. No decision changes.

--- a/nutmegtrail/gateway/attempts.py
+++ b/nutmegtrail/gateway/attempts.py
@@ -38,9 +38,10 @@
 
 
 class Broken(typing.NamedTuple):
-    """The response was truncated, invalid or missing."""
+    """The response was truncated, invalid or missing; says how, for logs."""
 
     upstream_id: str
+    detail: str = ''
 
 
 class Failed(typing.NamedTuple):
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -1,5 +1,6 @@
 """State of a caller's request while the gateway handles it."""
 
+import functools
 import typing
 
 import anyio
@@ -14,6 +15,7 @@
 from nutmegtrail.gateway import request_queue
 from nutmegtrail.gateway import routes
 from nutmegtrail.gateway import selection
+from nutmegtrail.retries import quarantine
 
 
 class Failure(typing.NamedTuple):
@@ -53,6 +55,18 @@
         self.first_event_seconds: float | None = None
         self.longest_pause_seconds = 0.0
 
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """Return a hash that is equal for repetitions of the request."""
+        request = self.exchange.request
+        method = request.method.decode('latin-1')
+        target = request.target.decode('latin-1')
+        return quarantine.fingerprint(
+            self.account.name,
+            f'{method} {self.caller.host}{target}',
+            request.body,
+        )
+
     @property
     def remaining_seconds(self) -> float:
         """Return the time until the caller's or the route's deadline."""
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -168,8 +168,8 @@
             return attempts.GiveUp(attempts.Outcome.UNKNOWN)
         except http_errors.NotConnected:
             event = attempts.NotConnected(upstream.upstream_id)
-        except http_errors.ExchangeBroken:
-            event = attempts.Broken(upstream.upstream_id)
+        except http_errors.ExchangeBroken as error:
+            event = attempts.Broken(upstream.upstream_id, str(error))
         self._health_recorder.record_outcome(upstream, event)
         return event
 
@@ -199,7 +199,9 @@
             async with self._client.open(call) as response:
                 timeout_scope.deadline = math.inf
                 return await self._read_response(job, upstream, response)
-        return attempts.Broken(upstream.upstream_id)
+        return attempts.Broken(
+            upstream.upstream_id, f'no response within {timeout_seconds:.2f} s'
+        )
 
     async def _read_response(
         self,
@@ -257,7 +259,7 @@
     ) -> attempts.Event:
         """Return the failure that an unsuccessful response means."""
         if classification.response_kind is models.ResponseKind.FOREIGN:
-            return attempts.Broken(upstream.upstream_id)
+            return attempts.Broken(upstream.upstream_id, 'foreign response')
         body = await response.read(const.RESPONSE_BYTES_LIMIT)
         if classification.response_kind is models.ResponseKind.FAILURE:
             job.failure = jobs.Failure(response.head, body)
@@ -277,7 +279,7 @@
         while True:
             part = await self._receive_part(job, upstream, response)
             if part is None:
-                return attempts.Broken(upstream.upstream_id)
+                return attempts.Broken(upstream.upstream_id, 'silent stream')
             complete_events = splitter.feed(part)
             new_events = events.select_new_events(job.position, complete_events)
             if new_events.payload:
@@ -294,11 +296,11 @@
                 last_event_at = now
                 await self._forward_events(job, response.head, new_events)
             if new_events.has_gap:
-                return attempts.Broken(upstream.upstream_id)
+                return attempts.Broken(upstream.upstream_id, 'missing event')
             if not part:
                 break
         if splitter.has_partial_event or not job.delivery.has_sent_events:
-            return attempts.Broken(upstream.upstream_id)
+            return attempts.Broken(upstream.upstream_id, 'incomplete stream')
         await job.exchange.finish()
         return None
 
@@ -462,8 +464,10 @@
         logs.decision(
             'attempt:failed',
             request_id=job.caller.request_id,
+            fingerprint=job.fingerprint,
             upstream=event.upstream_id,
             failure=type(event).__name__,
+            detail=getattr(event, 'detail', ''),
             reached=job.delivery.reached,
             action=type(action).__name__,
         )
@@ -477,6 +481,7 @@
         logs.decision(
             'request:ended',
             request_id=job.caller.request_id,
+            fingerprint=job.fingerprint,
             route=job.route.name,
             client_account=job.account.name,
             configuration=job.configuration_version,
