--- /dev/null
+++ b/tests/platform/engine_process.py
@@ -0,0 +1,74 @@
+"""Engine that ends and starts again, as a process on its host would."""
+
+import anyio
+
+from tests.platform import stand_in
+
+FATAL_BODY = b'fatal'
+# Registrations expire after three missed heartbeats.
+_REGISTRATION_SECONDS = 1.0
+_RESTART_SECONDS = 1.5
+
+
+class EngineProcess(stand_in.Engine):
+    """Engine that ends whenever it begins to run the fatal body.
+
+    Each start has another registration and a later start time. `runs` has the
+    time and identifier of each request that began, `ends` the times of the
+    ends.
+    """
+
+    def __init__(self, name, service, store, tasks):
+        """Initialize an engine that is not running."""
+        super().__init__(name, service)
+        self.runs = []
+        self.ends = []
+        self.started_at_ms = 1_000
+        self._store = store
+        self._tasks = tasks
+        self._scope = anyio.CancelScope()
+
+    @property
+    def key(self):
+        """Return the store key of the current incarnation."""
+        return f'servers/{self.name}-{self.started_at_ms}'
+
+    async def start(self):
+        """Listen and register as a new incarnation."""
+        self.started_at_ms += 1
+        server = stand_in.create_server(self)
+        await server.start()
+        self._scope = anyio.CancelScope()
+        self._tasks.start_soon(self._serve, server, self._scope)
+        self._store.put(self.key, self.registration(born=self.started_at_ms))
+
+    def end(self):
+        """End the process, which closes its sockets."""
+        self.ends.append(anyio.current_time())
+        self._scope.cancel()
+        self._tasks.start_soon(self._return, self.key)
+
+    async def handle(self, exchange):
+        """Handle a request; the fatal one ends the process."""
+        if exchange.request.target == b'/api/report':
+            report = b'{"born":%d}' % self.started_at_ms
+            await exchange.respond(200, (stand_in.KEEP_ALIVE_HEADER,), report)
+            return
+        self.runs.append((anyio.current_time(), exchange.request))
+        if exchange.request.body == FATAL_BODY:
+            self.end()
+        await super().handle(exchange)
+
+    async def _serve(self, server, scope):
+        """Serve until the process ends."""
+        with scope:
+            await server.serve()
+        with anyio.CancelScope(shield=True):
+            await server._listener.aclose()
+
+    async def _return(self, key):
+        """Let the registration expire, then start again."""
+        await anyio.sleep(_REGISTRATION_SECONDS)
+        self._store.remove(key)
+        await anyio.sleep(_RESTART_SECONDS - _REGISTRATION_SECONDS)
+        await self.start()
--- /dev/null
+++ b/tests/platform/entries.py
@@ -0,0 +1,186 @@
+"""Deployment of several gateways in one process, with engines that end."""
+
+import contextlib
+import json
+
+import anyio
+
+from nutmegtrail.adapters.http1 import client
+from nutmegtrail.adapters.http1 import errors
+from nutmegtrail.bootstrap import gateway
+from nutmegtrail.gateway import settings
+from tests import loopback
+from tests.platform import engine_process
+from tests.platform import samples
+from tests.platform import stand_in
+
+_SCENARIO_TIMEOUT_SECONDS = 60
+_REQUEST_TIMEOUT_SECONDS = 5
+_DEADLINE_MS = b'4000'
+
+
+class Response:
+    """Response to a request, `None` fields if it was broken."""
+
+    def __init__(self, status=None, headers=None, body=None):
+        """Initialize the response."""
+        self.status = status
+        self.headers = headers or {}
+        self.body = body
+
+
+class Entry:
+    """Gateway that can be killed and started again without any memory."""
+
+    def __init__(self, number, store, tasks):
+        """Initialize a gateway that is not running."""
+        self._number = number
+        self._store = store
+        self._tasks = tasks
+        self._scope = anyio.CancelScope()
+        self.store_address = store.address
+        self.addresses = []
+
+    async def start(self):
+        """Start and wait until it is ready."""
+        names = ('callers', 'readiness', 'peers', 'metrics')
+        self.addresses = [loopback.free_address() for _ in names]
+        configured = settings.GatewaySettings.model_validate(
+            {
+                'process': {
+                    'host': f'entry-{self._number}',
+                    'failure_domain': 'kandla-a',
+                },
+                'listen': {
+                    name: str(address)
+                    for name, address in zip(names, self.addresses, strict=True)
+                },
+                'store': {'address': str(self.store_address)},
+                'retries': {'window_seconds': 10, 'share': 0.2, 'base': 92},
+                'stop': {'grace_seconds': 8},
+            },
+        )
+        self._scope = anyio.CancelScope()
+        self._tasks.start_soon(
+            self._run, gateway.create_gateway(configured), self._scope
+        )
+        while not await self._is_ready():
+            await anyio.sleep(0.02)
+
+    def kill(self):
+        """End the gateway without a graceful shutdown."""
+        self._scope.cancel()
+
+    async def metrics(self):
+        """Return the metrics as text."""
+        _, body = await self._fetch(self.addresses[3])
+        return body.decode()
+
+    async def _run(self, daemon, scope):
+        """Run the gateway until it is killed."""
+        with scope:
+            await daemon.start()
+
+    async def _is_ready(self):
+        """Return whether the gateway reports itself ready."""
+        try:
+            head, _ = await self._fetch(self.addresses[1])
+        except errors.NotConnected:
+            return False
+        return head.status == 200
+
+    async def _fetch(self, address):
+        """Return the head and the body of a response."""
+        call = client.Call(address, b'GET', b'/', ())
+        return await client.Client().fetch(call, 99_999)
+
+
+class Deployment:
+    """Store, engines of the service 'desk' and gateways."""
+
+    def __init__(self, engine_count, entry_count, tasks):
+        """Initialize the parts; nothing is running."""
+        self.store = stand_in.Store()
+        self.engines = [
+            engine_process.EngineProcess(
+                f'd-{number}', 'desk', self.store, tasks
+            )
+            for number in range(engine_count)
+        ]
+        self.entries = [
+            Entry(number, self.store, tasks) for number in range(entry_count)
+        ]
+        self.response_by_id = {}
+        self._tasks = tasks
+
+    async def start(self):
+        """Start the store, the engines and the gateways."""
+        server = stand_in.create_server(self.store)
+        await server.start()
+        self._tasks.start_soon(server.serve)
+        self._tasks.start_soon(self.store.expire_leases)
+        document = json.loads(json.dumps(samples.CONFIG))
+        document['tenants'].append({'name': 'board', 'api_keys': ['key-9']})
+        self.store.put('op/config', json.dumps(document).encode())
+        for engine in self.engines:
+            await engine.start()
+        for entry in self.entries:
+            await entry.start()
+        await anyio.sleep(0.3)
+
+    def run_times(self, body):
+        """Return the times at which engines began to run a body."""
+        return sorted(
+            run_at
+            for engine in self.engines
+            for run_at, request in engine.runs
+            if request.body == body
+        )
+
+    def send_later(self, entry, body, request_id, **changes):
+        """Send a request without waiting for its response."""
+        self._tasks.start_soon(self._send, entry, body, request_id, changes)
+
+    async def send(self, entry, body, request_id, **changes):
+        """Send a request and return its response."""
+        await self._send(entry, body, request_id, changes)
+        return self.response_by_id[request_id]
+
+    async def _send(self, entry, body, request_id, changes):
+        """Send an idempotent request, unless changed, and keep the response."""
+        headers = (
+            (b'host', b'ficu95.example'),
+            (b'x-nutmegtrail-request-id', request_id.encode()),
+            (b'x-nutmegtrail-deadline-ms', _DEADLINE_MS),
+            (b'api-key', changes.get('key', b'key-1')),
+        )
+        call = client.Call(
+            entry.addresses[0],
+            b'POST',
+            changes.get('path', b'/long/read/2f'),
+            headers,
+            body,
+            needs_new_connection=True,
+        )
+        response = Response()
+        with anyio.move_on_after(_REQUEST_TIMEOUT_SECONDS):
+            with contextlib.suppress(
+                errors.NotConnected, errors.ExchangeBroken
+            ):
+                head, received = await client.Client().fetch(call, 99_999)
+                response = Response(head.status, dict(head.headers), received)
+        self.response_by_id[request_id] = response
+
+
+def run(scenario, engine_count, entry_count):
+    """Run a scenario with a started deployment."""
+
+    async def _main():
+        with anyio.fail_after(_SCENARIO_TIMEOUT_SECONDS):
+            async with anyio.create_task_group() as tasks:
+                deployment = Deployment(engine_count, entry_count, tasks)
+                await deployment.start()
+                await scenario(deployment)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(_main)
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -18,7 +18,7 @@
 _LEASE_CHECK_INTERVAL_SECONDS = 0.05
 # Exceeds the timeout of every client.
 _NO_RESPONSE_SECONDS = 9
-_KEEP_ALIVE_HEADER = (b'keep-alive', b'timeout=9')
+KEEP_ALIVE_HEADER = (b'keep-alive', b'timeout=9')
 
 
 class Store:
@@ -204,7 +204,7 @@
         headers = (
             (b'x-nutmegtrail-request-id', request_id),
             (b'x-nutmegtrail-response-seal', self.name.encode()),
-            _KEEP_ALIVE_HEADER,
+            KEEP_ALIVE_HEADER,
         )
         await getattr(self, script)(exchange, headers)
 
