Quarantine requests that end their upstreams on the platform too

What callers saw: nothing; upstreams did. A request that ends each engine that begins to run it came again with its own identifier each time, was sent to two more engines each time, and took engine after engine away from everyone else.

Cause: the entry without sidecars (gateway) had no memory of such requests. retries/quarantine served only the entry with sidecars, whose sidecar sees the end of its upstream. The gateway sees a broken response, which may as well be a cut, a silent engine or a planned stop.

Change: the crash detector learns whether an upstream has ended. Its host refuses connections or another process answers (asked right after a connection closed; only requests under suspicion wait for that before a retry), or a later process registers at its place. Upstreams that are leaving or no longer registered stop as planned and count for nothing, and a crash is withdrawn if the same incarnation is still registered after its heartbeats must have ended. Marks lie in the store under leases of ten minutes that outlive the entry, and all entries read them by the watch that they have already. After three crashes a request is refused with 503 and the time that remains (502 if this attempt may have run), also in the queue, and unanswered attempts of it are cancelled. A crash is attributed to those of its requests that were in flight at the most crashes, so that bystanders are not blamed; suspects keep apart from each other. The sidecars' path uses the same attribution. A success clears a request.

The stand-in engine answers reports, as real ones do, and counts callers' requests only; the counts that tests expect are unchanged.

--- a/nutmegtrail/adapters/http1/client.py
+++ b/nutmegtrail/adapters/http1/client.py
@@ -135,7 +135,10 @@
                     call.address.port,
                 )
         except (OSError, TimeoutError) as error:
-            raise errors.NotConnected(
+            error_type = errors.NotConnected
+            if _is_refusal(error):
+                error_type = errors.ConnectionRefused
+            raise error_type(
                 f'{call.address} did not accept a connection: {error!r}',
             ) from error
         self.connections_opened += 1
@@ -183,6 +186,15 @@
         return True
 
 
+def _is_refusal(error: BaseException | None) -> bool:
+    """Return whether an error or one of its causes is a refusal."""
+    while error is not None:
+        if isinstance(error, ConnectionRefusedError):
+            return True
+        error = error.__cause__
+    return False
+
+
 async def _send(stream: anyio.abc.ByteStream, call: Call) -> None:
     """Send a request; raise ExchangeBroken if the peer has closed."""
     raw = messages.request_bytes(
--- a/nutmegtrail/adapters/http1/errors.py
+++ b/nutmegtrail/adapters/http1/errors.py
@@ -20,5 +20,9 @@
     """No connection could be opened, so that nothing was sent."""
 
 
+class ConnectionRefused(NotConnected):
+    """The host responded that no process listens on the port."""
+
+
 class ExchangeBroken(errors.NutmegtrailError):
     """The connection failed after the request may have been sent."""
--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -7,6 +7,9 @@
 from nutmegtrail import const as shared_const
 from nutmegtrail import models
 from nutmegtrail.gateway import const as gateway_const
+from nutmegtrail.gateway import crash_detector
+from nutmegtrail.gateway import crash_guard
+from nutmegtrail.gateway import crash_quarantine
 from nutmegtrail.gateway import daemon
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import expert_balancer
@@ -35,6 +38,13 @@
     metrics_registry: metrics.Metrics
 
 
+class _CrashProtection(typing.NamedTuple):
+    """Components against requests that crash upstreams."""
+
+    quarantine: crash_quarantine.CrashQuarantine
+    detector: crash_detector.CrashDetector
+
+
 def create_gateway(configured: settings.GatewaySettings) -> daemon.Gateway:
     """Create a gateway without starting it."""
     shared = _SharedComponents(
@@ -45,7 +55,13 @@
         dispatching.Dispatcher(configured.process.failure_domain),
         metrics.Metrics(),
     )
-    request_handler = _create_request_handler(configured, shared)
+    engines = platform_engines.EngineControlClient()
+    protection = _create_crash_protection(configured, shared, engines)
+    request_handler = _create_request_handler(
+        configured,
+        shared,
+        crash_guard.CrashGuard(protection.detector, protection.quarantine),
+    )
     gossip = gossiping.Gossip(
         shared.incarnation,
         models.parse_address(configured.listen.peers),
@@ -58,7 +74,6 @@
         shared.store,
         random.Random(),
     )
-    engines = platform_engines.EngineControlClient()
     balancer = expert_balancer.ExpertBalancer(
         engines,
         shared.dispatcher,
@@ -79,27 +94,60 @@
         store_listeners.GATEWAY_PREFIX: store_listeners.FanOutListener(
             gossip,
             lease,
+            protection.quarantine,
         ),
     }
-    watchers = tuple(
-        store_watcher.StoreWatcher(shared.store, prefix, listener)
-        for prefix, listener in listeners.items()
-    )
     return daemon.Gateway(
         configured,
         daemon.Components(
             request_handler,
             shared.dispatcher,
             gossip,
-            watchers,
+            _create_watchers(shared.store, listeners),
             shared.metrics_registry,
             lease,
             balancer,
+            protection.quarantine,
+            protection.detector,
             (engines, shared.store),
         ),
     )
 
 
+def _create_crash_protection(
+    configured: settings.GatewaySettings,
+    shared: _SharedComponents,
+    engines: platform_engines.EngineControlClient,
+) -> _CrashProtection:
+    """Create the quarantine of crashing requests and the crash detector."""
+    quarantine = crash_quarantine.CrashQuarantine(
+        shared.store, shared.metrics_registry
+    )
+    heartbeat_seconds = (
+        configured.upstreams.heartbeat_milliseconds
+        / shared_const.MILLISECONDS_PER_SECOND
+    )
+    detector = crash_detector.CrashDetector(
+        engines,
+        shared.dispatcher,
+        quarantine,
+        shared.metrics_registry,
+        heartbeat_seconds,
+    )
+    return _CrashProtection(quarantine, detector)
+
+
+def _create_watchers(
+    store: platform_store.PlatformStore,
+    listener_by_prefix: dict[str, store_watcher.Listener],
+) -> tuple[store_watcher.StoreWatcher, ...]:
+    """Create the watchers of the store, one for each prefix."""
+    return tuple(
+        store_watcher.StoreWatcher(store, prefix, listener)
+        for prefix, listener in listener_by_prefix.items()
+    )
+
+
 def _create_pacer(link: settings.Link) -> pacer.Pacer:
     """Create the rate limiter of orders that carry expert maps."""
     link_bytes_per_second = (
@@ -113,6 +161,7 @@
 def _create_request_handler(
     configured: settings.GatewaySettings,
     shared: _SharedComponents,
+    guard: crash_guard.CrashGuard,
 ) -> request_handlers.RequestHandler:
     """Create the request handler and its retry budget."""
     allowance = retry_budget.Allowance(
@@ -124,5 +173,6 @@
         headers.PlatformHeaderTranslator(),
         shared.dispatcher,
         allowance,
+        guard,
         shared.metrics_registry,
     )
--- a/nutmegtrail/gateway/attempts.py
+++ b/nutmegtrail/gateway/attempts.py
@@ -38,10 +38,15 @@
 
 
 class Broken(typing.NamedTuple):
-    """The response was truncated, invalid or missing; says how, for logs."""
+    """The response was truncated, invalid or missing.
+
+    `detail` says how, for logs. `is_closed` is set if the connection was
+    closed or reset by the upstream.
+    """
 
     upstream_id: str
     detail: str = ''
+    is_closed: bool = False
 
 
 class Failed(typing.NamedTuple):
@@ -58,6 +63,7 @@
 
     PASS_ON = 'pass-on'
     NOT_RUN = 'not-run'
+    QUARANTINED = 'quarantined'
     UNKNOWN = 'unknown'
 
 
@@ -126,10 +132,13 @@
     return Decision(failed, GiveUp(Outcome.PASS_ON))
 
 
-def give_up(delivery: Delivery) -> GiveUp:
-    """Return the outcome of a request that no upstream can take."""
+def give_up(delivery: Delivery, reason: Outcome = Outcome.NOT_RUN) -> GiveUp:
+    """Return the outcome of a request that no upstream can take.
+
+    The reason applies only if the request has certainly not run.
+    """
     is_unknown = delivery.may_have_run or delivery.has_sent_events
-    return GiveUp(Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN)
+    return GiveUp(Outcome.UNKNOWN if is_unknown else reason)
 
 
 def _give_up(delivery: Delivery) -> Decision:
--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -50,6 +50,27 @@
 # reported first.
 MIN_RESPONSE_TIMEOUT_SECONDS: typing.Final = 0.35
 
+# Crashes attributed to a request from which on it is refused.
+CRASH_LIMIT: typing.Final = 3
+# Responses that are broken by the same crash arrive within this time.
+CRASH_MARK_BATCH_SECONDS: typing.Final = 0.05
+# The platform accepts 32 entries per transaction.
+CRASH_MARKS_PER_WRITE: typing.Final = 32
+CRASH_MARK_SWEEP_SECONDS: typing.Final = 30.0
+# A mark expires this much earlier than its TTL at most.
+CRASH_LEASE_REUSE_SECONDS: typing.Final = 60.0
+# After a restart of the upstream, requests that were interrupted this long
+# before are no longer attributed to its crash.
+INTERRUPTION_MAX_AGE_SECONDS: typing.Final = 15.0
+INTERRUPTIONS_LIMIT: typing.Final = 4_096
+INTERRUPTION_CHECK_SECONDS: typing.Final = 0.25
+# Responses that arrived before a crash are read within this time after it.
+RESPONSE_READ_SECONDS: typing.Final = 0.5
+# The platform removes a registration after this number of silent heartbeats.
+SILENT_HEARTBEATS: typing.Final = 3
+# Time for the removal of a registration to be read.
+REMOVAL_READ_SECONDS: typing.Final = 1.5
+
 # A refused caller is asked to retry after a share of its remaining time, so
 # that it can still be served and a burst of requests has time to drain.
 RETRY_AFTER_RATIO: typing.Final = 0.125
--- /dev/null
+++ b/nutmegtrail/gateway/crash_guard.py
@@ -0,0 +1,112 @@
+"""Protection of upstreams from requests that crash them."""
+
+import contextlib
+import typing
+
+import anyio
+
+from nutmegtrail.gateway import attempts
+from nutmegtrail.gateway import crash_detector
+from nutmegtrail.gateway import crash_quarantine
+from nutmegtrail.gateway import jobs
+from nutmegtrail.gateway import models
+
+
+class Attempt:
+    """Running attempt; `is_answered` is set if the upstream answered it."""
+
+    def __init__(self, job: jobs.Job) -> None:
+        """Initialize the attempt as unanswered."""
+        self.job = job
+        self.is_answered = False
+        self.scope = anyio.CancelScope()
+
+
+class CrashGuard:
+    """Observes attempts and refuses requests that have crashed upstreams."""
+
+    def __init__(
+        self,
+        detector: crash_detector.CrashDetector,
+        quarantine: crash_quarantine.CrashQuarantine,
+    ) -> None:
+        """Initialize the guard without any attempt."""
+        self._detector = detector
+        self._quarantine = quarantine
+        self._attempts_by_fingerprint: dict[str, set[Attempt]] = {}
+        quarantine.add_listener(self._cancel_unanswered)
+
+    def crash_count(self, job: jobs.Job) -> int:
+        """Return the crashes that are attributed to a request."""
+        return self._quarantine.crash_count(job.fingerprint)
+
+    def is_suspect(self, job: jobs.Job) -> bool:
+        """Return whether a request may have crashed an upstream."""
+        return self.crash_count(job) > 0
+
+    def refused_seconds(self, job: jobs.Job) -> float:
+        """Return for how long a request is refused, 0 if it is not."""
+        return self._quarantine.remaining_seconds(job.fingerprint)
+
+    def refusal(self, job: jobs.Job) -> attempts.GiveUp | None:
+        """Return the outcome of a quarantined request, None for others."""
+        if not self.refused_seconds(job):
+            return None
+        return attempts.give_up(job.delivery, attempts.Outcome.QUARANTINED)
+
+    @contextlib.contextmanager
+    def watch(
+        self, job: jobs.Job, upstream: models.Upstream
+    ) -> typing.Iterator[Attempt]:
+        """Watch an attempt; it is cancelled if its request is quarantined."""
+        attempt = Attempt(job)
+        self._attempts_by_fingerprint.setdefault(job.fingerprint, set()).add(
+            attempt
+        )
+        try:
+            with attempt.scope:
+                yield attempt
+        finally:
+            self._end(attempt, upstream)
+
+    def record_response(self, upstream: models.Upstream) -> None:
+        """Record that an upstream responds."""
+        self._detector.record_response(upstream)
+
+    def record_success(self, job: jobs.Job) -> None:
+        """Clear a request, because it ran without a crash."""
+        self._quarantine.record_success(job.fingerprint)
+
+    async def examine(self, job: jobs.Job, upstream: models.Upstream) -> None:
+        """Find out whether an upstream that closed a connection crashed.
+
+        Only suspects wait for the result before they are retried.
+        """
+        if self.is_suspect(job):
+            await self._detector.examine(upstream)
+        else:
+            self._detector.examine_later(upstream)
+
+    def _end(self, attempt: Attempt, upstream: models.Upstream) -> None:
+        """Forget an attempt; without an answer, it was interrupted."""
+        job = attempt.job
+        running = self._attempts_by_fingerprint[job.fingerprint]
+        running.discard(attempt)
+        if not running:
+            self._attempts_by_fingerprint.pop(job.fingerprint)
+        if not attempt.is_answered:
+            self._detector.record_interruption(
+                job.caller.request_id, job.fingerprint, upstream
+            )
+
+    def _cancel_unanswered(self, fingerprint: str) -> None:
+        """Cancel the attempts of a request that is quarantined now.
+
+        Upstreams that have queued it may drop it before they run it. Streams
+        that have sent events go on, because they run.
+        """
+        for attempt in tuple(
+            self._attempts_by_fingerprint.get(fingerprint, ())
+        ):
+            if not attempt.job.delivery.has_sent_events:
+                attempt.scope.cancel()
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -11,6 +11,8 @@
 from nutmegtrail.adapters.http1 import messages
 from nutmegtrail.adapters.http1 import server
 from nutmegtrail.gateway import const
+from nutmegtrail.gateway import crash_detector
+from nutmegtrail.gateway import crash_quarantine
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import expert_balancer
 from nutmegtrail.gateway import gossip as gossiping
@@ -55,6 +57,8 @@
     metrics_registry: metrics.Metrics
     lease: leader_lease.LeaderLease
     balancer: expert_balancer.ExpertBalancer
+    quarantine: crash_quarantine.CrashQuarantine
+    detector: crash_detector.CrashDetector
     clients: tuple[Closeable, ...]
 
 
@@ -112,6 +116,8 @@
                 components.gossip.run,
                 components.lease.run,
                 components.balancer.run,
+                components.quarantine.run,
+                components.detector.run,
             )
         )
         background_tasks.extend(
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -35,6 +35,8 @@
         self._previous_loads_by_group: dict[str, int] = {}
         self._queues_by_service: dict[str, request_queue.RequestQueue] = {}
         self._pending_by_id: dict[str, _PendingRequest] = {}
+        # Upstreams that run suspects, by the request ID of the suspect.
+        self._upstream_id_by_suspect: dict[str, str] = {}
 
     @property
     def waiting_count(self) -> int:
@@ -61,8 +63,9 @@
             raise
         return pending.candidate
 
-    def release(self, upstream: models.Upstream) -> None:
+    def release(self, upstream: models.Upstream, request_id: str) -> None:
         """Count a request as ended and dispatch the next one."""
+        self._upstream_id_by_suspect.pop(request_id, None)
         self.counts = request_counts.record_end(
             self.counts, upstream.upstream_id
         )
@@ -122,7 +125,7 @@
                 self.counts,
                 candidate.upstream.upstream_id,
             )
-            self._resolve(queued.request_id, candidate)
+            self._resolve(queued, candidate)
             candidates = None
         self._queues_by_service[service] = self._shed_load(service, queue, now)
 
@@ -150,7 +153,7 @@
         )
         result = request_queue.shed_load(queue, slots // self.entries, now)
         for request_id in result.refused_ids:
-            self._resolve(request_id, None)
+            self._pending_by_id.pop(request_id).decided.set()
         return result.queue
 
     def _choose(
@@ -162,13 +165,19 @@
         """Return an upstream for a request, None if none is free.
 
         Late requests leave some capacity to those that can still be on time.
+        Suspects avoid upstreams that run other suspects, so that a crash can
+        be attributed to one of them.
         """
         is_late = response_at_seconds > queued.objective_deadline_seconds
+        avoided_ids: frozenset[str] = frozenset()
+        if queued.is_suspect:
+            avoided_ids = frozenset(self._upstream_id_by_suspect.values())
         return selection.choose(
             candidates,
             queued.excluded_ids,
             self._failure_domain,
             const.LATE_REQUEST_CAPACITY_RATIO if is_late else 1.0,
+            avoided_ids,
         )
 
     def _find_candidates(
@@ -191,11 +200,15 @@
 
     def _resolve(
         self,
-        request_id: str,
-        candidate: selection.Candidate | None,
+        queued: request_queue.QueuedRequest,
+        candidate: selection.Candidate,
     ) -> None:
-        """Set the outcome of a request and wake its task."""
-        pending = self._pending_by_id.pop(request_id)
+        """Assign an upstream to a request and wake its task."""
+        if queued.is_suspect:
+            self._upstream_id_by_suspect[queued.request_id] = (
+                candidate.upstream.upstream_id
+            )
+        pending = self._pending_by_id.pop(queued.request_id)
         pending.candidate = candidate
         pending.decided.set()
 
@@ -208,7 +221,7 @@
         """Remove a request whose caller has disconnected."""
         if pending.decided.is_set():
             if pending.candidate is not None:
-                self.release(pending.candidate.upstream)
+                self.release(pending.candidate.upstream, request_id)
             return
         self._pending_by_id.pop(request_id, None)
         queue = self._queues_by_service[service]
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -79,7 +79,7 @@
             return self.account.priority
         return self.route.priority
 
-    def queued_request(self) -> request_queue.QueuedRequest:
+    def queued_request(self, is_suspect: bool) -> request_queue.QueuedRequest:
         """Return the entry for the request queue."""
         received_at = self.exchange.received_at_seconds
         return request_queue.QueuedRequest(
@@ -91,6 +91,7 @@
                 self.route, received_at, self.deadline_seconds
             ),
             self.delivery.excluded_ids,
+            is_suspect,
         )
 
 
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -12,6 +12,7 @@
 from nutmegtrail.adapters.http1 import server
 from nutmegtrail.gateway import attempts
 from nutmegtrail.gateway import const
+from nutmegtrail.gateway import crash_guard
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import errors
 from nutmegtrail.gateway import events
@@ -43,6 +44,7 @@
         header_translator: header_translators.HeaderTranslator,
         dispatcher: dispatching.Dispatcher,
         allowance: retry_budget.Allowance,
+        guard: crash_guard.CrashGuard,
         metrics_registry: metrics.Metrics,
     ) -> None:
         """Initialize the handler; requests are rejected until configured."""
@@ -51,6 +53,7 @@
         self._dispatcher = dispatcher
         self._health_recorder = health_recorder.HealthRecorder(dispatcher)
         self._allowance = allowance
+        self._crash_guard = guard
         self._metrics = metrics_registry
         self._client = client.Client()
         self._budgets_by_service: dict[str, retry_budget.Budget] = {}
@@ -140,20 +143,27 @@
     ) -> attempts.Event | attempts.GiveUp | None:
         """Wait for an upstream and try it; return None on success."""
         excluded_ids = job.delivery.excluded_ids
+        refusal = self._crash_guard.refusal(job)
+        if refusal is not None:
+            return refusal
         if not self._dispatcher.has_upstreams(job.service, excluded_ids):
             return self._give_up(job)
         candidate = await self._dispatcher.acquire(
-            job.service, job.queued_request()
+            job.service, job.queued_request(self._crash_guard.is_suspect(job))
         )
         if candidate is None:
             return self._give_up(job)
         upstream = candidate.upstream
         job.dispatched_at_seconds = anyio.current_time()
-        job.choices.append(jobs.describe_choice(candidate, job))
         try:
+            # It may have been quarantined while it was queued.
+            refusal = self._crash_guard.refusal(job)
+            if refusal is not None:
+                return refusal
+            job.choices.append(jobs.describe_choice(candidate, job))
             return await self._attempt(job, upstream)
         finally:
-            self._dispatcher.release(upstream)
+            self._dispatcher.release(upstream, job.caller.request_id)
 
     async def _attempt(
         self,
@@ -161,16 +171,27 @@
         upstream: models.Upstream,
     ) -> attempts.Event | attempts.GiveUp | None:
         """Send the request to an upstream; return None on success."""
-        try:
-            with anyio.fail_after(max(job.remaining_seconds, 0)):
-                event = await self._send_to_upstream(job, upstream)
-        except TimeoutError:
-            return attempts.GiveUp(attempts.Outcome.UNKNOWN)
-        except http_errors.NotConnected:
-            event = attempts.NotConnected(upstream.upstream_id)
-        except http_errors.ExchangeBroken as error:
-            event = attempts.Broken(upstream.upstream_id, str(error))
+        event: attempts.Event | None = attempts.Broken(
+            upstream.upstream_id, 'quarantined meanwhile'
+        )
+        with self._crash_guard.watch(job, upstream) as watched:
+            try:
+                with anyio.fail_after(max(job.remaining_seconds, 0)):
+                    event = await self._send_to_upstream(job, upstream)
+            except TimeoutError:
+                return attempts.GiveUp(attempts.Outcome.UNKNOWN)
+            except http_errors.NotConnected:
+                event = attempts.NotConnected(upstream.upstream_id)
+            except http_errors.ExchangeBroken as error:
+                event = attempts.Broken(
+                    upstream.upstream_id, str(error), is_closed=True
+                )
+            watched.is_answered = not isinstance(event, attempts.Broken)
         self._health_recorder.record_outcome(upstream, event)
+        if event is None:
+            self._crash_guard.record_success(job)
+        elif isinstance(event, attempts.Broken) and event.is_closed:
+            await self._crash_guard.examine(job, upstream)
         return event
 
     async def _send_to_upstream(
@@ -217,6 +238,7 @@
             return await self._read_failure(
                 job, upstream, response, classification
             )
+        self._crash_guard.record_response(upstream)
         if job.route.kind is models.RouteKind.STREAM:
             return await self._forward_stream(job, upstream, response)
         body = await response.read(const.RESPONSE_BYTES_LIMIT)
@@ -260,6 +282,7 @@
         """Return the failure that an unsuccessful response means."""
         if classification.response_kind is models.ResponseKind.FOREIGN:
             return attempts.Broken(upstream.upstream_id, 'foreign response')
+        self._crash_guard.record_response(upstream)
         body = await response.read(const.RESPONSE_BYTES_LIMIT)
         if classification.response_kind is models.ResponseKind.FAILURE:
             job.failure = jobs.Failure(response.head, body)
@@ -375,6 +398,15 @@
                     failure.body,
                 )
                 return
+        if action.outcome is attempts.Outcome.QUARANTINED:
+            await self._reject(
+                job.exchange,
+                job.caller,
+                'quarantined',
+                self._crash_guard.refused_seconds(job),
+                crashes=self._crash_guard.crash_count(job),
+            )
+            return
         if action.outcome is attempts.Outcome.NOT_RUN:
             await self._reject(
                 job.exchange,
@@ -394,6 +426,7 @@
         caller: models.CallerRequest,
         reason: str,
         retry_after_seconds: float,
+        **details: int,
     ) -> None:
         """Respond that the request has not run and when to retry it."""
         logs.decision(
@@ -402,6 +435,7 @@
             reason=reason,
             waiting=self._dispatcher.waiting_count,
             retry_after_seconds=retry_after_seconds,
+            **details,
         )
         await self._respond(
             exchange,
--- a/nutmegtrail/gateway/request_queue.py
+++ b/nutmegtrail/gateway/request_queue.py
@@ -15,7 +15,8 @@
     """Request in the queue.
 
     After `objective_deadline_seconds` its response is late. After
-    `latest_start_seconds` starting it no longer helps its caller.
+    `latest_start_seconds` starting it no longer helps its caller. A suspect
+    may have crashed an upstream and is kept apart from other suspects.
     """
 
     request_id: str
@@ -24,6 +25,7 @@
     objective_deadline_seconds: float
     latest_start_seconds: float
     excluded_ids: frozenset[str]
+    is_suspect: bool = False
     start_tag: float = 0
     arrival_number: int = 0
 
--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -10,6 +10,9 @@
 from nutmegtrail.gateway import request_counts
 
 
+_NO_IDS: typing.Final[frozenset[str]] = frozenset()
+
+
 class Candidate(typing.NamedTuple):
     """Upstream that may be selected, with its load.
 
@@ -171,10 +174,11 @@
     excluded_ids: frozenset[str],
     failure_domain: str,
     capacity_ratio: float = 1.0,
+    avoided_ids: typing.AbstractSet[str] = _NO_IDS,
 ) -> Candidate | None:
     """Return the free candidate with the least expected work, None if none.
 
-    Ties are broken by the given failure domain, then by the lowest ID.
+    Avoided upstreams are chosen only if no other is free. Ties are broken by the given failure domain, then by the lowest ID.
     """
     available = [
         candidate
@@ -193,6 +197,7 @@
         _expected_work,
         typical_latency=min(known_latencies, default=1.0),
         failure_domain=failure_domain,
+        avoided_ids=avoided_ids,
     )
     return min(available, key=expected_work)
 
@@ -201,12 +206,14 @@
     candidate: Candidate,
     typical_latency: float,
     failure_domain: str,
-) -> tuple[float, float, bool, str]:
-    """Return the sort key of a candidate, its expected work first."""
+    avoided_ids: typing.AbstractSet[str],
+) -> tuple[bool, float, float, bool, str]:
+    """Return the sort key of a candidate: avoided last, then by work."""
     latency_ratio = max(
         (candidate.latency_seconds or typical_latency) / typical_latency, 1.0
     )
     return (
+        candidate.upstream.upstream_id in avoided_ids,
         (candidate.in_flight + 1) * latency_ratio,
         candidate.group_in_flight * latency_ratio,
         candidate.upstream.failure_domain != failure_domain,
--- a/nutmegtrail/gateway/settings.py
+++ b/nutmegtrail/gateway/settings.py
@@ -46,6 +46,14 @@
     megabits_per_second: float = pydantic.Field(default=1_000, gt=0)
 
 
+class Upstreams(pydantic.BaseModel):
+    """Registrations of upstreams in the store."""
+
+    model_config = settings.STRICT
+
+    heartbeat_milliseconds: float = pydantic.Field(default=1_200, gt=0)
+
+
 class Retries(pydantic.BaseModel):
     """Retry budget that the platform grants a service, over all entries.
 
@@ -77,5 +85,6 @@
     listen: Listen
     store: Store
     link: Link = Link()
+    upstreams: Upstreams = Upstreams()
     retries: Retries
     stop: Stop
--- a/nutmegtrail/platform/engines.py
+++ b/nutmegtrail/platform/engines.py
@@ -13,13 +13,15 @@
 from nutmegtrail.platform import const
 from nutmegtrail.platform import json_client
 from nutmegtrail.ports import rank_control
+from nutmegtrail.ports import upstream_probe
 
 _Decoded = typing.TypeVar('_Decoded')
 _DECODE_ERRORS: typing.Final = (KeyError, TypeError, ValueError)
+_REPORT_ERRORS: typing.Final = (AttributeError, *_DECODE_ERRORS)
 
 
 class EngineControlClient:
-    """Implements `ports.rank_control.RankControl`."""
+    """Implements `ports.rank_control` and `ports.upstream_probe`."""
 
     def __init__(self) -> None:
         """Initialize the client without opening connections."""
@@ -29,6 +31,30 @@
         """Close all connections."""
         await self._client.close()
 
+    async def condition(
+        self, upstream: models.Upstream
+    ) -> upstream_probe.Condition:
+        """Return whether the process that registered still runs.
+
+        A process that was started later means that the earlier one has ended.
+        """
+        response = await self._client.send(
+            upstream.address,
+            b'GET',
+            const.REPORT_PATH,
+            (_expected_upstream_header(upstream),),
+            b'',
+            const.ENGINE_READ_TIMEOUT_SECONDS,
+        )
+        if isinstance(response, json_client.NoResponse):
+            if response.is_refused:
+                return upstream_probe.Condition.ENDED
+            return upstream_probe.Condition.UNKNOWN
+        is_other = response.status == http.HTTPStatus.MISDIRECTED_REQUEST
+        if is_other or _has_restarted(response, upstream):
+            return upstream_probe.Condition.ENDED
+        return upstream_probe.Condition.RUNNING
+
     async def report(
         self,
         upstream: models.Upstream,
@@ -134,6 +160,23 @@
     return document
 
 
+def _has_restarted(
+    response: json_client.Response, upstream: models.Upstream
+) -> bool:
+    """Return whether a response tells another start than the registration.
+
+    Plain services may have no report; their responses tell no start.
+    """
+    try:
+        document = _decode_body(response)
+        started_at_ms = int(document.get('born') or 0)
+    except _REPORT_ERRORS:
+        return False
+    if not started_at_ms or not upstream.started_at_ms:
+        return False
+    return started_at_ms != upstream.started_at_ms
+
+
 def _decode_choices(document: json_client.JsonObject) -> rank_control.Choices:
     """Decode how often each expert was chosen."""
     return tuple(document['counts'])
--- a/nutmegtrail/platform/json_client.py
+++ b/nutmegtrail/platform/json_client.py
@@ -24,9 +24,13 @@
 
 
 class NoResponse(typing.NamedTuple):
-    """Reason for a missing response; the request may have been executed."""
+    """Reason for a missing response; the request may have been executed.
+
+    `is_refused` is set if no process listens at the address.
+    """
 
     detail: str
+    is_refused: bool = False
 
 
 class JsonClient:
@@ -58,6 +62,8 @@
                     request,
                     const.RESPONSE_LIMIT_BYTES,
                 )
+        except errors.ConnectionRefused as error:
+            return NoResponse(str(error), is_refused=True)
         except (errors.NotConnected, errors.ExchangeBroken) as error:
             return NoResponse(str(error))
         except TimeoutError:
--- a/nutmegtrail/platform/store.py
+++ b/nutmegtrail/platform/store.py
@@ -1,6 +1,7 @@
 """Client for the platform's key-value store."""
 
 import base64
+import collections.abc
 import http
 import json
 import typing
@@ -122,18 +123,12 @@
         lease_id: int = 0,
     ) -> expression.Result[int, key_value.SwapError]:
         """Write if the key is at the revision; return the new revision."""
-        write: json_client.JsonObject = {
-            'key': key,
-            'value': base64.b64encode(content).decode(),
-        }
-        if lease_id:
-            write['lease'] = lease_id
         response = await self._request(
             b'POST',
             const.TRANSACTION_PATH,
             body={
                 'expected': [{'key': key, 'revision': expected_revision}],
-                'writes': [write],
+                'writes': [_encode_write(key, content, lease_id)],
                 'deletes': [],
             },
         )
@@ -148,6 +143,34 @@
             return expression.Error(key_value.OutcomeUnknown(key))
         return expression.Ok(written)
 
+    async def write_batch(
+        self,
+        content_by_key: collections.abc.Mapping[str, bytes],
+        deleted_keys: collections.abc.Sequence[str],
+        lease_id: int,
+    ) -> expression.Result[None, key_value.BatchError]:
+        """Write keys under a lease and delete others in one transaction."""
+        response = await self._request(
+            b'POST',
+            const.TRANSACTION_PATH,
+            body={
+                'expected': [],
+                'writes': [
+                    _encode_write(key, content, lease_id)
+                    for key, content in content_by_key.items()
+                ],
+                'deletes': list(deleted_keys),
+            },
+        )
+        path = const.TRANSACTION_PATH
+        if isinstance(response, watched_store.StoreUnavailable):
+            return expression.Error(key_value.OutcomeUnknown(path))
+        if response.status == http.HTTPStatus.NOT_FOUND:
+            return expression.Error(key_value.LeaseGone(lease_id))
+        if response.status != http.HTTPStatus.OK:
+            return expression.Error(key_value.Unavailable(path))
+        return expression.Ok(None)
+
     async def grant_lease(
         self,
         ttl_seconds: int,
@@ -250,6 +273,19 @@
     return integer if isinstance(integer, int) else None
 
 
+def _encode_write(
+    key: str, content: bytes, lease_id: int
+) -> json_client.JsonObject:
+    """Encode a write of a transaction; lease 0 means none."""
+    write: json_client.JsonObject = {
+        'key': key,
+        'value': base64.b64encode(content).decode(),
+    }
+    if lease_id:
+        write['lease'] = lease_id
+    return write
+
+
 def _decode_page(document: json_client.JsonObject) -> _Page:
     """Decode a page of a listing."""
     items = tuple(_decode_item(row) for row in document['items'])
--- a/nutmegtrail/ports/key_value.py
+++ b/nutmegtrail/ports/key_value.py
@@ -32,7 +32,14 @@
     key: str
 
 
+class LeaseGone(typing.NamedTuple):
+    """The lease has expired or was revoked; nothing was written."""
+
+    lease_id: int
+
+
 SwapError: typing.TypeAlias = CompareFailed | Unavailable | OutcomeUnknown
+BatchError: typing.TypeAlias = LeaseGone | Unavailable | OutcomeUnknown
 ABSENT_REVISION: typing.Final = 0
 
 
@@ -70,6 +77,18 @@
         """Revoke a lease, which deletes its keys."""
 
 
+class BatchStore(LeaseStore, typing.Protocol):
+    """Store that writes and deletes several keys at once."""
+
+    async def write_batch(
+        self,
+        content_by_key: collections.abc.Mapping[str, bytes],
+        deleted_keys: collections.abc.Sequence[str],
+        lease_id: int,
+    ) -> expression.Result[None, BatchError]:
+        """Write keys under a lease and delete others, whatever they held."""
+
+
 class KeyValueStore(LeaseStore, typing.Protocol):
     """Store with compare-and-swap, leases and watches; keys are strings."""
 
--- a/nutmegtrail/retries/quarantine.py
+++ b/nutmegtrail/retries/quarantine.py
@@ -1,9 +1,11 @@
 """Quarantine of requests that repeatedly crash upstreams.
 
 Every request in flight at a crash is marked. A request that succeeds is
-cleared. A marked request no longer runs beside other marked requests, so
-that a repeated crash can be attributed to it. A request that reaches the
-crash limit is refused until its marks expire.
+cleared. A marked request is kept apart from other marked requests, so that a
+repeated crash can be attributed to it. A crash is attributed to those of its
+requests that were in flight at the most crashes; the others happened to run
+beside them. A request to which the limit of crashes is attributed is refused
+until its marks expire.
 """
 
 import typing
@@ -18,12 +20,16 @@
 MarksByFingerprint: typing.TypeAlias = pyrsistent.typing.PMap[
     str, MarksByCrashId
 ]
+FingerprintsByCrashId: typing.TypeAlias = pyrsistent.typing.PMap[
+    str, pyrsistent.typing.PSet[str]
+]
 
 
 class Quarantine(typing.NamedTuple):
     """Times of crashes by request fingerprint and crash identifier."""
 
     marks_by_fingerprint: MarksByFingerprint = pyrsistent.pmap()
+    fingerprints_by_crash_id: FingerprintsByCrashId = pyrsistent.pmap()
 
 
 def fingerprint(client_account: str, target: str, body: bytes) -> str:
@@ -45,67 +51,149 @@
     marks = quarantine.marks_by_fingerprint.get(
         request_fingerprint, pyrsistent.pmap()
     )
-    marks = _unexpired(marks, now_seconds).set(crash_id, now_seconds)
-    return Quarantine(
-        quarantine.marks_by_fingerprint.set(request_fingerprint, marks)
+    for expired_id in _expired_ids(marks, now_seconds):
+        quarantine = unmark(quarantine, request_fingerprint, expired_id)
+        marks = marks.remove(expired_id)
+    fingerprints = quarantine.fingerprints_by_crash_id.get(
+        crash_id, pyrsistent.pset()
+    )
+    marked = Quarantine(
+        quarantine.marks_by_fingerprint.set(
+            request_fingerprint, marks.set(crash_id, now_seconds)
+        ),
+        quarantine.fingerprints_by_crash_id.set(
+            crash_id, fingerprints.add(request_fingerprint)
+        ),
     )
+    return _evict(marked, request_fingerprint)
+
+
+def unmark(
+    quarantine: Quarantine, request_fingerprint: str, crash_id: str
+) -> Quarantine:
+    """Return the quarantine without one mark."""
+    marks = quarantine.marks_by_fingerprint.get(request_fingerprint)
+    if marks is None or crash_id not in marks:
+        return quarantine
+    marks_by_fingerprint = quarantine.marks_by_fingerprint.set(
+        request_fingerprint, marks.remove(crash_id)
+    )
+    if len(marks) == 1:
+        marks_by_fingerprint = marks_by_fingerprint.remove(request_fingerprint)
+    fingerprints = quarantine.fingerprints_by_crash_id[crash_id]
+    fingerprints_by_crash_id = quarantine.fingerprints_by_crash_id.set(
+        crash_id, fingerprints.remove(request_fingerprint)
+    )
+    if len(fingerprints) == 1:
+        fingerprints_by_crash_id = fingerprints_by_crash_id.remove(crash_id)
+    return Quarantine(marks_by_fingerprint, fingerprints_by_crash_id)
 
 
 def clear(quarantine: Quarantine, request_fingerprint: str) -> Quarantine:
     """Return the quarantine after a request succeeded."""
-    return Quarantine(
-        quarantine.marks_by_fingerprint.discard(request_fingerprint)
-    )
+    marks = quarantine.marks_by_fingerprint.get(request_fingerprint, ())
+    for crash_id in marks:
+        quarantine = unmark(quarantine, request_fingerprint, crash_id)
+    return quarantine
+
+
+def withdraw(quarantine: Quarantine, crash_id: str) -> Quarantine:
+    """Return the quarantine after a crash proved not to have happened."""
+    fingerprints = quarantine.fingerprints_by_crash_id.get(crash_id, ())
+    for request_fingerprint in fingerprints:
+        quarantine = unmark(quarantine, request_fingerprint, crash_id)
+    return quarantine
 
 
 def is_marked(
     quarantine: Quarantine, request_fingerprint: str, now_seconds: float
 ) -> bool:
-    """Return whether a request was in flight at a crash.
+    """Return whether a crash is attributed to a request.
 
     Such a request should not run beside other marked requests.
     """
-    return _count(quarantine, request_fingerprint, now_seconds) > 0
+    return bool(attributed_times(quarantine, request_fingerprint, now_seconds))
 
 
 def is_quarantined(
-    quarantine: Quarantine, request_fingerprint: str, now_seconds: float
+    quarantine: Quarantine,
+    request_fingerprint: str,
+    now_seconds: float,
+    crash_limit: int = const.CRASH_LIMIT,
 ) -> bool:
     """Return whether a request has reached the crash limit."""
-    return (
-        _count(quarantine, request_fingerprint, now_seconds)
-        >= const.CRASH_LIMIT
+    times = attributed_times(quarantine, request_fingerprint, now_seconds)
+    return len(times) >= crash_limit
+
+
+def attributed_times(
+    quarantine: Quarantine, request_fingerprint: str, now_seconds: float
+) -> tuple[float, ...]:
+    """Return the ascending times of the crashes attributed to a request."""
+    marks = quarantine.marks_by_fingerprint.get(request_fingerprint)
+    if marks is None:
+        return ()
+    expired_ids = _expired_ids(marks, now_seconds)
+    count = len(marks) - len(expired_ids)
+    return tuple(
+        sorted(
+            time_seconds
+            for crash_id, time_seconds in marks.items()
+            if crash_id not in expired_ids
+            and _highest_count(quarantine, crash_id, now_seconds) <= count
+        )
     )
 
 
 def remove_expired(quarantine: Quarantine, now_seconds: float) -> Quarantine:
     """Return the quarantine without expired marks."""
-    marks_by_fingerprint = quarantine.marks_by_fingerprint
     for request_fingerprint, marks in quarantine.marks_by_fingerprint.items():
-        unexpired = _unexpired(marks, now_seconds)
-        if unexpired:
-            marks_by_fingerprint = marks_by_fingerprint.set(
-                request_fingerprint, unexpired
-            )
-        else:
-            marks_by_fingerprint = marks_by_fingerprint.remove(
-                request_fingerprint
-            )
-    return Quarantine(marks_by_fingerprint)
-
-
-def _count(
-    quarantine: Quarantine, request_fingerprint: str, now_seconds: float
+        for crash_id in _expired_ids(marks, now_seconds):
+            quarantine = unmark(quarantine, request_fingerprint, crash_id)
+    return quarantine
+
+
+def _highest_count(
+    quarantine: Quarantine, crash_id: str, now_seconds: float
 ) -> int:
-    """Return the number of crashes whose marks have not expired."""
-    marks = quarantine.marks_by_fingerprint.get(request_fingerprint)
-    return 0 if marks is None else len(_unexpired(marks, now_seconds))
+    """Return the most crashes of any request that a crash interrupted."""
+    marks_by_fingerprint = quarantine.marks_by_fingerprint
+    return max(
+        len(marks_by_fingerprint[request_fingerprint])
+        - len(
+            _expired_ids(marks_by_fingerprint[request_fingerprint], now_seconds)
+        )
+        for request_fingerprint in quarantine.fingerprints_by_crash_id[crash_id]
+    )
 
 
-def _unexpired(marks: MarksByCrashId, now_seconds: float) -> MarksByCrashId:
-    """Return the marks that have not expired."""
+def _expired_ids(marks: MarksByCrashId, now_seconds: float) -> frozenset[str]:
+    """Return the identifiers of the crashes whose marks have expired."""
     oldest = now_seconds - const.CRASH_MARK_TTL_SECONDS
-    for crash_id, time_seconds in marks.items():
-        if time_seconds < oldest:
-            marks = marks.remove(crash_id)
-    return marks
+    return frozenset(
+        crash_id
+        for crash_id, time_seconds in marks.items()
+        if time_seconds < oldest
+    )
+
+
+def _evict(quarantine: Quarantine, kept_fingerprint: str) -> Quarantine:
+    """Return the quarantine with no more requests than the limit.
+
+    Those with the fewest and oldest marks are dropped, several at once so
+    that a flood of marks does not sort the requests each time.
+    """
+    marks_by_fingerprint = quarantine.marks_by_fingerprint
+    if len(marks_by_fingerprint) <= const.MARKED_REQUESTS_LIMIT:
+        return quarantine
+    ordered = sorted(
+        marks_by_fingerprint,
+        key=lambda request_fingerprint: (
+            request_fingerprint == kept_fingerprint,
+            len(marks_by_fingerprint[request_fingerprint]),
+            max(marks_by_fingerprint[request_fingerprint].values()),
+        ),
+    )
+    for request_fingerprint in ordered[: const.EVICTED_REQUESTS]:
+        quarantine = clear(quarantine, request_fingerprint)
+    return quarantine
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -58,7 +58,7 @@
                 tasks.start_soon(self._acquire, name)
             await anyio.wait_all_tasks_blocked()
             self.assertEqual({'r1', 'r2'}, set(self.outcomes))
-            self.dispatcher.release(self.outcomes['r1'].upstream)
+            self.dispatcher.release(self.outcomes['r1'].upstream, 'r1')
             await anyio.wait_all_tasks_blocked()
             self.assertIn('r3', self.outcomes)
 
@@ -86,7 +86,7 @@
             with anyio.move_on_after(0.01):
                 await self._acquire('r3')
             self.assertEqual(0, self.dispatcher.waiting_count)
-            self.dispatcher.release(self.outcomes['r1'].upstream)
+            self.dispatcher.release(self.outcomes['r1'].upstream, 'r1')
             await self._acquire('r4')
             self.assertIsNotNone(self.outcomes['r4'])
 
--- a/tests/platform/engine_process.py
+++ b/tests/platform/engine_process.py
@@ -40,7 +40,7 @@
         await server.start()
         self._scope = anyio.CancelScope()
         self._tasks.start_soon(self._serve, server, self._scope)
-        self._store.put(self.key, self.registration(born=self.started_at_ms))
+        self._store.put(self.key, self.registration())
 
     def end(self):
         """End the process, which closes its sockets."""
@@ -50,13 +50,10 @@
 
     async def handle(self, exchange):
         """Handle a request; the fatal one ends the process."""
-        if exchange.request.target == b'/api/report':
-            report = b'{"born":%d}' % self.started_at_ms
-            await exchange.respond(200, (stand_in.KEEP_ALIVE_HEADER,), report)
-            return
-        self.runs.append((anyio.current_time(), exchange.request))
-        if exchange.request.body == FATAL_BODY:
-            self.end()
+        if exchange.request.target != b'/api/report':
+            self.runs.append((anyio.current_time(), exchange.request))
+            if exchange.request.body == FATAL_BODY:
+                self.end()
         await super().handle(exchange)
 
     async def _serve(self, server, scope):
--- a/tests/platform/samples.py
+++ b/tests/platform/samples.py
@@ -9,6 +9,7 @@
     'places': 11,
     'spare': 4,
 }
+STARTED_AT_MS = 1778556420102
 CONFIG = {
     'version': 7,
     'routes': [
@@ -81,7 +82,7 @@
         'slots': 6,
         'state': 'ready',
         'seq_no': 1,
-        'born': 1778556420102,
+        'born': STARTED_AT_MS,
         'group': {'name': 'g0-0', 'epoch': 1, 'rank': 4, 'state': 'open'},
         'size': 8,
     }
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -18,7 +18,7 @@
 _LEASE_CHECK_INTERVAL_SECONDS = 0.05
 # Exceeds the timeout of every client.
 _NO_RESPONSE_SECONDS = 9
-KEEP_ALIVE_HEADER = (b'keep-alive', b'timeout=9')
+_KEEP_ALIVE_HEADER = (b'keep-alive', b'timeout=9')
 
 
 class Store:
@@ -178,6 +178,7 @@
         self.name = name
         self.service = service
         self.group = group
+        self.started_at_ms = samples.STARTED_AT_MS
         self.address = loopback.free_address()
         self.scripts = []
         self.requests = []
@@ -189,12 +190,17 @@
             service=self.service,
             address=str(self.address),
             group=self.group,
+            born=self.started_at_ms,
             **changes,
         )
 
     async def handle(self, exchange):
         """Handle a request with the next script."""
         request = exchange.request
+        if request.target == b'/api/report':
+            report = b'{"born":%d}' % self.started_at_ms
+            await exchange.respond(200, (_KEEP_ALIVE_HEADER,), report)
+            return
         self.requests.append(request)
         script = self.scripts.pop(0) if self.scripts else 'whole'
         request_id = messages.find_header(
@@ -204,7 +210,7 @@
         headers = (
             (b'x-nutmegtrail-request-id', request_id),
             (b'x-nutmegtrail-response-seal', self.name.encode()),
-            KEEP_ALIVE_HEADER,
+            _KEEP_ALIVE_HEADER,
         )
         await getattr(self, script)(exchange, headers)
 
--- a/tests/platform/test_template.py
+++ b/tests/platform/test_template.py
@@ -21,6 +21,7 @@
     'listen': {'front': '10.1.0.40:8227', 'ready': '10.1.0.40:8220'},
     'port_range': [7340, 7355],
     'limits': {'link_mbps': 50.0},
+    'heartbeat_ms': 1200,
     'bounds': {
         'retry_window_s': 10,
         'retry_budget_ratio': 0.2,
--- a/tests/retries/test_retries.py
+++ b/tests/retries/test_retries.py
@@ -74,7 +74,50 @@
         late = const.CRASH_MARK_TTL_SECONDS + 2
         self.assertFalse(quarantine.is_marked(current, 'c', late))
         self.assertEqual(
-            {}, quarantine.remove_expired(current, late).marks_by_fingerprint
+            quarantine.Quarantine(), quarantine.remove_expired(current, late)
+        )
+
+    def test_bystanders_are_not_blamed(self):
+        """Of the requests of a crash, those with the most crashes are blamed.
+
+        Another request runs beside the bad one in each of its crashes but the
+        first: it was in flight at as many crashes as the limit.
+        """
+        current = quarantine.Quarantine()
+        for number in range(const.CRASH_LIMIT + 1):
+            current = quarantine.mark(current, 'bad', f'crash{number}', 1.0)
+            if number:
+                current = quarantine.mark(current, 'by', f'crash{number}', 1.0)
+            current = quarantine.mark(
+                current, f'once{number}', f'crash{number}', 1.0
+            )
+        self.assertTrue(quarantine.is_quarantined(current, 'bad', 1.0))
+        self.assertFalse(quarantine.is_quarantined(current, 'by', 1.0))
+        self.assertFalse(quarantine.is_marked(current, 'once0', 1.0))
+
+    def test_withdrawn_crash(self):
+        """A crash that did not happen is attributed to no request."""
+        current = quarantine.mark(quarantine.Quarantine(), 'a', 'c1', 1.0)
+        current = quarantine.mark(current, 'b', 'c1', 1.0)
+        current = quarantine.mark(current, 'b', 'c2', 1.0)
+        current = quarantine.withdraw(current, 'c1')
+        self.assertFalse(quarantine.is_marked(current, 'a', 1.0))
+        self.assertEqual((1.0,), quarantine.attributed_times(current, 'b', 1.0))
+
+    def test_bounded_memory(self):
+        """Many marked requests do not displace one with several marks."""
+        current = quarantine.Quarantine()
+        for number in range(const.CRASH_LIMIT):
+            current = quarantine.mark(current, 'bad', f'crash{number}', 1.0)
+        for number in range(const.MARKED_REQUESTS_LIMIT * 2):
+            current = quarantine.mark(current, f'r{number}', f'c{number}', 2.0)
+            self.assertTrue(
+                len(current.marks_by_fingerprint) <= const.MARKED_REQUESTS_LIMIT
+            )
+        self.assertTrue(quarantine.is_quarantined(current, 'bad', 2.0))
+        self.assertEqual(
+            len(current.marks_by_fingerprint) + const.CRASH_LIMIT - 1,
+            len(current.fingerprints_by_crash_id),
         )
 
 
