--- /dev/null
+++ b/tests/gateway/test_crash_quarantine.py
@@ -0,0 +1,212 @@
+"""Marks of crashing requests, shared by entries through the store."""
+
+import anyio
+import expression
+import testtools
+
+from nutmegtrail.gateway import const
+from nutmegtrail.gateway import crash_quarantine
+from nutmegtrail.observability import metrics
+from nutmegtrail.ports import key_value
+from nutmegtrail.ports import watched_store
+from nutmegtrail.retries import const as retry_const
+from tests import simulated_time
+
+
+_CRASH_NUMBERS = tuple(range(const.CRASH_LIMIT))
+
+
+class _Store:
+    """Store that passes each batch on to the entries."""
+
+    def __init__(self):
+        """Initialize an empty store without failures."""
+        self.content_by_key = {}
+        self.batches = []
+        self.leases = 0
+        self.failures = []
+        self.listeners = []
+
+    async def grant_lease(self, _):
+        """Grant a lease."""
+        self.leases += 1
+        return expression.Ok(self.leases)
+
+    async def write_batch(self, content_by_key, deleted_keys, _):
+        """Apply a batch; an unknown outcome applies it too."""
+        failure = self.failures.pop(0) if self.failures else None
+        if isinstance(failure, key_value.Unavailable | key_value.LeaseGone):
+            return expression.Error(failure)
+        self.batches.append(len(content_by_key) + len(deleted_keys))
+        self.content_by_key.update(content_by_key)
+        for key, content in content_by_key.items():
+            self._notify(watched_store.Item(key, 1, content))
+        for key in deleted_keys:
+            self.content_by_key.pop(key, None)
+            self._notify(watched_store.Removal(key, 1))
+        if failure is not None:
+            return expression.Error(failure)
+        return expression.Ok(None)
+
+    def items(self):
+        """Return a snapshot."""
+        return tuple(
+            watched_store.Item(key, 1, content)
+            for key, content in self.content_by_key.items()
+        )
+
+    def _notify(self, change):
+        """Pass a change on to all entries."""
+        for listener in self.listeners:
+            listener.on_change(change)
+
+
+class CrashQuarantineTest(testtools.TestCase):
+    """Two entries and their store."""
+
+    def _run(self, scenario):
+        """Run a scenario beside both entries in simulated time."""
+        self.store = _Store()
+        self.entries = [self._entry(), self._entry()]
+
+        async def _main():
+            async with anyio.create_task_group() as tasks:
+                for entry in self.entries:
+                    tasks.start_soon(entry.run)
+                await scenario()
+                tasks.cancel_scope.cancel()
+
+        simulated_time.run(_main)
+
+    def _entry(self):
+        """Return the quarantine of one more entry."""
+        entry = crash_quarantine.CrashQuarantine(self.store, metrics.Metrics())
+        self.store.listeners.append(entry)
+        return entry
+
+    def _crash(self, *requests, numbers=_CRASH_NUMBERS):
+        """Mark requests with crashes, at both entries in turn."""
+        for number in numbers:
+            for request in requests:
+                self.entries[number % 2].mark(request, f'c{number}', 'd-1')
+
+    def test_crashes_at_both_entries(self):
+        """Neither entry sees all crashes, and both refuse the request."""
+
+        async def _scenario():
+            self._crash('bad')
+            await anyio.sleep(1)
+            for entry in self.entries:
+                self.assertTrue(entry.remaining_seconds('bad') > 1)
+            self.assertEqual(2, self.store.leases)
+
+        self._run(_scenario)
+
+    def test_restart_of_all_entries(self):
+        """A new entry learns the marks from the store."""
+
+        async def _scenario():
+            self._crash('bad')
+            await anyio.sleep(1)
+            entry = self._entry()
+            entry.on_snapshot(self.store.items())
+            self.assertTrue(entry.remaining_seconds('bad') > 1)
+
+        self._run(_scenario)
+
+    def test_failed_writes(self):
+        """Marks are written again until the store has them."""
+
+        async def _scenario():
+            self.store.failures = [
+                key_value.Unavailable('k'),
+                key_value.OutcomeUnknown('k'),
+                key_value.LeaseGone(1),
+            ]
+            self._crash('bad', numbers=(0, 2, 4))
+            await anyio.sleep(5)
+            self.assertEqual(3, self.entries[1].crash_count('bad'))
+
+        self._run(_scenario)
+
+    def test_success_clears(self):
+        """A success at any entry clears a request at all of them."""
+
+        async def _scenario():
+            self._crash('good')
+            await anyio.sleep(1)
+            self.entries[1].record_success('good')
+            await anyio.sleep(1)
+            for entry in self.entries:
+                self.assertEqual(0, entry.remaining_seconds('good'))
+                self.assertFalse(entry.is_suspect('good'))
+            self.assertEqual({}, self.store.content_by_key)
+
+        self._run(_scenario)
+
+    def test_withdrawn_crash(self):
+        """A withdrawn crash is removed for all requests and entries."""
+
+        async def _scenario():
+            self._crash('a', 'b', numbers=(0,))
+            await anyio.sleep(1)
+            self.entries[1].withdraw('c0')
+            await anyio.sleep(1)
+            self.assertFalse(self.entries[0].is_suspect('a'))
+            self.assertEqual({}, self.store.content_by_key)
+
+        self._run(_scenario)
+
+    def test_expiry(self):
+        """A request is refused until its marks expire, as it was told."""
+
+        async def _scenario():
+            self._crash('bad')
+            seconds = self.entries[0].remaining_seconds('bad')
+            self.assertEqual(0, seconds)
+            await anyio.sleep(1)
+            seconds = self.entries[0].remaining_seconds('bad')
+            self.assertTrue(0 < seconds <= retry_const.CRASH_MARK_TTL_SECONDS)
+            await anyio.sleep(seconds + 0.1)
+            self.assertEqual(0, self.entries[0].remaining_seconds('bad'))
+
+        self._run(_scenario)
+
+    def test_snapshot_without_marks(self):
+        """Expired leases remove marks; those not yet written stay."""
+
+        async def _scenario():
+            self._crash('old')
+            await anyio.sleep(1)
+            self.entries[0].mark('new', 'c9', 'd-1')
+            self.entries[0].on_snapshot(())
+            self.assertFalse(self.entries[0].is_suspect('old'))
+            self.assertTrue(self.entries[0].is_suspect('new'))
+
+        self._run(_scenario)
+
+    def test_mass_crash_stays_within_the_rate(self):
+        """Marks of many requests are written in few calls."""
+
+        async def _scenario():
+            for number in range(320):
+                self.entries[0].mark(f'r{number}', f'c{number % 64}', 'd-1')
+            await anyio.sleep(2)
+            self.assertEqual(320, len(self.store.content_by_key))
+            self.assertTrue(len(self.store.batches) <= 10)
+            self.assertTrue(max(self.store.batches) <= 32)
+
+        self._run(_scenario)
+
+    def test_foreign_keys(self):
+        """Keys of another form are ignored."""
+
+        async def _scenario():
+            prefix = crash_quarantine.MARK_PREFIX
+            for key in (prefix, f'{prefix}x', f'{prefix}x/', f'{prefix}/x'):
+                self.entries[0].on_change(watched_store.Item(key, 1, b''))
+                self.entries[0].on_change(watched_store.Removal(key, 1))
+            self.entries[0].on_change(watched_store.Item('other/a/b', 1, b''))
+            self.assertFalse(self.entries[0].is_suspect('a'))
+
+        self._run(_scenario)
--- a/tests/platform/engine_process.py
+++ b/tests/platform/engine_process.py
@@ -2,18 +2,22 @@
 
 import anyio
 
+from nutmegtrail.adapters.http1 import messages
 from tests.platform import stand_in
 
 FATAL_BODY = b'fatal'
+FATAL_ACCOUNT = b'agency'
 # Registrations expire after three missed heartbeats.
 _REGISTRATION_SECONDS = 1.0
 _RESTART_SECONDS = 1.5
+_SLOW_SECONDS = 0.3
 
 
 class EngineProcess(stand_in.Engine):
-    """Engine that ends whenever it begins to run the fatal body.
+    """Engine that ends whenever it begins to run the fatal request.
 
-    Each start has another registration and a later start time. `runs` has the
+    That is the fatal body of the fatal account. A body that begins
+    with `slow` takes longer. Each start has another registration and a later start time. `runs` has the
     time and identifier of each request that began, `ends` the times of the
     ends.
     """
@@ -50,10 +54,16 @@
 
     async def handle(self, exchange):
         """Handle a request; the fatal one ends the process."""
-        if exchange.request.target != b'/api/report':
-            self.runs.append((anyio.current_time(), exchange.request))
-            if exchange.request.body == FATAL_BODY:
+        request = exchange.request
+        if request.target != b'/api/report':
+            self.runs.append((anyio.current_time(), request))
+            account = messages.find_header(
+                request.headers, b'x-nutmegtrail-tenant'
+            )
+            if (request.body, account) == (FATAL_BODY, FATAL_ACCOUNT):
                 self.end()
+            if request.body.startswith(b'slow'):
+                await anyio.sleep(_SLOW_SECONDS)
         await super().handle(exchange)
 
     async def _serve(self, server, scope):
--- a/tests/platform/entries.py
+++ b/tests/platform/entries.py
@@ -128,15 +128,40 @@
             await entry.start()
         await anyio.sleep(0.3)
 
-    def run_times(self, body):
-        """Return the times at which engines began to run a body."""
+    def run_times(self, body, account=engine_process.FATAL_ACCOUNT):
+        """Return the times at which engines began to run a request."""
         return sorted(
             run_at
             for engine in self.engines
             for run_at, request in engine.runs
             if request.body == body
+            and (b'x-nutmegtrail-tenant', account) in request.headers
         )
 
+    def run_count(self, request_id):
+        """Return how often engines began to run a request identifier."""
+        header = (b'x-nutmegtrail-request-id', request_id.encode())
+        return sum(
+            header in request.headers
+            for engine in self.engines
+            for _, request in engine.runs
+        )
+
+    async def send_fatal(self, count, entries, first=0, **changes):
+        """Send copies of the fatal request one after the other.
+
+        They go to the entries in turn. Returns the responses.
+        """
+        return [
+            await self.send(
+                entries[number % len(entries)],
+                engine_process.FATAL_BODY,
+                f'copy-{first + number}',
+                **changes,
+            )
+            for number in range(count)
+        ]
+
     def send_later(self, entry, body, request_id, **changes):
         """Send a request without waiting for its response."""
         self._tasks.start_soon(self._send, entry, body, request_id, changes)
