Explain quarantined requests from their identifier

A refused copy has another identifier than the copies that ended upstreams. explain now follows the fingerprint that they share through all given files and names the crashes; a crash that is detected after the last line of a request is named too (before, the last line had to be request:ended). Both new tests fail without the change.

--- a/nutmegtrail/cli/main.py
+++ b/nutmegtrail/cli/main.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import secrets
+import typing
 
 import httpx
 import typer
@@ -106,14 +107,18 @@
 
     Example: nutmegtrail explain 9c41d07be2a35f68 entry-*.log
     """
+    fingerprint = ''
+    for path in files:
+        with _open_log(path) as lines:
+            fingerprint = fingerprint or explain.find_fingerprint(
+                lines, request_id
+            )
     explained = []
     for path in files:
-        try:
-            with path.open(encoding='utf-8', errors='replace') as lines:
-                explained.append(explain.explain(str(path), lines, request_id))
-        except OSError as error:
-            typer.echo(f'error: {path} cannot be read: {error}', err=True)
-            raise typer.Exit(const.EXIT_SETTINGS) from error
+        with _open_log(path) as lines:
+            explained.append(
+                explain.explain(str(path), lines, request_id, fingerprint)
+            )
     timelines = [timeline for timeline in explained if timeline is not None]
     if not timelines:
         typer.echo(f'error: no file has a line about {request_id}', err=True)
@@ -122,6 +127,15 @@
         typer.echo(explain.describe(timeline))
 
 
+def _open_log(path: pathlib.Path) -> typing.TextIO:
+    """Open a log file; exit if it cannot be read."""
+    try:
+        return path.open(encoding='utf-8', errors='replace')
+    except OSError as error:
+        typer.echo(f'error: {path} cannot be read: {error}', err=True)
+        raise typer.Exit(const.EXIT_SETTINGS) from error
+
+
 def _call_operator_endpoint(
     method: str,
     address: str,
--- a/nutmegtrail/observability/explain.py
+++ b/nutmegtrail/observability/explain.py
@@ -15,6 +15,10 @@
 _METADATA_FIELDS: typing.Final = frozenset(
     ('message_type', 'request_id', 'task_uuid', 'task_level', 'timestamp'),
 )
+# Lines about a request that also concern its copies with other identifiers.
+_COPY_MESSAGE_TYPES: typing.Final = frozenset(
+    ('request:cleared', 'request:interrupted', 'request:quarantined'),
+)
 
 
 class Event(typing.NamedTuple):
@@ -38,30 +42,54 @@
     cause: str
 
 
+def find_fingerprint(
+    lines: collections.abc.Iterable[str], request_id: str
+) -> str:
+    """Return the fingerprint that a request shares with its copies.
+
+    It is empty if no line of the request has it.
+    """
+    for line in lines:
+        parsed = _parse(line) if request_id in line else None
+        if parsed is not None and parsed.get('request_id') == request_id:
+            if parsed.get('fingerprint'):
+                return str(parsed['fingerprint'])
+    return ''
+
+
 def explain(
     source: str,
     lines: collections.abc.Iterable[str],
     request_id: str,
+    fingerprint: str = '',
 ) -> Timeline | None:
     """Return the timeline of a request in a log file, None if not in it.
 
-    Lines without a JSON object are skipped. Text before the object, such as the
+    With a fingerprint, it includes crashes that copies of the request are
+    marked with, also if the request itself is not in the file. Lines without a JSON object are skipped. Text before the object, such as the
     timestamp of a log collector, is ignored.
     """
     parsed = [line for line in map(_parse, lines) if line is not None]
     request_lines = [
         line for line in parsed if line.get('request_id') == request_id
     ]
-    if not request_lines:
+    copy_lines = [
+        line for line in parsed if _is_about_copies(line, fingerprint)
+    ]
+    own_lines = request_lines or copy_lines
+    if not own_lines:
         return None
-    start = request_lines[0]['timestamp'] - request_lines[0].get('seconds', 0)
-    end = request_lines[-1]['timestamp']
+    start = own_lines[0]['timestamp'] - own_lines[0].get('seconds', 0)
+    end = own_lines[-1]['timestamp']
     events = tuple(
-        _create_event(line, start, line.get('request_id') is not None)
+        _create_event(line, start, line.get('request_id') == request_id)
         for line in parsed
-        if _is_relevant(line, request_id, start, end)
+        if line in copy_lines or _is_relevant(line, request_id, start, end)
     )
-    return Timeline(source, events, _find_cause(request_lines))
+    cause = f'copies of the request: {_describe_crashes(copy_lines)}'
+    if request_lines:
+        cause = _find_cause(request_lines)
+    return Timeline(source, events, cause)
 
 
 def describe(timeline: Timeline) -> str:
@@ -93,6 +121,13 @@
     return document if isinstance(timestamp, float | int) else None
 
 
+def _is_about_copies(line: _Line, fingerprint: str) -> bool:
+    """Return whether a line tells crashes of a request or of its copies."""
+    if not fingerprint or line.get('fingerprint') != fingerprint:
+        return False
+    return line.get('message_type') in _COPY_MESSAGE_TYPES
+
+
 def _is_relevant(
     line: _Line,
     request_id: str,
@@ -133,19 +168,39 @@
             )
         if name == 'request:rejected':
             return _describe_rejection(line, _select_failures(request_lines))
-    end_line = request_lines[-1]
-    if end_line.get('message_type') != 'request:ended':
+    end_lines = [
+        line
+        for line in request_lines
+        if line.get('message_type') == 'request:ended'
+    ]
+    if not end_lines:
         return 'no end was logged: the process ended, or the line was dropped'
+    return _describe_end(end_lines[-1], request_lines)
+
+
+def _describe_end(end_line: _Line, request_lines: list[_Line]) -> str:
+    """Return the cause of the outcome of a request that was not rejected."""
     failures = _select_failures(request_lines)
+    cause = _describe_slowest_phase(end_line)
     if end_line.get('outcome') != 'answered':
-        return _describe_incomplete_response(end_line, failures)
-    if failures and end_line.get('status', 0) >= const.FIRST_ERROR_STATUS:
-        return f'status {end_line.get("status")} after {_as_text(failures)}'
-    return _describe_slowest_phase(end_line)
+        cause = _describe_incomplete_response(end_line, failures)
+    elif failures and end_line.get('status', 0) >= const.FIRST_ERROR_STATUS:
+        cause = f'status {end_line.get("status")} after {_as_text(failures)}'
+    crashes = [
+        line
+        for line in request_lines
+        if line.get('message_type') == 'request:interrupted'
+    ]
+    return f'{cause}; {_describe_crashes(crashes)}' if crashes else cause
 
 
 def _describe_rejection(line: _Line, failures: list[_Line]) -> str:
     """Return why a request was rejected."""
+    if line.get('reason') == 'quarantined':
+        return (
+            f'quarantined: it or copies of it were in flight at '
+            f'{line.get("crashes")} crashes of upstreams'
+        )
     text = f'{line.get("reason")}; {line.get("waiting")} requests waited'
     return f'{text}; before that {_as_text(failures)}' if failures else text
 
@@ -165,6 +220,16 @@
     )
 
 
+def _describe_crashes(lines: list[_Line]) -> str:
+    """Return the upstreams that crashed with a request in flight."""
+    crashes = ', '.join(
+        f'{line.get("upstream")} ({line.get("evidence")})'
+        for line in lines
+        if line.get('message_type') == 'request:interrupted'
+    )
+    return f'crashed with it in flight: {crashes}'
+
+
 def _describe_slowest_phase(end_line: _Line) -> str:
     """Return the phase that took most of the time of a completed request."""
     choices = end_line.get('choices') or [{}]
--- a/tests/observability/test_explain.py
+++ b/tests/observability/test_explain.py
@@ -122,3 +122,71 @@
         """A request without its last log line is reported as unfinished."""
         failed = _line(0.3, 'attempt:failed', request_id='r1')
         self.assertIn('the process ended', self._cause(failed))
+
+    def test_quarantined_copy(self):
+        """A refused copy is explained by the crashes of earlier copies."""
+        interrupted = [
+            _line(
+                -40 + number,
+                'request:interrupted',
+                request_id=f'copy-{number}',
+                fingerprint='f1',
+                upstream=f'd-{number}',
+                evidence='probe',
+            )
+            for number in range(3)
+        ]
+        other = _line(
+            -30,
+            'request:interrupted',
+            request_id='r7',
+            fingerprint='f2',
+            upstream='d-9',
+        )
+        rejected = _line(
+            0.0,
+            'request:rejected',
+            request_id='r1',
+            reason='quarantined',
+            waiting=0,
+            crashes=3,
+        )
+        end = _end_line(0.0, status=503, choices=[], fingerprint='f1')
+        lines = (*interrupted, other, rejected, end)
+        fingerprint = explain.find_fingerprint(lines, 'r1')
+        timeline = explain.explain('entry-1.log', lines, 'r1', fingerprint)
+        self.assertEqual(
+            'quarantined: it or copies of it were in flight at 3 crashes of '
+            'upstreams',
+            timeline.cause,
+        )
+        self.assertEqual(5, len(timeline.events))
+        elsewhere = explain.explain('2.log', interrupted, 'r1', fingerprint)
+        self.assertEqual(
+            'copies of the request: crashed with it in flight: '
+            'd-0 (probe), d-1 (probe), d-2 (probe)',
+            elsewhere.cause,
+        )
+
+    def test_crash_that_is_detected_after_the_end(self):
+        """The crash is named although its line follows the last one."""
+        failed = _line(
+            0.3,
+            'attempt:failed',
+            request_id='r1',
+            upstream='d-1',
+            failure='Broken',
+            action='GiveUp',
+        )
+        interrupted = _line(
+            0.4,
+            'request:interrupted',
+            request_id='r1',
+            upstream='d-1',
+            evidence='restart',
+        )
+        self.assertEqual(
+            'status 502 after Broken at d-1 (then GiveUp); crashed with it in '
+            'flight: d-1 (restart)',
+            self._cause(failed, _end_line(0.3, status=502), interrupted),
+        )
