Tell queued requests apart that share a caller's identifier

What callers saw: a request that waited for an upstream while another one with the same identifier waited too was never answered; it hung past its deadline until its caller left. Cause: the gateway's queue keyed its requests by the callers' identifier, so that the second replaced the first. The path with sidecars numbers its calls itself; found while looking for protections that one path has and the other lacks. The queue now has identifiers of its own. tests/platform/test_same_identifier.py failed before (nine requests, one engine of six slots) and passes.

--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -67,6 +67,14 @@
             request.body,
         )
 
+    @property
+    def queue_id(self) -> str:
+        """Return an identifier that no other running request has.
+
+        Callers may send the same request ID more than once.
+        """
+        return f'{self.caller.request_id}#{id(self):x}'
+
     @property
     def remaining_seconds(self) -> float:
         """Return the time until the caller's or the route's deadline."""
@@ -83,7 +91,7 @@
         """Return the entry for the request queue."""
         received_at = self.exchange.received_at_seconds
         return request_queue.QueuedRequest(
-            self.caller.request_id,
+            self.queue_id,
             self.account.name,
             self.priority,
             received_at + self.route.objective_seconds,
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -163,7 +163,7 @@
             job.choices.append(jobs.describe_choice(candidate, job))
             return await self._attempt(job, upstream)
         finally:
-            self._dispatcher.release(upstream, job.caller.request_id)
+            self._dispatcher.release(upstream, job.queue_id)
 
     async def _attempt(
         self,
