Limit the time in which a whole request must arrive at the gateway

A caller that sent a byte now and then held its connection and its buffer for ever: the limit applied to each wait for bytes and not to the request. The path with sidecars limits the whole body to 10 s; the gateway's server now adds the same 10 s to the configured header time-out. The new test sends a byte a second in simulated time: 200 after 99 s before, 408 within 13 s now.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -1,11 +1,13 @@
 """HTTP/1.1 server that detects disconnects while it handles a request."""
 
 import http
+import math
 import typing
 
 import anyio
 import anyio.abc
 
+from nutmegtrail import const as shared_const
 from nutmegtrail import models
 from nutmegtrail.adapters.http1 import const
 from nutmegtrail.adapters.http1 import errors
@@ -177,6 +179,7 @@
         limits = server._limits()
         self._reader = messages.RequestReader(limits.sizes)
         self._has_served = False
+        self._request_deadline_seconds = math.inf
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -194,6 +197,7 @@
             if not received:
                 return None
             self._reader.feed(received)
+        self._request_deadline_seconds = math.inf
         return self._reader.ready.popleft()
 
     async def _receive(self) -> bytes:
@@ -209,7 +213,7 @@
             return await self._receive_buffered()
         timeout = limits.idle_timeout_seconds
         if has_partial_request:
-            timeout = limits.header_timeout_seconds
+            timeout = self._partial_request_timeout(limits)
         with anyio.move_on_after(timeout) as scope:
             if not has_partial_request:
                 self._server._idle_scopes.add(scope)
@@ -224,6 +228,22 @@
             )
         return b''
 
+    def _partial_request_timeout(self, limits: ConnectionLimits) -> float:
+        """Return how long to wait for the next bytes of a request.
+
+        The whole request has a limit too: a client that sends a byte now and
+        then would otherwise hold its connection for ever.
+        """
+        now = anyio.current_time()
+        if self._request_deadline_seconds == math.inf:
+            self._request_deadline_seconds = (
+                now
+                + limits.header_timeout_seconds
+                + shared_const.BODY_READ_TIMEOUT_SECONDS
+            )
+        remaining_seconds = max(self._request_deadline_seconds - now, 0)
+        return min(limits.header_timeout_seconds, remaining_seconds)
+
     async def _receive_buffered(self) -> bytes:
         """Return bytes that have already arrived, without waiting."""
         with anyio.move_on_after(0):
--- a/tests/adapters/http1/test_exchange.py
+++ b/tests/adapters/http1/test_exchange.py
@@ -3,12 +3,14 @@
 import anyio
 import testtools
 
+from nutmegtrail import const
 from nutmegtrail import models
 from nutmegtrail.adapters.http1 import client
 from nutmegtrail.adapters.http1 import errors
 from nutmegtrail.adapters.http1 import messages
 from nutmegtrail.adapters.http1 import server
 from tests import loopback
+from tests import simulated_time
 
 _LIMITS = server.ConnectionLimits(messages.SizeLimits(8_192, 8_192), 5, 5)
 _KEEP_ALIVE = ((b'keep-alive', b'timeout=5'),)
@@ -44,6 +46,13 @@
     return default._replace(**changes)
 
 
+async def _send_bytes(stream):
+    """Send a byte of a body each second."""
+    while True:
+        await anyio.sleep(1)
+        await stream.send(b'x')
+
+
 class ExchangeTest(testtools.TestCase):
     """A server and its clients."""
 
@@ -127,6 +136,29 @@
 
         self._run(_scenario)
 
+    def test_request_that_comes_byte_by_byte(self):
+        """A request must be complete in time, however often bytes come."""
+
+        async def _main():
+            address = loopback.free_address()
+            limits = _LIMITS._replace(header_timeout_seconds=3)
+            http_server = server.Server(address, _Handler(), lambda: limits)
+            await http_server.start()
+            started_at = anyio.current_time()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(http_server.serve)
+                stream = await anyio.connect_tcp(address.ip, address.port)
+                await stream.send(b'POST / HTTP/1.1\r\ncontent-length: 99')
+                await stream.send(b'\r\nhost: h\r\n\r\n')
+                tasks.start_soon(_send_bytes, stream)
+                response = await stream.receive()
+                tasks.cancel_scope.cancel()
+            return response, anyio.current_time() - started_at
+
+        response, seconds = simulated_time.run(_main)
+        self.assertIn(b' 408 ', response)
+        self.assertTrue(seconds <= 3 + const.BODY_READ_TIMEOUT_SECONDS + 1)
+
     def test_new_connection_while_stopping(self):
         """A connection accepted before the listener closes is served.
 
