Ask ended engines on a new connection and record each crash once

The question now opens a connection. Besides, a restart was counted and logged once for each interrupted request. Both tests fail without the change; the other conditions of an engine have tests now too.

--- a/nutmegtrail/gateway/crash_detector.py
+++ b/nutmegtrail/gateway/crash_detector.py
@@ -179,7 +179,8 @@
             current = known.get(earlier.upstream_id)
             if current is None:
                 current = upstream_by_address.get(earlier.address)
-            if current is None:
+            crash_id = crash_id_of(earlier)
+            if current is None or crash_id in self._crashes_by_id:
                 continue
             if current.started_at_ms > earlier.started_at_ms:
                 self._record_crash(earlier, 'restart')
--- a/nutmegtrail/platform/engines.py
+++ b/nutmegtrail/platform/engines.py
@@ -37,6 +37,8 @@
         """Return whether the process that registered still runs.
 
         A process that was started later means that the earlier one has ended.
+        A kept connection may be reset by its end, which says less than a
+        refused one.
         """
         response = await self._client.send(
             upstream.address,
@@ -45,6 +47,7 @@
             (_expected_upstream_header(upstream),),
             b'',
             const.ENGINE_READ_TIMEOUT_SECONDS,
+            needs_new_connection=True,
         )
         if isinstance(response, json_client.NoResponse):
             if response.is_refused:
--- a/nutmegtrail/platform/json_client.py
+++ b/nutmegtrail/platform/json_client.py
@@ -52,10 +52,19 @@
         headers: messages.Headers,
         body: bytes,
         timeout_seconds: float,
+        *,
+        needs_new_connection: bool = False,
     ) -> Response | NoResponse:
         """Send a request and return the response, or why there is none."""
         host = (b'host', str(address).encode())
-        request = client.Call(address, method, target, (host, *headers), body)
+        request = client.Call(
+            address,
+            method,
+            target,
+            (host, *headers),
+            body,
+            needs_new_connection,
+        )
         try:
             with anyio.fail_after(timeout_seconds):
                 head, received = await self._http_client.fetch(
--- a/tests/gateway/test_crash_detector.py
+++ b/tests/gateway/test_crash_detector.py
@@ -40,14 +40,14 @@
         self.upstream = samples.upstream('a')._replace(started_at_ms=5)
         self.dispatcher = dispatching.Dispatcher('kandla-a')
         self._decide(fleet.Registered(self.upstream), 0)
-        registry = metrics.Metrics()
-        self.quarantine = crash_quarantine.CrashQuarantine(None, registry)
+        self.registry = metrics.Metrics()
+        self.quarantine = crash_quarantine.CrashQuarantine(None, self.registry)
         self.probe = _Probe(condition)
         self.detector = crash_detector.CrashDetector(
             self.probe,
             self.dispatcher,
             self.quarantine,
-            registry,
+            self.registry,
             _HEARTBEAT_SECONDS,
         )
         simulated_time.run(scenario)
@@ -107,10 +107,16 @@
 
             async def _scenario(successor=successor):
                 self._interrupt()
+                self._interrupt('beside')
                 self._decide(fleet.Removed('a'), anyio.current_time())
                 self._decide(fleet.Registered(successor), 0)
                 self.detector.check_registrations()
                 self.assertEqual(1, self.quarantine.crash_count('bad'))
+                self.assertEqual(1, self.quarantine.crash_count('beside'))
+                self.assertIn(
+                    'nutmegtrail_upstream_crashes_total 1\n',
+                    self.registry.render(),
+                )
 
             self._run(_scenario)
 
--- /dev/null
+++ b/tests/platform/test_engine_condition.py
@@ -0,0 +1,98 @@
+"""Questions to engines whether their processes still run."""
+
+import contextlib
+
+import anyio
+import testtools
+
+from nutmegtrail.platform import engines
+from nutmegtrail.ports import upstream_probe
+from tests import loopback
+from tests.gateway import samples
+
+_RUNNING = upstream_probe.Condition.RUNNING
+_ENDED = upstream_probe.Condition.ENDED
+_HEAD = b'HTTP/1.1 %b\r\nkeep-alive: timeout=9\r\ncontent-length: %d\r\n\r\n%b'
+
+
+def _response(status, body):
+    """Return an encoded response."""
+    return _HEAD % (status, len(body), body)
+
+
+class EngineConditionTest(testtools.TestCase):
+    """One engine that gives a fixed response."""
+
+    def _run(self, scenario, response):
+        """Run a scenario while the engine listens."""
+
+        async def _serve(stream):
+            await stream.receive()
+            await stream.send(response)
+            # The connection breaks with the next request on it.
+            await stream.receive()
+            await stream.aclose()
+
+        async def _listen(tasks):
+            with contextlib.suppress(anyio.ClosedResourceError):
+                await self.listener.serve(_serve, tasks)
+
+        async def _main():
+            self.address = loopback.free_address()
+            self.upstream = samples.upstream(
+                'i-1', address=self.address, started_at_ms=5
+            )
+            self.client = engines.EngineControlClient()
+            self.listener = await anyio.create_tcp_listener(
+                local_host=self.address.ip, local_port=self.address.port
+            )
+            with anyio.fail_after(20):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(_listen, tasks)
+                    await scenario()
+                    tasks.cancel_scope.cancel()
+
+        anyio.run(_main)
+
+    def test_responses(self):
+        """A report tells the start; other responses only that one runs."""
+        cases = (
+            (b'200 OK', b'{"born":5}', _RUNNING),
+            (b'200 OK', b'{}', _RUNNING),
+            (b'200 OK', b'[]', _RUNNING),
+            (b'200 OK', b'{"born":"x"}', _RUNNING),
+            (b'404 Not Found', b'', _RUNNING),
+            (b'503 Unavailable', b'', _RUNNING),
+            (b'200 OK', b'{"born":6}', _ENDED),
+            (b'421 Misdirected', b'', _ENDED),
+        )
+        for status, body, expected in cases:
+
+            async def _scenario(expected=expected):
+                condition = await self.client.condition(self.upstream)
+                self.assertIs(expected, condition, (status, body))
+
+            self._run(_scenario, _response(status, body))
+
+    def test_no_response(self):
+        """A broken response does not tell whether the process runs."""
+
+        async def _scenario():
+            condition = await self.client.condition(self.upstream)
+            self.assertIs(upstream_probe.Condition.UNKNOWN, condition)
+
+        self._run(_scenario, b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n')
+
+    def test_ended_process_with_a_kept_connection(self):
+        """A kept connection that breaks does not hide the refusal.
+
+        The end of the connection may arrive after the question is sent.
+        """
+
+        async def _scenario():
+            await self.client.choices(self.upstream)
+            await self.listener.aclose()
+            condition = await self.client.condition(self.upstream)
+            self.assertIs(_ENDED, condition)
+
+        self._run(_scenario, _response(b'200 OK', b'{"counts":[]}'))
