--- a/tests/platform/test_engine_condition.py
+++ b/tests/platform/test_engine_condition.py
@@ -1,7 +1,5 @@
 """Questions to engines whether their processes still run."""
 
-import contextlib
-
 import anyio
 import testtools
 
@@ -34,7 +32,7 @@
             await stream.aclose()
 
         async def _listen(tasks):
-            with contextlib.suppress(anyio.ClosedResourceError):
+            with self.accepting:
                 await self.listener.serve(_serve, tasks)
 
         async def _main():
@@ -42,6 +40,7 @@
             self.upstream = samples.upstream(
                 'i-1', address=self.address, started_at_ms=5
             )
+            self.accepting = anyio.CancelScope()
             self.client = engines.EngineControlClient()
             self.listener = await anyio.create_tcp_listener(
                 local_host=self.address.ip, local_port=self.address.port
@@ -91,6 +90,8 @@
 
         async def _scenario():
             await self.client.choices(self.upstream)
+            self.accepting.cancel()
+            await anyio.wait_all_tasks_blocked()
             await self.listener.aclose()
             condition = await self.client.condition(self.upstream)
             self.assertIs(_ENDED, condition)
