Check the attribution of crashes for any sequence of them

With hypothesis: whatever harmless requests run beside the bad one, it is refused after its limit and none of them ever, if they come again only after a success; the two indices of the marks agree after any steps. Another case of the detector: a rank group that stalls with one rank, whose other ranks break their requests off and run on.

--- a/tests/gateway/test_crash_detector.py
+++ b/tests/gateway/test_crash_detector.py
@@ -18,17 +18,20 @@
 
 
 class _Probe:
-    """Probe with a fixed result."""
+    """Probe with a fixed result, RUNNING for those in `running_ids`."""
 
     def __init__(self, condition):
         """Initialize the probe."""
         self.condition_of_all = condition
+        self.running_ids = set()
         self.calls = 0
 
-    async def condition(self, _):
+    async def condition(self, upstream):
         """Return the result after a time."""
         self.calls += 1
         await anyio.sleep(0.01)
+        if upstream.upstream_id in self.running_ids:
+            return upstream_probe.Condition.RUNNING
         return self.condition_of_all
 
 
@@ -179,6 +182,26 @@
 
         self._run(_scenario, upstream_probe.Condition.ENDED)
 
+    def test_rank_group_that_stalls_with_one_rank(self):
+        """Only requests of the rank that crashed are marked.
+
+        The other ranks break their requests off, too, and run on.
+        """
+
+        async def _scenario():
+            other = samples.upstream('b', started_at_ms=5)
+            self._decide(fleet.Registered(other), 0)
+            self.probe.running_ids.add('b')
+            self._interrupt()
+            self.detector.record_interruption('r2', 'beside', other)
+            await self.detector.examine(self.upstream)
+            await self.detector.examine(other)
+            self.detector.check_registrations()
+            self.assertEqual(1, self.quarantine.crash_count('bad'))
+            self.assertEqual(0, self.quarantine.crash_count('beside'))
+
+        self._run(_scenario, upstream_probe.Condition.ENDED)
+
     def test_shared_probe(self):
         """Requests that break together cost two probes at most."""
 
--- a/tests/retries/test_retries.py
+++ b/tests/retries/test_retries.py
@@ -2,8 +2,10 @@
 
 import random
 
+import hypothesis
 import orjson
 import testtools
+from hypothesis import strategies
 
 from nutmegtrail.retries import budget
 from nutmegtrail.retries import const
@@ -121,6 +123,76 @@
         )
 
 
+# Crashes, each with the harmless requests beside the bad one. A harmless
+# request succeeds after the crash, or its caller does not send it again.
+_BYSTANDERS = strategies.sets(strategies.sampled_from('abcdef'))
+_CRASHES = strategies.lists(
+    strategies.tuples(_BYSTANDERS, strategies.booleans()), max_size=12
+)
+
+
+class QuarantinePropertyTest(testtools.TestCase):
+    """Any sequence of crashes and successes."""
+
+    @hypothesis.given(_CRASHES)
+    def test_only_the_bad_request_is_quarantined(self, crashes):
+        """The bad request is refused after its limit, no other one ever.
+
+        Harmless requests come again only after a success.
+        """
+        current = quarantine.Quarantine()
+        gone = set()
+        for number, (bystanders, returns) in enumerate(crashes):
+            refused = quarantine.is_quarantined(current, 'bad', 1.0)
+            self.assertEqual(number >= const.CRASH_LIMIT, refused)
+            for name in ('bad', *sorted(bystanders - gone)):
+                current = quarantine.mark(current, name, f'c{number}', 1.0)
+            for name in bystanders - gone:
+                if returns:
+                    current = quarantine.clear(current, name)
+                else:
+                    gone.add(name)
+            for name in 'abcdef':
+                self.assertFalse(quarantine.is_quarantined(current, name, 1.0))
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(('mark', 'unmark', 'clear', 'away')),
+                strategies.sampled_from('abc'),
+                strategies.sampled_from(('c1', 'c2', 'c3')),
+                strategies.floats(0, const.CRASH_MARK_TTL_SECONDS * 2),
+            ),
+        ),
+    )
+    def test_indices_agree(self, steps):
+        """Marks by request and by crash agree after any steps."""
+        current = quarantine.Quarantine()
+        now = 0
+        for step, name, crash_id, seconds in steps:
+            now += seconds
+            if step == 'mark':
+                current = quarantine.mark(current, name, crash_id, now)
+            elif step == 'unmark':
+                current = quarantine.unmark(current, name, crash_id)
+            elif step == 'clear':
+                current = quarantine.clear(current, name)
+            else:
+                current = quarantine.withdraw(current, crash_id)
+            by_request = {
+                (request, crash)
+                for request, marks in current.marks_by_fingerprint.items()
+                for crash in marks
+            }
+            by_crash = {
+                (request, crash)
+                for crash, requests in current.fingerprints_by_crash_id.items()
+                for request in requests
+            }
+            self.assertEqual(by_request, by_crash)
+            quarantine.attributed_times(current, name, now)
+
+
 class ProblemTest(testtools.TestCase):
     """Refusals as problem documents."""
 
