Count restarted entries once, by their addresses

Cause: an entry's earlier registration lasts until its lease ends, and each one counted, so that the length of queues and the share of a group's capacity were divided by 16 for 8 entries.

--- a/nutmegtrail/gateway/gossip.py
+++ b/nutmegtrail/gateway/gossip.py
@@ -59,6 +59,7 @@
         self._address_by_key.clear()
         for item in items:
             self.on_change(item)
+        self._count_entries()
 
     def on_change(
         self,
@@ -71,7 +72,7 @@
             self._address_by_key.pop(change.key, None)
         else:
             self._add_address(change)
-        self._dispatcher.entries = max(len(self._address_by_key), 1)
+        self._count_entries()
 
     def on_store_lost(self) -> None:
         """Keep the known instances."""
@@ -96,6 +97,15 @@
         if self._lease_id:
             await self._store.revoke_lease(self._lease_id)
 
+    def _count_entries(self) -> None:
+        """Count this instance and the other ones, each address once.
+
+        A restarted instance has two registrations until the lease of the
+        earlier one expires.
+        """
+        addresses = {self._address, *self._address_by_key.values()}
+        self._dispatcher.entries = len(addresses)
+
     def _add_address(self, item: watched_store.Item) -> None:
         """Store the address of an instance; malformed ones are ignored."""
         try:
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -61,3 +61,5 @@
             ),
         )
         self.assertEqual(3, dispatcher.entries)
+        receiver.on_snapshot(())
+        self.assertEqual(1, dispatcher.entries)
