Tell the store's eras apart in revisions and leases

A store that comes back from an earlier copy gives revisions and leases out again. The fencing token was the bare revision: after a restore engines have seen higher ones and refuse every later leader, or two leaders hold the same one. A watch went on from a revision that now means another change, and a lease that is another's now was renewed, used or revoked as one's own.

The client of the platform's store puts the era (header Store-Era, 0 without one) above each revision and lease that it returns, in one integer that stays exact in JSON, and takes it off again in calls. A watch from another era's revision has lost its history; a lease of an earlier era has lapsed; a listing that spans two eras is read again. So all comparisons of revisions hold as they are, and a fencing token of a later era is higher than any earlier one.

--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -23,6 +23,12 @@
 EXPERT_LISTS_PATH: typing.Final = b'/api/picked?lists=1'
 ORDER_PATH: typing.Final = b'/api/order'
 
+# The store raises this number whenever it comes back from an earlier copy.
+STORE_ERA_HEADER: typing.Final = b'store-era'
+# Revisions and leases of the store fit below the era in one integer, which
+# stays exact as a JSON number for the first 8,192 eras.
+ERA_SHIFT_BITS: typing.Final = 40
+
 # HTTP headers, in lower case.
 REQUEST_ID_HEADER: typing.Final = b'x-nutmegtrail-request-id'
 DEADLINE_HEADER: typing.Final = b'x-nutmegtrail-deadline-ms'
--- a/nutmegtrail/platform/json_client.py
+++ b/nutmegtrail/platform/json_client.py
@@ -17,10 +17,11 @@
 
 
 class Response(typing.NamedTuple):
-    """Status and body of a received response."""
+    """Status, body and headers of a received response."""
 
     status: int
     body: bytes
+    headers: messages.Headers = ()
 
 
 class NoResponse(typing.NamedTuple):
@@ -77,4 +78,4 @@
             return NoResponse(str(error))
         except TimeoutError:
             return NoResponse(f'no response within {timeout_seconds} s')
-        return Response(head.status, received)
+        return Response(head.status, received, head.headers)
--- a/nutmegtrail/platform/store.py
+++ b/nutmegtrail/platform/store.py
@@ -12,6 +12,7 @@
 from nutmegtrail import const as shared_const
 from nutmegtrail import models
 from nutmegtrail.platform import const
+from nutmegtrail.platform import era
 from nutmegtrail.platform import json_client
 from nutmegtrail.ports import key_value
 from nutmegtrail.ports import watched_store
@@ -35,9 +36,10 @@
 
 
 class _Response(typing.NamedTuple):
-    """Status and decoded body of a response."""
+    """Status, era of the store and decoded body of a response."""
 
     status: int
+    era: int
     document: json_client.JsonObject
 
 
@@ -45,13 +47,14 @@
     """Implements `ports.watched_store` and `ports.key_value.LeaseStore`.
 
     A request without a response may have been executed or may be executed
-    later.
+    later. Revisions and leases include the era of the store.
     """
 
     def __init__(self, address: models.Address) -> None:
         """Initialize the client without opening connections."""
         self._address = address
         self._client = json_client.JsonClient()
+        self._last_era = 0
 
     async def close(self) -> None:
         """Close all connections."""
@@ -74,15 +77,19 @@
             if response.status != http.HTTPStatus.OK:
                 return expression.Error(_unexpected_status(response))
             try:
-                page = _decode_page(response.document)
+                page = _decode_page(response)
             except _DECODE_ERRORS as error:
                 return expression.Error(_malformed_response(error))
             if revision is None:
                 revision = page.revision
+            if era.era_of(revision) != response.era:
+                return expression.Error(_restored_meanwhile())
             items.extend(page.items)
             if page.last_key is None:
                 return expression.Ok(
-                    watched_store.Snapshot(tuple(items), revision),
+                    watched_store.Snapshot(
+                        tuple(items), revision, response.era
+                    ),
                 )
             query = {'prefix': prefix, 'after': page.last_key}
 
@@ -99,7 +106,7 @@
             const.WATCH_PATH,
             {
                 'prefix': prefix,
-                'after': str(after_revision),
+                'after': str(era.number_of(after_revision)),
                 'wait_ms': str(wait_ms),
             },
             timeout_seconds=wait_seconds + const.WATCH_TIMEOUT_MARGIN_SECONDS,
@@ -110,8 +117,10 @@
             return expression.Error(watched_store.HistoryLost(after_revision))
         if response.status != http.HTTPStatus.OK:
             return expression.Error(_unexpected_status(response))
+        if response.era != era.era_of(after_revision):
+            return expression.Error(watched_store.HistoryLost(after_revision))
         try:
-            return expression.Ok(_decode_changes(response.document))
+            return expression.Ok(_decode_changes(response))
         except _DECODE_ERRORS as error:
             return expression.Error(_malformed_response(error))
 
@@ -123,11 +132,14 @@
         lease_id: int = 0,
     ) -> expression.Result[int, key_value.SwapError]:
         """Write if the key is at the revision; return the new revision."""
+        if self._is_outdated(expected_revision) or self._is_outdated(lease_id):
+            return expression.Error(key_value.CompareFailed(key))
+        expected_number = era.number_of(expected_revision)
         response = await self._request(
             b'POST',
             const.TRANSACTION_PATH,
             body={
-                'expected': [{'key': key, 'revision': expected_revision}],
+                'expected': [{'key': key, 'revision': expected_number}],
                 'writes': [_encode_write(key, content, lease_id)],
                 'deletes': [],
             },
@@ -150,6 +162,8 @@
         lease_id: int,
     ) -> expression.Result[None, key_value.BatchError]:
         """Write keys under a lease and delete others in one transaction."""
+        if self._is_outdated(lease_id):
+            return expression.Error(key_value.LeaseGone(lease_id))
         response = await self._request(
             b'POST',
             const.TRANSACTION_PATH,
@@ -196,11 +210,13 @@
         lease_id: int,
     ) -> expression.Result[bool, key_value.Unavailable]:
         """Renew a lease; return False if it has expired."""
-        path = f'{const.LEASE_RENEW_PATH}/{lease_id}'
+        if self._is_outdated(lease_id):
+            return expression.Ok(value=False)
+        path = f'{const.LEASE_RENEW_PATH}/{era.number_of(lease_id)}'
         response = await self._request(b'POST', path)
         if isinstance(response, _Response):
             if response.status == http.HTTPStatus.OK:
-                return expression.Ok(value=True)
+                return expression.Ok(value=not self._is_outdated(lease_id))
             if response.status == http.HTTPStatus.NOT_FOUND:
                 return expression.Ok(value=False)
         return expression.Error(key_value.Unavailable(path))
@@ -210,7 +226,9 @@
         lease_id: int,
     ) -> expression.Result[None, key_value.Unavailable]:
         """Revoke a lease, which deletes its keys."""
-        path = f'{const.LEASE_REVOKE_PATH}/{lease_id}'
+        if self._is_outdated(lease_id):
+            return expression.Ok(None)
+        path = f'{const.LEASE_REVOKE_PATH}/{era.number_of(lease_id)}'
         response = await self._request(b'DELETE', path)
         if isinstance(response, _Response) and response.status in {
             http.HTTPStatus.OK,
@@ -219,6 +237,14 @@
             return expression.Ok(None)
         return expression.Error(key_value.Unavailable(path))
 
+    def _is_outdated(self, qualified: int) -> bool:
+        """Return whether a revision or lease is of an earlier era.
+
+        The store may have given its number to another key or lease. Those of
+        the copy may still be valid, but nothing tells which.
+        """
+        return bool(qualified) and era.era_of(qualified) != self._last_era
+
     async def _request(
         self,
         method: bytes,
@@ -241,8 +267,13 @@
         )
         if isinstance(response, json_client.NoResponse):
             return watched_store.StoreUnavailable(f'{path}: {response.detail}')
+        response_era = era.read(response.headers)
+        # Responses on other connections may be older.
+        self._last_era = max(self._last_era, response_era)
         try:
-            return _Response(response.status, _decode_body(response.body))
+            return _Response(
+                response.status, response_era, _decode_body(response.body)
+            )
         except ValueError as error:
             return watched_store.StoreUnavailable(
                 f'{path}: the response is not valid JSON: {error}',
@@ -267,10 +298,17 @@
     return watched_store.StoreUnavailable(f'malformed response: {error!r}')
 
 
+def _restored_meanwhile() -> watched_store.StoreUnavailable:
+    """Return the error for a listing that spans two eras."""
+    return watched_store.StoreUnavailable('restored during the listing')
+
+
 def _integer(response: _Response, field: str) -> int | None:
-    """Return an integer field of a response, None without one."""
+    """Return a revision or lease of a response, None without one."""
     integer = response.document.get(field)
-    return integer if isinstance(integer, int) else None
+    if isinstance(integer, int):
+        return era.qualify(response.era, integer)
+    return None
 
 
 def _encode_write(
@@ -282,38 +320,44 @@
         'value': base64.b64encode(content).decode(),
     }
     if lease_id:
-        write['lease'] = lease_id
+        write['lease'] = era.number_of(lease_id)
     return write
 
 
-def _decode_page(document: json_client.JsonObject) -> _Page:
+def _decode_page(response: _Response) -> _Page:
     """Decode a page of a listing."""
-    items = tuple(_decode_item(row) for row in document['items'])
+    document = response.document
+    items = tuple(_decode_item(response.era, row) for row in document['items'])
     last_key = items[-1].key if document['has_more'] else None
-    return _Page(items, int(document['current_rev']), last_key)
+    revision = era.qualify(response.era, int(document['current_rev']))
+    return _Page(items, revision, last_key)
 
 
-def _decode_changes(document: json_client.JsonObject) -> watched_store.Changes:
+def _decode_changes(response: _Response) -> watched_store.Changes:
     """Decode the changes in the response to a watch."""
+    document = response.document
     return watched_store.Changes(
-        tuple(_decode_change(row) for row in document['events']),
-        int(document['current_rev']),
+        tuple(_decode_change(response.era, row) for row in document['events']),
+        era.qualify(response.era, int(document['current_rev'])),
     )
 
 
 def _decode_change(
-    row: json_client.JsonObject,
+    store_era: int, row: json_client.JsonObject
 ) -> watched_store.Item | watched_store.Removal:
     """Decode a change or a removal."""
     if row.get('removed'):
-        return watched_store.Removal(row['key'], int(row['revision']))
-    return _decode_item(row)
+        revision = era.qualify(store_era, int(row['revision']))
+        return watched_store.Removal(row['key'], revision)
+    return _decode_item(store_era, row)
 
 
-def _decode_item(row: json_client.JsonObject) -> watched_store.Item:
+def _decode_item(
+    store_era: int, row: json_client.JsonObject
+) -> watched_store.Item:
     """Decode a stored item."""
     return watched_store.Item(
         row['key'],
-        int(row['revision']),
+        era.qualify(store_era, int(row['revision'])),
         base64.b64decode(row['value']),
     )
--- a/nutmegtrail/ports/watched_store.py
+++ b/nutmegtrail/ports/watched_store.py
@@ -21,10 +21,15 @@
 
 
 class Snapshot(typing.NamedTuple):
-    """All items under a prefix; later changes follow the revision."""
+    """All items under a prefix; later changes follow the revision.
+
+    The era rises when the store comes back from an earlier copy, which lacks
+    what was written since. Revisions of a later era are higher.
+    """
 
     items: tuple[Item, ...]
     revision: int
+    era: int = 0
 
 
 class Changes(typing.NamedTuple):
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -21,10 +21,22 @@
 _KEEP_ALIVE_HEADER = (b'keep-alive', b'timeout=9')
 
 
+_RESTORED_FIELDS = (
+    'items_by_key',
+    'events',
+    'revision',
+    '_last_lease_id',
+    '_ttl_by_lease',
+    '_expiry_by_lease',
+)
+
+
 class Store:
     """Key-value store with revisions, watches and leases.
 
-    It responds with 503 while `is_unavailable` is set.
+    It responds with 503 while `is_unavailable` is set. `restore` replaces it
+    by an earlier copy and raises the era; the revisions and leases since the
+    copy are given out again.
     """
 
     def __init__(self):
@@ -34,6 +46,7 @@
         self.events = []
         self.revision = 1
         self.is_unavailable = False
+        self.era = 1
         self._last_lease_id = 0
         self._ttl_by_lease = {}
         self._expiry_by_lease = {}
@@ -68,10 +81,39 @@
         removal = {'key': key, 'revision': self.revision, 'removed': True}
         self._notify(removal)
 
+    def copy(self):
+        """Return a copy to restore later."""
+        copied = {name: getattr(self, name) for name in _RESTORED_FIELDS}
+        return {
+            name: field if isinstance(field, int) else field.copy()
+            for name, field in copied.items()
+        }
+
+    def restore(self, copy):
+        """Continue from a copy in the next era.
+
+        What the operators and the engines wrote since is written again.
+        """
+        written_again = {
+            key: item
+            for key, item in self.items_by_key.items()
+            if not key.startswith('nutmegtrail/')
+        }
+        for name, field in copy.items():
+            setattr(self, name, field)
+        self.era += 1
+        for key in tuple(self.items_by_key):
+            if not key.startswith('nutmegtrail/') and key not in written_again:
+                self.remove(key)
+        for key, item in written_again.items():
+            if self.items_by_key.get(key, {}).get('value') != item['value']:
+                self.put(key, base64.b64decode(item['value']))
+
     async def handle(self, exchange):
         """Handle a request."""
+        headers = (*_JSON_HEADERS, (b'store-era', b'%d' % self.era))
         if self.is_unavailable:
-            await exchange.respond(503, _JSON_HEADERS, b'{}')
+            await exchange.respond(503, headers, b'{}')
             return
         path, _, query = exchange.request.target.decode().partition('?')
         arguments = dict(urllib.parse.parse_qsl(query))
@@ -79,9 +121,8 @@
         call = call.replace('-', '_')
         body = json.loads(exchange.request.body or b'{}')
         status, document = await getattr(self, f'_{call}')(arguments, body)
-        await exchange.respond(
-            status, _JSON_HEADERS, json.dumps(document).encode()
-        )
+        headers = (*_JSON_HEADERS, (b'store-era', b'%d' % self.era))
+        await exchange.respond(status, headers, json.dumps(document).encode())
 
     def _notify(self, event):
         """Record an event and notify the watches."""
@@ -109,6 +150,8 @@
         wait_seconds = int(arguments['wait_ms']) / 1_000
         after = int(arguments['after'])
         events = []
+        if after > self.revision:
+            return 410, {}
         with anyio.move_on_after(wait_seconds):
             while not events:
                 changed = self._changed
@@ -128,9 +171,15 @@
             current = self.items_by_key.get(row['key'], {'revision': 0})
             if current['revision'] != row['revision']:
                 return 412, {'items': []}
+        leases = {write.get('lease', 0) for write in body['writes']} - {0}
+        if leases - set(self._expiry_by_lease):
+            return 404, {}
         for write in body['writes']:
             content = base64.b64decode(write['value'])
             self.put(write['key'], content, write.get('lease', 0))
+        for key in body['deletes']:
+            if key in self.items_by_key:
+                self.remove(key)
         return 200, {'revision': self.revision}
 
     async def _kv_lease(self, _, body):
