--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -8,6 +8,12 @@
 # outage are written again within two seconds of its recovery.
 REREGISTRATION_WINDOW_SECONDS: typing.Final = 2.2
 
+# Longer than the age of a copy from which the store may come back.
+REMOVAL_MEMORY_SECONDS: typing.Final = 120.0
+# After a store came back from a copy, registrations in it of upstreams that do
+# not live expire within this time.
+COPY_EXPIRY_SECONDS: typing.Final = 6.0
+
 # For upstreams that do not register their number of slots.
 DEFAULT_SLOTS: typing.Final = 6
 
--- a/nutmegtrail/gateway/crash_quarantine.py
+++ b/nutmegtrail/gateway/crash_quarantine.py
@@ -49,6 +49,11 @@
         )
         self._has_pending = anyio.Event()
         self._lease: _Lease | None = None
+        self._content_by_own_key: collections.OrderedDict[str, bytes] = (
+            collections.OrderedDict()
+        )
+        # Set while the next snapshot is that of an earlier copy of the store.
+        self._is_copy = False
         self._listeners: list[typing.Callable[[str], None]] = []
 
     def add_listener(self, listener: typing.Callable[[str], None]) -> None:
@@ -57,15 +62,9 @@
 
     def on_snapshot(self, items: tuple[watched_store.Item, ...]) -> None:
         """Replace the marks with those of a snapshot and unwritten ones."""
-        listed_keys = {item.key for item in items}
-        marks_by_fingerprint = self._quarantine.marks_by_fingerprint
-        for request_fingerprint, marks in marks_by_fingerprint.items():
-            for crash_id in marks:
-                key = _mark_key(request_fingerprint, crash_id)
-                if key not in listed_keys and key not in self._pending_by_key:
-                    self._quarantine = quarantine.unmark(
-                        self._quarantine, request_fingerprint, crash_id
-                    )
+        if not self._is_copy:
+            self._drop_unlisted({item.key for item in items})
+        self._is_copy = False
         for item in items:
             self.on_change(item)
 
@@ -90,6 +89,15 @@
     def on_store_recovered(self) -> None:
         """Do nothing; the current marks arrive with the next read."""
 
+    def on_store_restored(self) -> None:
+        """Write own marks again, and keep those of others.
+
+        The next snapshot may lack both.
+        """
+        for key, content in self._content_by_own_key.items():
+            self._enqueue(key, content)
+        self._is_copy = True
+
     def crash_count(self, request_fingerprint: str) -> int:
         """Return the crashes that are attributed to a request."""
         return len(self._times(request_fingerprint))
@@ -116,9 +124,12 @@
     ) -> None:
         """Record that a request was in flight when an upstream crashed."""
         self._mark(request_fingerprint, crash_id)
-        self._enqueue(
-            _mark_key(request_fingerprint, crash_id), upstream_id.encode()
-        )
+        key = _mark_key(request_fingerprint, crash_id)
+        content = upstream_id.encode()
+        self._content_by_own_key[key] = content
+        if len(self._content_by_own_key) > retry_const.MARKED_REQUESTS_LIMIT:
+            self._content_by_own_key.popitem(last=False)
+        self._enqueue(key, content)
         self._metrics.increment('crash_marks')
 
     def record_success(self, request_fingerprint: str) -> None:
@@ -162,6 +173,9 @@
         self._quarantine = quarantine.remove_expired(
             self._quarantine, anyio.current_time()
         )
+        for key in tuple(self._content_by_own_key):
+            if not self._is_marked(key):
+                self._content_by_own_key.pop(key)
 
     async def _write_batch(self) -> bool:
         """Write the oldest changes; return False if the store failed.
@@ -212,12 +226,25 @@
             )
         return self._lease
 
+    def _drop_unlisted(self, listed_keys: set[str]) -> None:
+        """Drop marks that are neither in the store nor on their way."""
+        marks_by_fingerprint = self._quarantine.marks_by_fingerprint
+        for request_fingerprint, marks in marks_by_fingerprint.items():
+            for crash_id in marks:
+                key = _mark_key(request_fingerprint, crash_id)
+                if key not in listed_keys and key not in self._pending_by_key:
+                    self._quarantine = quarantine.unmark(
+                        self._quarantine, request_fingerprint, crash_id
+                    )
+
     def _remove(self, request_fingerprint: str, crash_id: str) -> None:
         """Remove a mark here and in the store."""
         self._quarantine = quarantine.unmark(
             self._quarantine, request_fingerprint, crash_id
         )
-        self._enqueue(_mark_key(request_fingerprint, crash_id), None)
+        key = _mark_key(request_fingerprint, crash_id)
+        self._content_by_own_key.pop(key, None)
+        self._enqueue(key, None)
 
     def _enqueue(self, key: str, content: bytes | None) -> None:
         """Add a change for the store; the oldest are dropped if too many."""
@@ -252,6 +279,14 @@
         for listener in self._listeners:
             listener(request_fingerprint)
 
+    def _is_marked(self, key: str) -> bool:
+        """Return whether the mark of a key is in force."""
+        parsed = _parse_mark_key(key)
+        if parsed is None:
+            return False
+        marks = self._quarantine.marks_by_fingerprint.get(parsed[0], ())
+        return parsed[1] in marks
+
     def _times(self, request_fingerprint: str) -> tuple[float, ...]:
         """Return the times of the crashes attributed to a request."""
         return quarantine.attributed_times(
--- a/nutmegtrail/gateway/fleet.py
+++ b/nutmegtrail/gateway/fleet.py
@@ -3,6 +3,10 @@
 During a store outage, registrations expire although their upstreams are
 alive. An upstream whose registration is missing after the outage is kept
 for a grace period, in which upstreams that are alive register again.
+
+A store that comes back from an earlier copy may show registrations that were
+withdrawn since. Leaving upstreams stay so, and removed ones are deferred until
+the registrations of those that do not live have expired.
 """
 
 import functools
@@ -18,16 +22,28 @@
 DeadlinesById: typing.TypeAlias = pyrsistent.typing.PMap[str, float]
 
 
+Incarnation: typing.TypeAlias = tuple[str, int]
+RemovedAtByIncarnation: typing.TypeAlias = pyrsistent.typing.PMap[
+    Incarnation, float
+]
+
+
 class Fleet(typing.NamedTuple):
     """Registered upstreams and those whose registration an outage removed.
 
     `grace_until_seconds` is the end of the grace period after the last outage.
+    `removed_at_by_incarnation` has the times at which incarnations were
+    removed. `deferred_by_id` has the removed upstreams that an earlier copy
+    shows until `deferred_until_seconds`.
     """
 
     upstreams_by_id: UpstreamsById = pyrsistent.pmap()
     missing_until_by_id: DeadlinesById = pyrsistent.pmap()
     is_store_unavailable: bool = False
     grace_until_seconds: float = float('-inf')
+    removed_at_by_incarnation: RemovedAtByIncarnation = pyrsistent.pmap()
+    deferred_by_id: UpstreamsById = pyrsistent.pmap()
+    deferred_until_seconds: float = float('-inf')
 
 
 class SnapshotReceived(typing.NamedTuple):
@@ -56,6 +72,10 @@
     """The store responds again."""
 
 
+class StoreRestored(typing.NamedTuple):
+    """The store came back from an earlier copy, whose snapshot follows."""
+
+
 class TimeElapsed(typing.NamedTuple):
     """Time has passed since the last event."""
 
@@ -66,6 +86,7 @@
     | Removed
     | StoreLost
     | StoreRecovered
+    | StoreRestored
     | TimeElapsed
 )
 
@@ -81,24 +102,39 @@
     event: SnapshotReceived, fleet: Fleet, now_seconds: float
 ) -> Fleet:
     """Replace all upstreams; in the grace period keep the missing ones."""
+    deferred = {}
+    if now_seconds < fleet.deferred_until_seconds:
+        deferred = {
+            upstream.upstream_id: upstream
+            for upstream in event.upstreams
+            if _was_removed(fleet, upstream)
+        }
     updated = fleet._replace(
         upstreams_by_id=pyrsistent.pmap(
-            {upstream.upstream_id: upstream for upstream in event.upstreams},
+            {
+                upstream.upstream_id: _keep_leaving(fleet, upstream)
+                for upstream in event.upstreams
+                if upstream.upstream_id not in deferred
+            },
         ),
         missing_until_by_id=pyrsistent.pmap(),
+        deferred_by_id=pyrsistent.pmap(deferred),
     )
-    if now_seconds >= fleet.grace_until_seconds:
-        return updated
+    has_grace = now_seconds < fleet.grace_until_seconds
     for upstream_id, upstream in fleet.upstreams_by_id.items():
-        if upstream_id not in updated.upstreams_by_id and not upstream.leaving:
+        if upstream_id in updated.upstreams_by_id:
+            continue
+        if has_grace and not upstream.leaving:
             updated = _keep_missing(updated, upstream)
+        else:
+            updated = _remove(updated, upstream, now_seconds)
     return updated
 
 
 @decide.register
 def _registered(event: Registered, fleet: Fleet, now_seconds: float) -> Fleet:
     """Add or update an upstream."""
-    upstream = event.upstream
+    upstream = _keep_leaving(fleet, event.upstream)
     return fleet._replace(
         upstreams_by_id=fleet.upstreams_by_id.set(
             upstream.upstream_id,
@@ -107,18 +143,22 @@
         missing_until_by_id=fleet.missing_until_by_id.discard(
             upstream.upstream_id,
         ),
+        deferred_by_id=fleet.deferred_by_id.discard(upstream.upstream_id),
     )
 
 
 @decide.register
 def _removed(event: Removed, fleet: Fleet, now_seconds: float) -> Fleet:
     """Remove an upstream, unless an outage may have caused its removal."""
+    fleet = fleet._replace(
+        deferred_by_id=fleet.deferred_by_id.discard(event.upstream_id)
+    )
     upstream = fleet.upstreams_by_id.get(event.upstream_id)
     if upstream is None:
         return fleet
     if now_seconds < fleet.grace_until_seconds and not upstream.leaving:
         return _keep_missing(fleet, upstream)
-    return _remove(fleet, event.upstream_id)
+    return _remove(fleet, upstream, now_seconds)
 
 
 @decide.register
@@ -142,15 +182,37 @@
     )
 
 
+@decide.register
+def _store_restored(
+    event: StoreRestored,
+    fleet: Fleet,
+    now_seconds: float,
+) -> Fleet:
+    """Start the grace period and defer what the copy shows again."""
+    return fleet._replace(
+        grace_until_seconds=now_seconds + const.REREGISTRATION_WINDOW_SECONDS,
+        deferred_until_seconds=now_seconds + const.COPY_EXPIRY_SECONDS,
+    )
+
+
 @decide.register
 def _time_elapsed(
     event: TimeElapsed, fleet: Fleet, now_seconds: float
 ) -> Fleet:
-    """Remove upstreams that did not register within the grace period."""
+    """Remove upstreams that did not register within the grace period.
+
+    Deferred ones that are registered still are alive.
+    """
     for upstream_id, until_seconds in fleet.missing_until_by_id.items():
         if now_seconds >= until_seconds:
-            fleet = _remove(fleet, upstream_id)
-    return fleet
+            upstream = fleet.upstreams_by_id[upstream_id]
+            fleet = _remove(fleet, upstream, now_seconds)
+    if fleet.deferred_by_id and now_seconds >= fleet.deferred_until_seconds:
+        fleet = fleet._replace(
+            upstreams_by_id=fleet.upstreams_by_id.update(fleet.deferred_by_id),
+            deferred_by_id=pyrsistent.pmap(),
+        )
+    return _forget_removed(fleet, now_seconds)
 
 
 def registered_upstreams(
@@ -188,9 +250,46 @@
     )
 
 
-def _remove(fleet: Fleet, upstream_id: str) -> Fleet:
-    """Return the fleet without the upstream."""
+def _remove(
+    fleet: Fleet, upstream: models.Upstream, now_seconds: float
+) -> Fleet:
+    """Return the fleet without the upstream, whose removal it remembers."""
+    upstream_id = upstream.upstream_id
     return fleet._replace(
         upstreams_by_id=fleet.upstreams_by_id.discard(upstream_id),
         missing_until_by_id=fleet.missing_until_by_id.discard(upstream_id),
+        removed_at_by_incarnation=fleet.removed_at_by_incarnation.set(
+            _incarnation_of(upstream), now_seconds
+        ),
+    )
+
+
+def _forget_removed(fleet: Fleet, now_seconds: float) -> Fleet:
+    """Return the fleet without removals that no copy can be older than."""
+    oldest = now_seconds - const.REMOVAL_MEMORY_SECONDS
+    removals = fleet.removed_at_by_incarnation
+    for incarnation, removed_at in fleet.removed_at_by_incarnation.items():
+        if removed_at < oldest:
+            removals = removals.remove(incarnation)
+    return fleet._replace(removed_at_by_incarnation=removals)
+
+
+def _incarnation_of(upstream: models.Upstream) -> Incarnation:
+    """Return the key of one incarnation of an upstream."""
+    return upstream.upstream_id, upstream.started_at_ms
+
+
+def _was_removed(fleet: Fleet, upstream: models.Upstream) -> bool:
+    """Return whether an incarnation was removed and has not come back."""
+    return (
+        upstream.upstream_id not in fleet.upstreams_by_id
+        and _incarnation_of(upstream) in fleet.removed_at_by_incarnation
     )
+
+
+def _keep_leaving(fleet: Fleet, upstream: models.Upstream) -> models.Upstream:
+    """Return the upstream as leaving if this incarnation was leaving."""
+    known = fleet.upstreams_by_id.get(upstream.upstream_id)
+    if known is None or _incarnation_of(known) != _incarnation_of(upstream):
+        return upstream
+    return upstream._replace(leaving=upstream.leaving or known.leaving)
--- a/nutmegtrail/gateway/gossip.py
+++ b/nutmegtrail/gateway/gossip.py
@@ -53,10 +53,13 @@
         self._dispatcher = dispatcher
         self._address_by_key: dict[str, models.Address] = {}
         self._lease_id = 0
+        self._own_revision = key_value.ABSENT_REVISION
+        self._must_register = anyio.Event()
 
     def on_snapshot(self, items: tuple[watched_store.Item, ...]) -> None:
         """Replace the known instances with those of a snapshot."""
         self._address_by_key.clear()
+        self._own_revision = key_value.ABSENT_REVISION
         for item in items:
             self.on_change(item)
         self._count_entries()
@@ -68,10 +71,14 @@
         """Apply the registration of an instance or its removal."""
         if not change.key.startswith(REGISTRATION_PREFIX):
             return
+        revision = key_value.ABSENT_REVISION
         if isinstance(change, watched_store.Removal):
             self._address_by_key.pop(change.key, None)
         else:
+            revision = change.revision
             self._add_address(change)
+        if change.key == self._own_key:
+            self._own_revision = revision
         self._count_entries()
 
     def on_store_lost(self) -> None:
@@ -80,6 +87,11 @@
     def on_store_recovered(self) -> None:
         """Do nothing; the current registrations arrive with the next read."""
 
+    def on_store_restored(self) -> None:
+        """Register again, because the earlier copy may lack the key."""
+        self._lease_id = 0
+        self._must_register.set()
+
     async def run(self) -> None:
         """Register this instance and exchange counts until cancelled."""
         async with await anyio.create_udp_socket(
@@ -97,6 +109,11 @@
         if self._lease_id:
             await self._store.revoke_lease(self._lease_id)
 
+    @property
+    def _own_key(self) -> str:
+        """Return the key of this instance's registration."""
+        return f'{REGISTRATION_PREFIX}{self._name}'
+
     def _count_entries(self) -> None:
         """Count this instance and the other ones, each address once.
 
@@ -118,9 +135,11 @@
     async def _register(self) -> None:
         """Keep this instance registered under a lease until cancelled."""
         while True:
+            self._must_register = anyio.Event()
             if not await self._renew():
                 await self._write()
-            await anyio.sleep(const.REGISTRATION_INTERVAL_SECONDS)
+            with anyio.move_on_after(const.REGISTRATION_INTERVAL_SECONDS):
+                await self._must_register.wait()
 
     async def _renew(self) -> bool:
         """Renew the lease; return False if a new one is needed.
@@ -141,8 +160,8 @@
             logs.decision('entry:not-registered', name=self._name)
             return
         written = await self._store.swap(
-            f'{REGISTRATION_PREFIX}{self._name}',
-            key_value.ABSENT_REVISION,
+            self._own_key,
+            self._own_revision,
             str(self._address).encode(),
             granted.ok,
         )
--- a/nutmegtrail/gateway/leader_lease.py
+++ b/nutmegtrail/gateway/leader_lease.py
@@ -64,6 +64,10 @@
     def on_store_recovered(self) -> None:
         """Do nothing; the current key arrives with the next read."""
 
+    def on_store_restored(self) -> None:
+        """Give up the lease, which the store may not know any more."""
+        self._decide(leadership.LeaseLapsed())
+
     def on_fenced(self) -> None:
         """Give up the leadership after an engine rejected the fence."""
         self._decide(leadership.FencedOff())
@@ -95,7 +99,7 @@
             self._decide(leadership.LeaseLapsed())
 
     async def _acquire(self) -> None:
-        """Write the key if it does not exist.
+        """Write the key if it does not exist, or exists without a lease.
 
         Instances start at random delays, which makes most of them see the
         winner's key before they call the store.
@@ -113,7 +117,7 @@
         self.state = self.state._replace(lease_id=granted.ok)
         written = await self._store.swap(
             self._key,
-            key_value.ABSENT_REVISION,
+            self.state.own_revision,
             self.state.name.encode(),
             granted.ok,
         )
--- a/nutmegtrail/gateway/leadership.py
+++ b/nutmegtrail/gateway/leadership.py
@@ -13,6 +13,8 @@
     """Leadership as seen by one gateway instance.
 
     `fence` is the fencing token while the instance leads, None otherwise.
+    `own_revision` is the revision of the key if it holds the own name, 0
+    otherwise.
     `fenced_off` is the last own fence that an engine rejected because it had
     seen a higher one. `is_known` is set once the key was read.
     """
@@ -20,6 +22,7 @@
     name: str
     holder: str = ''
     fence: int | None = None
+    own_revision: int = 0
     lease_id: int = 0
     fenced_off: int = 0
     is_known: bool = False
@@ -64,11 +67,12 @@
 @decide.register
 def _key_shown(event: KeyShown, leadership: Leadership) -> Leadership:
     """Become leader if the key holds the own name at a valid revision."""
-    is_leader = event.holder == leadership.name
-    is_leader = is_leader and event.revision > leadership.fenced_off
+    is_holder = event.holder == leadership.name
+    is_leader = is_holder and event.revision > leadership.fenced_off
     return leadership._replace(
         holder=event.holder,
         fence=event.revision if is_leader else None,
+        own_revision=event.revision if is_holder else 0,
         is_known=True,
     )
 
@@ -76,7 +80,9 @@
 @decide.register
 def _key_gone(event: KeyGone, leadership: Leadership) -> Leadership:
     """Give up the leadership; the key is free."""
-    return leadership._replace(holder='', fence=None, is_known=True)
+    return leadership._replace(
+        holder='', fence=None, own_revision=0, is_known=True
+    )
 
 
 @decide.register
@@ -98,6 +104,9 @@
     """Return the next action for the current state."""
     if leadership.fence is not None:
         return NextAction.RENEW
-    if leadership.is_known and not leadership.holder:
+    # The own name without a lease: a late write, or an earlier copy of the
+    # store. Nobody would renew it, and nobody may write over it.
+    is_own = bool(leadership.own_revision) and not leadership.lease_id
+    if leadership.is_known and (is_own or not leadership.holder):
         return NextAction.ACQUIRE
     return NextAction.WAIT
--- a/nutmegtrail/gateway/store_listeners.py
+++ b/nutmegtrail/gateway/store_listeners.py
@@ -86,6 +86,9 @@
     def on_store_recovered(self) -> None:
         """Do nothing; the current configuration arrives with the next read."""
 
+    def on_store_restored(self) -> None:
+        """Do nothing; an older version never replaces a newer one."""
+
 
 class UpstreamListener:
     """Applies registrations of upstreams to the dispatcher's fleet."""
@@ -145,6 +148,10 @@
         """Tell the fleet about the end of the outage."""
         self._decide(fleet.StoreRecovered())
 
+    def on_store_restored(self) -> None:
+        """Tell the fleet that registrations may be outdated or missing."""
+        self._decide(fleet.StoreRestored())
+
     def _decode(self, item: watched_store.Item) -> models.Upstream | None:
         """Return the upstream of a registration, None if it is malformed."""
         try:
@@ -193,6 +200,11 @@
         for listener in self._listeners:
             listener.on_store_recovered()
 
+    def on_store_restored(self) -> None:
+        """Forward the return of an earlier copy to all listeners."""
+        for listener in self._listeners:
+            listener.on_store_restored()
+
 
 def _find_grouped_service(
     configuration: models.Configuration,
--- a/nutmegtrail/gateway/store_watcher.py
+++ b/nutmegtrail/gateway/store_watcher.py
@@ -27,6 +27,9 @@
     def on_store_recovered(self) -> None:
         """Handle the end of a store outage."""
 
+    def on_store_restored(self) -> None:
+        """Handle the return of an earlier copy, before its snapshot."""
+
 
 class StoreWatcher:
     """Reads a snapshot and then changes.
@@ -46,6 +49,7 @@
         self._listener = listener
         self._retry_seconds = const.STORE_RETRY_SECONDS
         self._is_store_unavailable = False
+        self._era: int | None = None
 
     async def run(self) -> None:
         """Watch the prefix until cancelled."""
@@ -68,7 +72,12 @@
             prefix=self._prefix,
             items=len(result.ok.items),
             revision=result.ok.revision,
+            era=result.ok.era,
         )
+        if self._era is not None and result.ok.era > self._era:
+            logs.decision('store:restored', prefix=self._prefix)
+            self._listener.on_store_restored()
+        self._era = result.ok.era
         self._listener.on_snapshot(result.ok.items)
         return result.ok.revision
 
--- a/nutmegtrail/platform/store.py
+++ b/nutmegtrail/platform/store.py
@@ -7,6 +7,7 @@
 import typing
 import urllib.parse
 
+import anyio
 import expression
 
 from nutmegtrail import const as shared_const
@@ -27,6 +28,10 @@
 )
 
 
+# Before the first response.
+_UNKNOWN_ERA: typing.Final = -1
+
+
 class _Page(typing.NamedTuple):
     """Page of a listing; `last_key` is None on the last page."""
 
@@ -54,7 +59,8 @@
         """Initialize the client without opening connections."""
         self._address = address
         self._client = json_client.JsonClient()
-        self._last_era = 0
+        self._last_era = _UNKNOWN_ERA
+        self._watch_scopes: set[anyio.CancelScope] = set()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -99,18 +105,32 @@
         after_revision: int,
         wait_seconds: float,
     ) -> expression.Result[watched_store.Changes, watched_store.ReadError]:
-        """Wait for changes after a revision and return them."""
+        """Wait for changes after a revision and return them.
+
+        The wait ends when another response shows that the store came back
+        from an earlier copy.
+        """
         wait_ms = int(wait_seconds * shared_const.MILLISECONDS_PER_SECOND)
-        response = await self._request(
-            b'GET',
-            const.WATCH_PATH,
-            {
-                'prefix': prefix,
-                'after': str(era.number_of(after_revision)),
-                'wait_ms': str(wait_ms),
-            },
-            timeout_seconds=wait_seconds + const.WATCH_TIMEOUT_MARGIN_SECONDS,
-        )
+        response: _Response | watched_store.StoreUnavailable | None = None
+        with anyio.CancelScope() as scope:
+            self._watch_scopes.add(scope)
+            try:
+                response = await self._request(
+                    b'GET',
+                    const.WATCH_PATH,
+                    {
+                        'prefix': prefix,
+                        'after': str(era.number_of(after_revision)),
+                        'wait_ms': str(wait_ms),
+                    },
+                    timeout_seconds=(
+                        wait_seconds + const.WATCH_TIMEOUT_MARGIN_SECONDS
+                    ),
+                )
+            finally:
+                self._watch_scopes.discard(scope)
+        if response is None:
+            return expression.Error(watched_store.HistoryLost(after_revision))
         if isinstance(response, watched_store.StoreUnavailable):
             return expression.Error(response)
         if response.status == http.HTTPStatus.GONE:
@@ -237,6 +257,18 @@
             return expression.Ok(None)
         return expression.Error(key_value.Unavailable(path))
 
+    def _observe_era(self, response_era: int) -> None:
+        """End waiting watches if a response is of a later era.
+
+        Responses on other connections may be older.
+        """
+        if response_era <= self._last_era:
+            return
+        if self._last_era != _UNKNOWN_ERA:
+            for scope in self._watch_scopes:
+                scope.cancel()
+        self._last_era = response_era
+
     def _is_outdated(self, qualified: int) -> bool:
         """Return whether a revision or lease is of an earlier era.
 
@@ -268,8 +300,7 @@
         if isinstance(response, json_client.NoResponse):
             return watched_store.StoreUnavailable(f'{path}: {response.detail}')
         response_era = era.read(response.headers)
-        # Responses on other connections may be older.
-        self._last_era = max(self._last_era, response_era)
+        self._observe_era(response_era)
         try:
             return _Response(
                 response.status, response_era, _decode_body(response.body)
--- a/tests/gateway/test_crash_quarantine.py
+++ b/tests/gateway/test_crash_quarantine.py
@@ -210,3 +210,22 @@
             self.assertFalse(self.entries[0].is_suspect('a'))
 
         self._run(_scenario)
+
+    def test_earlier_copy_of_the_store(self):
+        """Marks that the store has lost are written again and stay in force."""
+
+        async def _scenario():
+            self._crash('bad')
+            await anyio.sleep(1)
+            self.store.content_by_key.clear()
+            for entry in self.entries:
+                entry.on_store_restored()
+                entry.on_snapshot(self.store.items())
+                self.assertTrue(entry.remaining_seconds('bad') > 1)
+            await anyio.sleep(1)
+            self.assertEqual(3, len(self.store.content_by_key))
+            started = self._entry()
+            started.on_snapshot(self.store.items())
+            self.assertTrue(started.remaining_seconds('bad') > 1)
+
+        self._run(_scenario)
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -84,3 +84,62 @@
         updated = _decide(fleet.Fleet(), (0, fleet.SnapshotReceived((closed,))))
         self.assertEqual(set(), _usable_ids(updated))
         self.assertEqual(1, len(fleet.registered_upstreams(updated, 'drafts')))
+
+    def test_earlier_copy_shows_a_leaving_upstream(self):
+        """A leaving upstream gets no work, although the copy calls it ready.
+
+        The write of the state is one of those that the copy lacks.
+        """
+        updated = _decide(
+            fleet.Fleet(),
+            (0, _BOTH),
+            (1, fleet.Registered(samples.upstream('u1', leaving=True))),
+            (2, fleet.StoreRestored()),
+            (2, _BOTH),
+        )
+        self.assertEqual({'u2'}, _usable_ids(updated))
+        again = fleet.Registered(samples.upstream('u1'))
+        updated = _decide(updated, (3, again))
+        self.assertEqual({'u2'}, _usable_ids(updated))
+        restarted = fleet.Registered(samples.upstream('u1', started_at_ms=9))
+        updated = _decide(updated, (4, restarted))
+        self.assertEqual({'u1', 'u2'}, _usable_ids(updated))
+
+    def test_earlier_copy_shows_a_removed_upstream(self):
+        """A removed upstream waits until its registration must have expired."""
+        updated = _decide(
+            fleet.Fleet(),
+            (0, _BOTH),
+            (1, fleet.Removed('u1')),
+            (2, fleet.StoreRestored()),
+            (2, _BOTH),
+        )
+        self.assertEqual({'u2'}, _usable_ids(updated))
+        expired = _decide(
+            updated, (4, fleet.Removed('u1')), (9, fleet.TimeElapsed())
+        )
+        self.assertEqual({'u2'}, _usable_ids(expired))
+        registered = fleet.Registered(samples.upstream('u1'))
+        alive = _decide(updated, (3, registered))
+        self.assertEqual({'u1', 'u2'}, _usable_ids(alive))
+        unchanged = _decide(updated, (9, fleet.TimeElapsed()))
+        self.assertEqual({'u1', 'u2'}, _usable_ids(unchanged))
+
+    def test_earlier_copy_lacks_an_upstream(self):
+        """An upstream that the copy lacks stays until it can register."""
+        updated = _decide(
+            fleet.Fleet(),
+            (0, _BOTH),
+            (2, fleet.StoreRestored()),
+            (2, fleet.SnapshotReceived(())),
+        )
+        self.assertEqual({'u1', 'u2'}, _usable_ids(updated))
+        updated = _decide(updated, (9, fleet.TimeElapsed()))
+        self.assertEqual(set(), _usable_ids(updated))
+
+    def test_ordinary_snapshot_shows_a_removed_upstream(self):
+        """Without an earlier copy, an upstream that is back gets work."""
+        updated = _decide(
+            fleet.Fleet(), (0, _BOTH), (1, fleet.Removed('u1')), (2, _BOTH)
+        )
+        self.assertEqual({'u1', 'u2'}, _usable_ids(updated))
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -56,3 +56,22 @@
             leadership.KeyShown('me', 9),
         )
         self.assertIsNone(updated.fence)
+
+    def test_own_name_without_a_lease(self):
+        """A key with the own name and no lease is written again.
+
+        An earlier copy of the store shows it, or a write that was carried out
+        late. Nobody else may write over it.
+        """
+        updated = _decide(
+            leadership.KeyShown('me', 9), leadership.LeaseLapsed()
+        )
+        self.assertIsNone(updated.fence)
+        self.assertEqual(9, updated.own_revision)
+        self.assertIs(_ACQUIRE, leadership.next_action(updated))
+        updated = leadership.decide(leadership.KeyShown('other', 11), updated)
+        self.assertIs(
+            leadership.NextAction.WAIT, leadership.next_action(updated)
+        )
+        updated = leadership.decide(leadership.KeyGone(), updated)
+        self.assertEqual(0, updated.own_revision)
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -62,6 +62,10 @@
         """Record the end of an outage."""
         self.recorded_calls.append('regained')
 
+    def on_store_restored(self):
+        """Record the return of an earlier copy."""
+        self.recorded_calls.append('restored')
+
 
 def _snapshot():
     """Return a snapshot of one item."""
@@ -106,6 +110,18 @@
         store = _Store(_snapshot(), history_lost, _snapshot())
         self.assertEqual(['listed 1', 'listed 1'], _watch(store, 0.1))
 
+    def test_earlier_copy(self):
+        """Listeners learn of an earlier copy before its snapshot."""
+        history_lost = expression.Error(watched_store.HistoryLost(7))
+        copy = expression.Ok(watched_store.Snapshot((), 3, era=1))
+        store = _Store(_snapshot(), history_lost, copy)
+        self.assertEqual(
+            ['listed 1', 'restored', 'listed 0'], _watch(store, 0.1)
+        )
+        self.assertEqual(
+            ['snapshot', 'after 7', 'snapshot', 'after 3'], store.calls
+        )
+
     def test_return_of_the_store_is_noticed_at_once(self):
         """The end of an outage is detected without waiting for a change.
 
--- a/tests/platform/entries.py
+++ b/tests/platform/entries.py
@@ -111,6 +111,7 @@
             Entry(number, self.store, tasks) for number in range(entry_count)
         ]
         self.response_by_id = {}
+        self.first_copy = {}
         self._tasks = tasks
 
     async def start(self):
@@ -124,6 +125,7 @@
         self.store.put('op/config', json.dumps(document).encode())
         for engine in self.engines:
             await engine.start()
+        self.first_copy = self.store.copy()
         for entry in self.entries:
             await entry.start()
         await anyio.sleep(0.3)
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -100,7 +100,8 @@
             if not key.startswith('nutmegtrail/')
         }
         for name, field in copy.items():
-            setattr(self, name, field)
+            copied = field if isinstance(field, int) else field.copy()
+            setattr(self, name, copied)
         self.era += 1
         for key in tuple(self.items_by_key):
             if not key.startswith('nutmegtrail/') and key not in written_again:
