Hold the call while its sidecar is signalled in the tests of one run

test_killed_owner could fail on an overloaded machine (KeyError 'type'): the call lasts 0.5 s, and the signal came after its end, so that the answer was a success. The service now holds the call until the signal has been sent and the answer has come, and releases it then, so that the tests check what they say on any machine. All assertions are as before.

--- a/nutmegtrail/stand_ins/plain_service.py
+++ b/nutmegtrail/stand_ins/plain_service.py
@@ -1,4 +1,7 @@
-"""Simulated service whose POST requests must not be repeated."""
+"""Simulated service whose POST requests must not be repeated.
+
+Between `/stand-in/hold` and `/stand-in/release` no call ends.
+"""
 
 import collections
 
@@ -15,12 +18,20 @@
         """Initialize the service with the duration of a call."""
         self.runs_by_key: collections.Counter[str] = collections.Counter()
         self._call_seconds = call_seconds
+        self._may_finish = anyio.Event()
+        self._may_finish.set()
 
     async def serve(self, exchange: asgi.Exchange) -> None:
         """Handle one request."""
         if exchange.path == '/stand-in/runs':
             runs = {'by_key': dict(self.runs_by_key)}
             await exchange.respond_json(http_const.HTTP_OK, runs)
+        elif exchange.path == '/stand-in/hold':
+            self._may_finish = anyio.Event()
+            await exchange.respond_json(http_const.HTTP_OK, {})
+        elif exchange.path == '/stand-in/release':
+            self._may_finish.set()
+            await exchange.respond_json(http_const.HTTP_OK, {})
         elif exchange.method == 'POST':
             await self._run_once(exchange)
         else:
@@ -33,6 +44,7 @@
         key = exchange.header('idempotency-key')
         self.runs_by_key[key or exchange.header('x-request-id')] += 1
         await anyio.sleep(self._call_seconds)
+        await self._may_finish.wait()
         number = self.runs_by_key.total()
         await exchange.respond_json(
             http_const.HTTP_OK,
--- a/tests/daemons/test_processes.py
+++ b/tests/daemons/test_processes.py
@@ -115,13 +115,21 @@
 class AtMostOnceTest(_Deployment):
     """Confirmations run at most once across kills, suspensions and outages."""
 
+    def _control_services(self, action):
+        """Hold the calls of all services, or release them."""
+        for index in _INDEXES:
+            url = self.deployment.url(f'service-{index}')
+            httpx.post(f'{url}/stand-in/{action}').raise_for_status()
+
     def _signal_owner_during_call(self, signal_number):
         """Signal the owner of a confirmation while it runs.
 
-        Return the key, the owner, the first answer and that of a repetition.
+        The service holds the call until the signal has been sent and the first
+        answer has come. Return the key, the owner, the first answer and that of a repetition.
         """
         key = uuid.uuid4().hex
         answers = []
+        self._control_services('hold')
         thread = threading.Thread(
             target=lambda: answers.append(self.confirm('entry-a', key)),
         )
@@ -130,6 +138,7 @@
         owner = self.owner_of(key)
         self.deployment.send_signal(owner, signal_number)
         thread.join()
+        self._control_services('release')
         later = self.confirm('entry-b', key)
         return key, owner, answers[0], later
 
