Tell upstreams that broke off from a planned stop's cuts in the soak

The soak counted every broken stream of a stopping entry as cut by the stop. The soak also lets the store come back from a copy of up to 2.5 s before, in three of ten faults of the store.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -35,6 +35,8 @@
 # Some faults last longer than the lease of the leader.
 _FAULT_RANGE_SECONDS = (0.3, 2.5)
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+_RESTORE_PROBABILITY = 0.3
+_RESTORE_SECONDS = 0.3
 _CONNECTION_FAULTS = ('delayed', 'silent', 'no requests', 'no answers')
 COMPLETE_STREAM = b''.join(
     b'id: %d\ndata: x\n\n' % number for number in range(1, _EVENT_COUNT + 1)
@@ -126,7 +128,8 @@
                 store=store,
             ),
         )
-        self._log_file = (pathlib.Path(folder) / f'{name}.log').open('a')
+        self._log_path = pathlib.Path(folder) / f'{name}.log'
+        self._log_file = self._log_path.open('a')
         self.process = None
         self.has_fault = False
         self.is_out_of_rotation = False
@@ -141,6 +144,19 @@
             stderr=self._log_file,
         )
 
+    def has_given_up(self, request_id):
+        """Return whether no upstream was left for a request.
+
+        Then the last permitted upstream broke the response off, and not the
+        entry. A log line that was dropped counts as not written.
+        """
+        for line in self._log_path.read_text().splitlines():
+            if f'"request_id":"{request_id}"' not in line:
+                continue
+            if '"attempt:failed"' in line and '"GiveUp"' in line:
+                return True
+        return False
+
     def close(self):
         """Kill the process, also if it is suspended, and close its log."""
         if self.process.poll() is None:
@@ -175,7 +191,7 @@
             for name, store_relay in enumerate(self.store_relays)
         ]
         self.responses_by_id = {}
-        self.stop_violations = []
+        self.cut_while_stopping = []
         self._request_count = 0
 
     async def start(self, tasks):
@@ -246,9 +262,7 @@
                 response = ('broken', b'')
         self.responses_by_id[request_id] = (path, *response)
         if entry.is_stopping and response[0] in {'broken', 'nothing'}:
-            self.stop_violations.append(
-                f'{request_id} was cut by a planned stop'
-            )
+            self.cut_while_stopping.append((entry, request_id))
 
     async def inject_fault(self):
         """Inject one random fault for a random time, then repair it."""
@@ -296,7 +310,12 @@
             for encoded_id, _ in engine.runs:
                 request_id = encoded_id.decode()
                 runs_by_id[request_id] = runs_by_id.get(request_id, 0) + 1
-        violations = [*self.stop_violations, *self.rank_group.map_mismatches]
+        violations = [
+            f'{request_id} was cut by a planned stop'
+            for entry, request_id in self.cut_while_stopping
+            if not entry.has_given_up(request_id)
+        ]
+        violations.extend(self.rank_group.map_mismatches)
         if not self.rank_group.switch_count:
             violations.append('no map was switched')
         for engine in self.engines:
@@ -378,8 +397,12 @@
         """Disrupt the store for one entry or for all of them.
 
         A single entry may be the leader. With all entries, the store may also
-        respond with errors. Every store fault ends in connection resets.
+        respond with errors, or come back from the copy of an earlier time.
+        Every store fault ends in connection resets.
         """
+        if self.generator.random() < _RESTORE_PROBABILITY:
+            await self._restore_store(seconds)
+            return
         single_relay = [self.generator.choice(self.store_relays)]
         relays = self.generator.choice((single_relay, self.store_relays))
         fault = self.generator.choice(('', *_CONNECTION_FAULTS))
@@ -393,6 +416,17 @@
             store_relay.fault = ''
             store_relay.reset_connections()
 
+    async def _restore_store(self, copy_age_seconds):
+        """Let the store be away for a moment and come back from a copy."""
+        copy = self.store.copy()
+        await anyio.sleep(copy_age_seconds)
+        self.store.is_unavailable = True
+        await anyio.sleep(_RESTORE_SECONDS)
+        self.store.restore(copy)
+        self.store.is_unavailable = False
+        for store_relay in self.store_relays:
+            store_relay.reset_connections()
+
 
 def _configuration():
     """Return the sample configuration with all streams routed to 'drafts'."""
