Report readiness once upstreams and quarantined requests are known

What callers saw: right after an entry's start, 503 for a request that could run, since the entry was ready as soon as it had read the configuration; a request that is quarantined could reach an engine once more. Readiness now waits for the first listings of configuration, upstreams and marks. The new test delays either listing by 0.5 s and fails without the change (a quarantined request ran).

--- a/nutmegtrail/gateway/crash_quarantine.py
+++ b/nutmegtrail/gateway/crash_quarantine.py
@@ -40,6 +40,7 @@
         metrics_registry: metrics.Metrics,
     ) -> None:
         """Initialize the quarantine without marks."""
+        self.is_known = False
         self._store = store
         self._metrics = metrics_registry
         self._quarantine = quarantine.Quarantine()
@@ -65,6 +66,7 @@
         if not self._is_copy:
             self._drop_unlisted({item.key for item in items})
         self._is_copy = False
+        self.is_known = True
         for item in items:
             self.on_change(item)
 
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -150,9 +150,14 @@
         )
 
     async def _serve_readiness(self, exchange: server.Exchange) -> None:
-        """Respond whether the entry accepts new connections."""
+        """Respond whether the entry accepts new connections.
+
+        It does once it has read all that requests depend on.
+        """
         ready = (
             self._components.request_handler.configuration is not None
+            and self._components.dispatcher.known_upstreams.is_known
+            and self._components.quarantine.is_known
             and not self._stopping.is_set()
         )
         status = (
--- a/nutmegtrail/gateway/fleet.py
+++ b/nutmegtrail/gateway/fleet.py
@@ -31,7 +31,7 @@
 class Fleet(typing.NamedTuple):
     """Registered upstreams and those whose registration an outage removed.
 
-    `grace_until_seconds` is the end of the grace period after the last outage.
+    `is_known` is set once the registrations were read. `grace_until_seconds` is the end of the grace period after the last outage.
     `removed_at_by_incarnation` has the times at which incarnations were
     removed. `deferred_by_id` has the removed upstreams that an earlier copy
     shows until `deferred_until_seconds`.
@@ -39,6 +39,7 @@
 
     upstreams_by_id: UpstreamsById = pyrsistent.pmap()
     missing_until_by_id: DeadlinesById = pyrsistent.pmap()
+    is_known: bool = False
     is_store_unavailable: bool = False
     grace_until_seconds: float = float('-inf')
     removed_at_by_incarnation: RemovedAtByIncarnation = pyrsistent.pmap()
@@ -119,6 +120,7 @@
         ),
         missing_until_by_id=pyrsistent.pmap(),
         deferred_by_id=pyrsistent.pmap(deferred),
+        is_known=True,
     )
     has_grace = now_seconds < fleet.grace_until_seconds
     for upstream_id, upstream in fleet.upstreams_by_id.items():
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -18,6 +18,8 @@
 _LEASE_CHECK_INTERVAL_SECONDS = 0.05
 # Exceeds the timeout of every client.
 _NO_RESPONSE_SECONDS = 9
+# Shorter than the timeout of calls to the store.
+_LISTING_DELAY_SECONDS = 0.5
 _KEEP_ALIVE_HEADER = (b'keep-alive', b'timeout=9')
 
 
@@ -34,7 +36,8 @@
 class Store:
     """Key-value store with revisions, watches and leases.
 
-    It responds with 503 while `is_unavailable` is set. `restore` replaces it
+    It responds with 503 while `is_unavailable` is set, and late to listings of
+    `delayed_prefix`. `restore` replaces it
     by an earlier copy and raises the era; the revisions and leases since the
     copy are given out again.
     """
@@ -46,6 +49,7 @@
         self.events = []
         self.revision = 1
         self.is_unavailable = False
+        self.delayed_prefix = None
         self.era = 1
         self._last_lease_id = 0
         self._ttl_by_lease = {}
@@ -134,6 +138,8 @@
     async def _kv_range(self, arguments, _):
         """Return a page of up to two items."""
         after = arguments.get('after', '')
+        if arguments['prefix'] == self.delayed_prefix:
+            await anyio.sleep(_LISTING_DELAY_SECONDS)
         items = [
             self.items_by_key[key]
             for key in sorted(self.items_by_key)
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,4 +1,4 @@
-"""Callers that send the same request ID at the same time."""
+"""Callers at one entry: the same request ID twice, and right at its start."""
 
 import anyio
 import testtools
@@ -8,7 +8,7 @@
 _SLOTS = 6
 
 
-class SameIdentifierTest(testtools.TestCase):
+class CallersTest(testtools.TestCase):
     """One entry in front of one engine."""
 
     def test_queued_requests(self):
@@ -33,3 +33,27 @@
             self.assertEqual([200 for _ in range(_SLOTS + 3)], statuses)
 
         entries.run(_scenario, engine_count=1, entry_count=1)
+
+    def test_request_right_after_the_start(self):
+        """An entry that reports itself ready knows all that requests need.
+
+        Otherwise the first callers are refused, or reach an engine with a
+        request that is quarantined.
+        """
+        for prefix in ('servers/', 'nutmegtrail/'):
+
+            async def _scenario(deployment, prefix=prefix):
+                if prefix == 'nutmegtrail/':
+                    await deployment.send_fatal(3, deployment.entries)
+                    await anyio.sleep(2)
+                entry = deployment.entries[0]
+                entry.kill()
+                deployment.store.delayed_prefix = prefix
+                await entry.start()
+                response = await deployment.send(entry, b'x', 'first')
+                self.assertEqual(200, response.status)
+                responses = await deployment.send_fatal(1, [entry], first=9)
+                is_fatal_known = prefix == 'nutmegtrail/'
+                self.assertEqual(is_fatal_known, responses[0].status == 503)
+
+            entries.run(_scenario, engine_count=4, entry_count=1)
