Answer attempts truthfully that are cancelled by the quarantine

An unanswered attempt of a request that is quarantined meanwhile was treated as broken by its upstream: it took from the retry budget and counted towards the ejection of an upstream that had done nothing. It now ends with an unknown outcome (502) at once, since it may have run.

--- a/nutmegtrail/gateway/crash_guard.py
+++ b/nutmegtrail/gateway/crash_guard.py
@@ -13,7 +13,11 @@
 
 
 class Attempt:
-    """Running attempt; `is_answered` is set if the upstream answered it."""
+    """Running attempt; `is_answered` is set if the upstream answered it.
+
+    It is cancelled if its request is quarantined meanwhile. The request may
+    have run then.
+    """
 
     def __init__(self, job: jobs.Job) -> None:
         """Initialize the attempt as unanswered."""
@@ -21,6 +25,11 @@
         self.is_answered = False
         self.scope = anyio.CancelScope()
 
+    @property
+    def is_cancelled(self) -> bool:
+        """Return whether the attempt was cancelled."""
+        return self.scope.cancelled_caught
+
 
 class CrashGuard:
     """Observes attempts and refuses requests that have crashed upstreams."""
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -171,9 +171,7 @@
         upstream: models.Upstream,
     ) -> attempts.Event | attempts.GiveUp | None:
         """Send the request to an upstream; return None on success."""
-        event: attempts.Event | None = attempts.Broken(
-            upstream.upstream_id, 'quarantined meanwhile'
-        )
+        event: attempts.Event | None = None
         with self._crash_guard.watch(job, upstream) as watched:
             try:
                 with anyio.fail_after(max(job.remaining_seconds, 0)):
@@ -187,6 +185,8 @@
                     upstream.upstream_id, str(error), is_closed=True
                 )
             watched.is_answered = not isinstance(event, attempts.Broken)
+        if watched.is_cancelled:
+            return attempts.GiveUp(attempts.Outcome.UNKNOWN)
         self._health_recorder.record_outcome(upstream, event)
         if event is None:
             self._crash_guard.record_success(job)
