Add guards of the quarantine and of the store's eras

Twelve lines that the new promises depend on, each taken out in a copy of the code, with the tests that must fail then. Four were green at first: the test of a leaving upstream compared another incarnation, no test had a crash right after a probe, the fake store accepted a lease that it had called gone, and a line was redundant. The tests now cover them; all twelve are red.

--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -221,6 +221,103 @@
 )
 
 
+_QUARANTINE: typing.Final = 'nutmegtrail/retries/quarantine.py'
+_CRASH_DETECTOR: typing.Final = 'nutmegtrail/gateway/crash_detector.py'
+_CRASH_QUARANTINE: typing.Final = 'nutmegtrail/gateway/crash_quarantine.py'
+_CRASH_TESTS: typing.Final = 'tests/gateway/test_crash_detector.py'
+_MARK_TESTS: typing.Final = 'tests/gateway/test_crash_quarantine.py'
+_CRASH_GUARDS: typing.Final = (
+    Guard(
+        'crash attributed to those with the most crashes only',
+        _QUARANTINE,
+        'and _highest_count(quarantine, crash_id, now_seconds) <= count',
+        'and True',
+        'tests/retries',
+    ),
+    Guard(
+        'leaving upstream that ends as planned',
+        _CRASH_DETECTOR,
+        'and not current.leaving',
+        'and True',
+        _CRASH_TESTS,
+    ),
+    Guard(
+        'crash withdrawn if the incarnation stays registered',
+        _CRASH_DETECTOR,
+        'self._quarantine.withdraw(crash_id)',
+        'pass',
+        _CRASH_TESTS,
+    ),
+    Guard(
+        'interruption dropped once the upstream has responded',
+        _CRASH_DETECTOR,
+        'if self._has_responded_since(interruption):',
+        'if False:',
+        _CRASH_TESTS,
+    ),
+    Guard(
+        'probe that was started after the connection broke',
+        _CRASH_DETECTOR,
+        'if probed is None or probed.started_at_seconds < broken_at:',
+        'if probed is None:',
+        _CRASH_TESTS,
+    ),
+    Guard(
+        'another lease after that of the marks is gone',
+        _CRASH_QUARANTINE,
+        'if isinstance(written.error, key_value.LeaseGone):',
+        'if False:',
+        _MARK_TESTS,
+    ),
+    Guard(
+        'success of any entry clears a request in the store',
+        _CRASH_QUARANTINE,
+        'self._enqueue(key, None)',
+        'pass',
+        _MARK_TESTS,
+    ),
+    Guard(
+        'own marks written again to an earlier copy of the store',
+        _CRASH_QUARANTINE,
+        'self._enqueue(key, content)\n        self._is_copy',
+        'pass\n        self._is_copy',
+        _MARK_TESTS,
+    ),
+)
+_STORE: typing.Final = 'nutmegtrail/platform/store.py'
+_ERA_TESTS: typing.Final = 'tests/platform/test_store_era.py'
+_ERA_GUARDS: typing.Final = (
+    Guard(
+        'era in revisions',
+        'nutmegtrail/platform/era.py',
+        'return number and (era << const.ERA_SHIFT_BITS) + number',
+        'return number',
+        _ERA_TESTS,
+    ),
+    Guard(
+        'no watch from a revision of an earlier era',
+        _STORE,
+        'if response.era != era.era_of(after_revision):',
+        'if False:',
+        _ERA_TESTS,
+    ),
+    Guard(
+        'lease of an earlier era that another has now',
+        _STORE,
+        'return expression.Ok(value=not self._is_outdated(lease_id))',
+        'return expression.Ok(value=True)',
+        _ERA_TESTS,
+    ),
+    Guard(
+        'leaving upstream that an earlier copy calls ready',
+        'nutmegtrail/gateway/fleet.py',
+        'return upstream._replace(leaving=upstream.leaving or known.leaving)',
+        'return upstream',
+        'tests/gateway/test_fleet.py',
+    ),
+)
+
+
 def main() -> int:
     """Print a line for each guard; return 1 if tests pass without one.
 
@@ -233,6 +330,8 @@
             *_IDEMPOTENCY_GUARDS,
             *_EXPERT_MAP_GUARDS,
             *_SWITCH_RECOVERY_GUARDS,
+            *_CRASH_GUARDS,
+            *_ERA_GUARDS,
         )
         if filter_word in guard.tests
     ]
--- a/tests/gateway/test_crash_detector.py
+++ b/tests/gateway/test_crash_detector.py
@@ -126,7 +126,9 @@
     def test_upstream_that_leaves(self):
         """One that leaves, or that was removed before, stops as planned."""
         events = (
-            fleet.Registered(samples.upstream('a', leaving=True)),
+            fleet.Registered(
+                samples.upstream('a', leaving=True, started_at_ms=5)
+            ),
             fleet.Removed('a'),
         )
         for event in events:
@@ -202,6 +204,21 @@
 
         self._run(_scenario, upstream_probe.Condition.ENDED)
 
+    def test_crash_right_after_a_probe(self):
+        """A probe from before an interruption says nothing about it."""
+
+        async def _scenario():
+            self._interrupt('harmless')
+            await self.detector.examine(self.upstream)
+            self.probe.condition_of_all = upstream_probe.Condition.ENDED
+            await anyio.sleep(0.01)
+            self._interrupt()
+            await self.detector.examine(self.upstream)
+            self.assertEqual(1, self.quarantine.crash_count('bad'))
+            self.assertEqual(0, self.quarantine.crash_count('harmless'))
+
+        self._run(_scenario, upstream_probe.Condition.RUNNING)
+
     def test_shared_probe(self):
         """Requests that break together cost two probes at most."""
 
--- a/tests/gateway/test_crash_quarantine.py
+++ b/tests/gateway/test_crash_quarantine.py
@@ -25,6 +25,7 @@
         self.batches = []
         self.leases = 0
         self.failures = []
+        self.gone_leases = set()
         self.listeners = []
 
     async def grant_lease(self, _):
@@ -32,10 +33,14 @@
         self.leases += 1
         return expression.Ok(self.leases)
 
-    async def write_batch(self, content_by_key, deleted_keys, _):
+    async def write_batch(self, content_by_key, deleted_keys, lease):
         """Apply a batch; an unknown outcome applies it too."""
         failure = self.failures.pop(0) if self.failures else None
-        if isinstance(failure, key_value.Unavailable | key_value.LeaseGone):
+        if isinstance(failure, key_value.LeaseGone):
+            self.gone_leases.add(lease)
+        if lease in self.gone_leases:
+            return expression.Error(key_value.LeaseGone(lease))
+        if isinstance(failure, key_value.Unavailable):
             return expression.Error(failure)
         self.batches.append(len(content_by_key) + len(deleted_keys))
         self.content_by_key.update(content_by_key)
@@ -119,9 +124,9 @@
 
         async def _scenario():
             self.store.failures = [
+                key_value.LeaseGone(1),
                 key_value.Unavailable('k'),
                 key_value.OutcomeUnknown('k'),
-                key_value.LeaseGone(1),
             ]
             self._crash('bad', numbers=(0, 2, 4))
             await anyio.sleep(5)
