Count outcomes by kind of route and reason, and attempts by upstream

Operators saw how many requests were answered or cut, and not of which kind, why, or at which upstream. request_outcomes has the kind of route, the outcome and the reason; attempts has the upstream and its outcome. A counter has at most 2,000 sets of labels; further values share a row named other, so that memory and text stay bounded under any number of upstreams.

--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -46,6 +46,8 @@
         self.delivery = attempts.Delivery(route)
         self.position = events.Position(caller.last_event)
         self.failure: Failure | None = None
+        # Why the request got no response of an upstream, for the counters.
+        self.failure_reason = ''
         budget_seconds = route.timeout_seconds
         if caller.budget_seconds is not None:
             budget_seconds = min(budget_seconds, caller.budget_seconds)
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -188,6 +188,11 @@
         if watched.is_cancelled:
             return attempts.GiveUp(attempts.Outcome.UNKNOWN)
         self._health_recorder.record_outcome(upstream, event)
+        self._metrics.count(
+            'attempts',
+            upstream=upstream.upstream_id,
+            outcome='Success' if event is None else type(event).__name__,
+        )
         if event is None:
             self._crash_guard.record_success(job)
         elif isinstance(event, attempts.Broken) and event.is_closed:
@@ -386,6 +391,7 @@
         self, job: jobs.Job, action: attempts.GiveUp
     ) -> None:
         """Send the final response of a request that did not succeed."""
+        job.failure_reason = action.outcome.value
         if job.exchange.has_started:
             job.exchange.keep_alive = False
             return
@@ -511,6 +517,12 @@
         seconds = anyio.current_time() - job.exchange.received_at_seconds
         outcome = 'answered' if job.exchange.is_complete else 'cut'
         self._metrics.increment('requests', outcome)
+        self._metrics.count(
+            'request_outcomes',
+            route_kind=job.route.kind.value,
+            outcome=outcome,
+            reason=job.failure_reason,
+        )
         self._metrics.observe_seconds('request', seconds)
         logs.decision(
             'request:ended',
--- a/nutmegtrail/observability/const.py
+++ b/nutmegtrail/observability/const.py
@@ -9,6 +9,11 @@
 MICROSECONDS_PER_SECOND: typing.Final = 1_000_000
 PERCENT: typing.Final = 100
 
+# Bounds the memory and the size of the text: further label values of a counter
+# share one row.
+LABEL_SETS_LIMIT: typing.Final = 2_000
+OTHER_LABEL: typing.Final = 'other'
+
 # Several times the rate of lines that a busy entry logs for its requests.
 LOG_LINES_PER_SECOND: typing.Final = 500
 # A writable pipe accepts 4,096 bytes without blocking.
--- a/nutmegtrail/observability/metrics.py
+++ b/nutmegtrail/observability/metrics.py
@@ -1,20 +1,30 @@
 """Counters, gauges and histograms in the Prometheus text format."""
 
 import collections
+import typing
 
 import hdrh.histogram
 
 from nutmegtrail.observability import const
 
 
+_Labels: typing.TypeAlias = tuple[tuple[str, str], ...]
+_LABEL_ESCAPES: typing.Final = str.maketrans(
+    {'\\': r'\\', '"': r'\"', '\n': r'\n'}
+)
+
+
 class Metrics:
-    """Counters by name and label, gauges and histograms by name."""
+    """Counters by name and labels, gauges and histograms by name."""
 
     def __init__(self) -> None:
         """Initialize without any metric."""
         self._counts_by_name: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self._counts_by_labels_by_name: dict[
+            str, collections.Counter[_Labels]
+        ] = {}
         self._gauges_by_name: dict[str, float] = {}
         self._histograms_by_name: dict[str, hdrh.histogram.HdrHistogram] = {}
 
@@ -22,6 +32,20 @@
         """Increase a counter."""
         self._counts_by_name[name, label] += amount
 
+    def count(self, name: str, **labels: str) -> None:
+        """Increase a counter with several labels.
+
+        Label values beyond the limit count as `other`.
+        """
+        counts = self._counts_by_labels_by_name.setdefault(
+            name, collections.Counter()
+        )
+        label_set = tuple(labels.items())
+        is_full = len(counts) >= const.LABEL_SETS_LIMIT
+        if is_full and label_set not in counts:
+            label_set = tuple((label, const.OTHER_LABEL) for label in labels)
+        counts[label_set] += 1
+
     def set_gauge(self, name: str, value: float) -> None:
         """Set the value of a gauge."""
         self._gauges_by_name[name] = value
@@ -45,6 +69,7 @@
         """Return all metrics in the Prometheus text format."""
         lines = [
             *self._render_counters(),
+            *self._render_labelled_counters(),
             *(
                 f'nutmegtrail_{name} {value}'
                 for name, value in sorted(self._gauges_by_name.items())
@@ -54,6 +79,14 @@
             lines.extend(_render_histogram(name, histogram))
         return ''.join(f'{line}\n' for line in lines)
 
+    def _render_labelled_counters(self) -> list[str]:
+        """Return one line per counter and set of labels."""
+        return [
+            f'nutmegtrail_{name}_total{_format_labels(labels)} {count}'
+            for name, counts in sorted(self._counts_by_labels_by_name.items())
+            for labels, count in sorted(counts.items())
+        ]
+
     def _render_counters(self) -> list[str]:
         """Return one line per counter."""
         return [
@@ -62,6 +95,14 @@
         ]
 
 
+def _format_labels(labels: _Labels) -> str:
+    """Return labels in braces, with escaped values."""
+    pairs = ','.join(
+        f'{label}="{text.translate(_LABEL_ESCAPES)}"' for label, text in labels
+    )
+    return f'{{{pairs}}}'
+
+
 def _format_label(label: str) -> str:
     """Return the label of a counter in braces, empty without one."""
     return f'{{kind="{label}"}}' if label else ''
--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -250,5 +250,10 @@
             for name in ('upstream_crashes', 'crash_marks'):
                 self.assertIn(f'nutmegtrail_{name}_total 3\n', text)
             self.assertIn('nutmegtrail_requests_quarantined_total 1\n', text)
+            self.assertIn(
+                'nutmegtrail_request_outcomes_total{route_kind="idempotent",'
+                'outcome="answered",reason="quarantined"} 1\n',
+                text,
+            )
 
         self._run(_scenario)
