--- a/nutmegtrail/daemons/const.py
+++ b/nutmegtrail/daemons/const.py
@@ -9,4 +9,5 @@
 LEASE_ATTEMPTS: typing.Final = 6
 TOMBSTONE_TIMEOUT_SECONDS: typing.Final = 2.0
 TOMBSTONE_ATTEMPTS: typing.Final = 3
+CRASH_MARK_WRITE_SECONDS: typing.Final = 0.2
 NO_UPSTREAM_WAIT_SECONDS: typing.Final = 0.2
--- a/nutmegtrail/daemons/entry.py
+++ b/nutmegtrail/daemons/entry.py
@@ -21,6 +21,7 @@
 from nutmegtrail.daemons import configuration_sync
 from nutmegtrail.daemons import const
 from nutmegtrail.daemons import contract_index
+from nutmegtrail.daemons import crash_marks
 from nutmegtrail.daemons import inbound_request
 from nutmegtrail.daemons import operator_api
 from nutmegtrail.daemons import peer_mesh
@@ -63,6 +64,7 @@
         self.draining = False
         self._process = entry_settings.process
         self._store = store
+        self._crash_marks = crash_marks.CrashMarks(store, self._record_crash)
         self._hosts = hosts
         self._generator = generator
         self._stopped = anyio.Event()
@@ -86,6 +88,7 @@
             )
             tasks.start_soon(peers.serve)
             tasks.start_soon(self._poll_hosts)
+            tasks.start_soon(self._crash_marks.run)
             tasks.start_soon(self.components.sync.run_reader)
             tasks.start_soon(self.components.sync.run_digests)
             tasks.start_soon(http.serve)
@@ -133,7 +136,8 @@
         )
         selector = upstream_selector.UpstreamSelector(
             self._revision,
-            self._broadcast_crash_mark,
+            self._share_crash_mark,
+            self._crash_marks.clear,
         )
         pool = sidecar_pool.SidecarPool(selector.record_heartbeat_ack, tasks)
         admission = admission_control.AdmissionControl(
@@ -161,8 +165,13 @@
         """Return the highest configuration revision applied here."""
         return self.components.sync.revision
 
-    def _broadcast_crash_mark(self, crash_mark: models.CrashMark) -> None:
-        """Send a crash mark to all other entries."""
+    def _record_crash(self, crash_mark: models.CrashMark) -> None:
+        """Count a crash from before the start of this entry."""
+        self.components.selector.record_crash(crash_mark)
+
+    def _share_crash_mark(self, crash_mark: models.CrashMark) -> None:
+        """Send a crash mark to all other entries, and store it."""
+        self._crash_marks.add(crash_mark)
         for host in self.components.mesh.hosts:
             self.components.mesh.send(host, crash_mark)
 
--- a/nutmegtrail/daemons/upstream_selector.py
+++ b/nutmegtrail/daemons/upstream_selector.py
@@ -28,11 +28,13 @@
         self,
         get_revision: collections.abc.Callable[[], int],
         on_crash_mark: OnCrashMark,
+        on_cleared: OnCrashMark,
     ) -> None:
         """Initialize the selector without upstreams."""
         self.view = membership_view.View()
         self._get_revision = get_revision
         self._on_crash_mark = on_crash_mark
+        self._on_cleared = on_cleared
         self._load = routing_models.Load()
         self._quarantine = quarantine.Quarantine()
         self._budgets_by_target: dict[str, budget.Budget] = {}
@@ -154,10 +156,11 @@
         self._budgets_by_target[request.target] = budget.record_success(
             retry_budget
         )
-        self._quarantine = quarantine.clear(
-            self._quarantine,
-            _fingerprint(request),
-        )
+        fingerprint = _fingerprint(request)
+        marks = self._quarantine.marks_by_fingerprint.get(fingerprint, ())
+        for crash_id in marks:
+            self._on_cleared(models.CrashMark(fingerprint, crash_id))
+        self._quarantine = quarantine.clear(self._quarantine, fingerprint)
 
     def spend_retry(self, target: str) -> bool:
         """Return whether the retry budget allows a retry, and spend it."""
--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -63,8 +63,6 @@
 # The platform accepts 32 entries per transaction.
 CRASH_MARKS_PER_WRITE: typing.Final = 32
 CRASH_MARK_SWEEP_SECONDS: typing.Final = 30.0
-# A mark expires this much earlier than its TTL at most.
-CRASH_LEASE_REUSE_SECONDS: typing.Final = 60.0
 # After a restart of the upstream, requests that were interrupted this long
 # before are no longer attributed to its crash.
 INTERRUPTION_MAX_AGE_SECONDS: typing.Final = 15.0
--- a/nutmegtrail/gateway/crash_quarantine.py
+++ b/nutmegtrail/gateway/crash_quarantine.py
@@ -224,7 +224,7 @@
                 logs.decision('crash-marks:no-lease')
                 return None
             self._lease = _Lease(
-                granted.ok, now + const.CRASH_LEASE_REUSE_SECONDS
+                granted.ok, now + retry_const.CRASH_LEASE_REUSE_SECONDS
             )
         return self._lease
 
--- a/tests/daemons/test_processes.py
+++ b/tests/daemons/test_processes.py
@@ -240,6 +240,23 @@
         ordinary = self.chat('entry-b', 'an ordinary prompt')
         self.assertEqual(21, ordinary.text.count('data: '))
 
+    def test_restart_of_all_entries(self):
+        """Crashes still count after all entries have been killed."""
+        entries = ('entry-a', 'entry-b', 'entry-c')
+        for entry in entries:
+            self.chat(entry, 'crash-the-engine')
+        self.assertEqual(1, len(self.running_engines()))
+        # A mark is written within a second.
+        time.sleep(1)
+        for entry in entries:
+            self.deployment.send_signal(entry, signal.SIGKILL)
+            self.deployment.restart(entry)
+        self.deployment.wait_until_ready(*entries)
+        for entry in entries:
+            answer = self.chat(entry, 'crash-the-engine')
+            self.assertIn('quarantined', answer.json()['type'])
+        self.assertEqual(1, len(self.running_engines()))
+
 
 class CallerTest(_Deployment):
     """Callers that send faulty requests or disconnect."""
