--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -290,8 +290,8 @@
     Guard(
         'era in revisions',
         'nutmegtrail/platform/era.py',
-        'return number and (era << const.ERA_SHIFT_BITS) + number',
-        'return number',
+        'return revision and (era << const.ERA_SHIFT_BITS) + revision',
+        'return revision',
         _ERA_TESTS,
     ),
     Guard(
@@ -304,8 +304,8 @@
     Guard(
         'lease of an earlier era that another has now',
         _STORE,
-        'return expression.Ok(value=not self._is_outdated(lease_id))',
-        'return expression.Ok(value=True)',
+        'is_live = self._find_lease(lease_id) is not None',
+        'is_live = True',
         _ERA_TESTS,
     ),
     Guard(
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -25,9 +25,12 @@
 
 # The store raises this number whenever it comes back from an earlier copy.
 STORE_ERA_HEADER: typing.Final = b'store-era'
-# Revisions and leases of the store fit below the era in one integer, which
-# stays exact as a JSON number for the first 8,192 eras.
+# Revisions stay below this many bits at 400 writes per second for decades. With
+# the era above them they are exact as JSON numbers for the first 8,192 eras.
 ERA_SHIFT_BITS: typing.Final = 40
+# A process needs its registration's, its leadership's and, for ten minutes,
+# one lease a minute of the marks of crashing requests.
+KNOWN_LEASES_LIMIT: typing.Final = 64
 
 # HTTP headers, in lower case.
 REQUEST_ID_HEADER: typing.Final = b'x-nutmegtrail-request-id'
--- a/nutmegtrail/platform/era.py
+++ b/nutmegtrail/platform/era.py
@@ -1,7 +1,8 @@
-"""Numbers of the store that stay unique when it returns from a copy.
+"""Revisions that stay unique when the store returns from a copy.
 
-The store gives out revisions and leases again that it gave out after the
-copy was made. Together with the era they are unique and rise.
+The store gives out revisions again that it gave out after the copy was made.
+Together with the era they are unique and rise. A store without eras has era 0,
+which leaves its revisions as they are.
 """
 
 from nutmegtrail.adapters.http1 import messages
@@ -14,19 +15,19 @@
     return int(text) if text.isdigit() else 0
 
 
-def qualify(era: int, number: int) -> int:
-    """Return a revision or lease that is unique over all eras.
+def qualify(era: int, revision: int) -> int:
+    """Return a revision that is unique over all eras.
 
-    0 stays 0: it stands for an absent key or for no lease.
+    0 stays 0: it stands for an absent key.
     """
-    return number and (era << const.ERA_SHIFT_BITS) + number
+    return revision and (era << const.ERA_SHIFT_BITS) + revision
 
 
 def era_of(qualified: int) -> int:
-    """Return the era of a qualified number."""
+    """Return the era of a qualified revision."""
     return qualified >> const.ERA_SHIFT_BITS
 
 
-def number_of(qualified: int) -> int:
-    """Return the number by which the store knows a qualified one."""
+def revision_of(qualified: int) -> int:
+    """Return the revision by which the store knows a qualified one."""
     return qualified - (era_of(qualified) << const.ERA_SHIFT_BITS)
--- a/nutmegtrail/platform/store.py
+++ b/nutmegtrail/platform/store.py
@@ -1,6 +1,7 @@
 """Client for the platform's key-value store."""
 
 import base64
+import collections
 import collections.abc
 import http
 import json
@@ -40,6 +41,19 @@
     last_key: str | None
 
 
+class _Lease(typing.NamedTuple):
+    """Lease as the store knows it, and the era in which it was granted.
+
+    Leases are any numbers, so that they cannot hold the era themselves.
+    """
+
+    era: int
+    lease_id: int
+
+
+_NO_LEASE: typing.Final = _Lease(0, 0)
+
+
 class _Response(typing.NamedTuple):
     """Status, era of the store and decoded body of a response."""
 
@@ -52,7 +66,8 @@
     """Implements `ports.watched_store` and `ports.key_value.LeaseStore`.
 
     A request without a response may have been executed or may be executed
-    later. Revisions and leases include the era of the store.
+    later. Revisions include the era of the store. Leases are handles, which
+    this client gives out.
     """
 
     def __init__(self, address: models.Address) -> None:
@@ -61,6 +76,10 @@
         self._client = json_client.JsonClient()
         self._last_era = _UNKNOWN_ERA
         self._watch_scopes: set[anyio.CancelScope] = set()
+        self._last_handle = 0
+        self._leases_by_handle: collections.OrderedDict[int, _Lease] = (
+            collections.OrderedDict()
+        )
 
     async def close(self) -> None:
         """Close all connections."""
@@ -120,7 +139,7 @@
                     const.WATCH_PATH,
                     {
                         'prefix': prefix,
-                        'after': str(era.number_of(after_revision)),
+                        'after': str(era.revision_of(after_revision)),
                         'wait_ms': str(wait_ms),
                     },
                     timeout_seconds=(
@@ -152,15 +171,16 @@
         lease_id: int = 0,
     ) -> expression.Result[int, key_value.SwapError]:
         """Write if the key is at the revision; return the new revision."""
-        if self._is_outdated(expected_revision) or self._is_outdated(lease_id):
+        lease = self._find_lease(lease_id)
+        if self._is_outdated(expected_revision) or lease is None:
             return expression.Error(key_value.CompareFailed(key))
-        expected_number = era.number_of(expected_revision)
+        expected = era.revision_of(expected_revision)
         response = await self._request(
             b'POST',
             const.TRANSACTION_PATH,
             body={
-                'expected': [{'key': key, 'revision': expected_number}],
-                'writes': [_encode_write(key, content, lease_id)],
+                'expected': [{'key': key, 'revision': expected}],
+                'writes': [_encode_write(key, content, lease)],
                 'deletes': [],
             },
         )
@@ -170,7 +190,7 @@
             return expression.Error(key_value.CompareFailed(key))
         if response.status != http.HTTPStatus.OK:
             return expression.Error(key_value.Unavailable(key))
-        written = _integer(response, 'revision')
+        written = _revision(response, 'revision')
         if written is None:
             return expression.Error(key_value.OutcomeUnknown(key))
         return expression.Ok(written)
@@ -182,7 +202,8 @@
         lease_id: int,
     ) -> expression.Result[None, key_value.BatchError]:
         """Write keys under a lease and delete others in one transaction."""
-        if self._is_outdated(lease_id):
+        lease = self._find_lease(lease_id)
+        if lease is None:
             return expression.Error(key_value.LeaseGone(lease_id))
         response = await self._request(
             b'POST',
@@ -190,7 +211,7 @@
             body={
                 'expected': [],
                 'writes': [
-                    _encode_write(key, content, lease_id)
+                    _encode_write(key, content, lease)
                     for key, content in content_by_key.items()
                 ],
                 'deletes': list(deleted_keys),
@@ -209,7 +230,7 @@
         self,
         ttl_seconds: int,
     ) -> expression.Result[int, key_value.Unavailable]:
-        """Create a lease and return its ID."""
+        """Create a lease and return its handle."""
         ttl_ms = ttl_seconds * shared_const.MILLISECONDS_PER_SECOND
         response = await self._request(
             b'POST',
@@ -220,9 +241,11 @@
             isinstance(response, _Response)
             and response.status == http.HTTPStatus.OK
         ):
-            lease_id = _integer(response, 'lease')
-            if lease_id is not None:
-                return expression.Ok(lease_id)
+            lease_id = response.document.get('lease')
+            if isinstance(lease_id, int):
+                return expression.Ok(
+                    self._add_lease(_Lease(response.era, lease_id))
+                )
         return expression.Error(key_value.Unavailable(const.LEASE_GRANT_PATH))
 
     async def keep_alive(
@@ -230,13 +253,16 @@
         lease_id: int,
     ) -> expression.Result[bool, key_value.Unavailable]:
         """Renew a lease; return False if it has expired."""
-        if self._is_outdated(lease_id):
+        lease = self._find_lease(lease_id)
+        if lease is None:
             return expression.Ok(value=False)
-        path = f'{const.LEASE_RENEW_PATH}/{era.number_of(lease_id)}'
+        path = f'{const.LEASE_RENEW_PATH}/{lease.lease_id}'
         response = await self._request(b'POST', path)
         if isinstance(response, _Response):
             if response.status == http.HTTPStatus.OK:
-                return expression.Ok(value=not self._is_outdated(lease_id))
+                # The answer may be the first one of a later era.
+                is_live = self._find_lease(lease_id) is not None
+                return expression.Ok(value=is_live)
             if response.status == http.HTTPStatus.NOT_FOUND:
                 return expression.Ok(value=False)
         return expression.Error(key_value.Unavailable(path))
@@ -246,9 +272,11 @@
         lease_id: int,
     ) -> expression.Result[None, key_value.Unavailable]:
         """Revoke a lease, which deletes its keys."""
-        if self._is_outdated(lease_id):
+        lease = self._find_lease(lease_id)
+        self._leases_by_handle.pop(lease_id, None)
+        if lease is None:
             return expression.Ok(None)
-        path = f'{const.LEASE_REVOKE_PATH}/{era.number_of(lease_id)}'
+        path = f'{const.LEASE_REVOKE_PATH}/{lease.lease_id}'
         response = await self._request(b'DELETE', path)
         if isinstance(response, _Response) and response.status in {
             http.HTTPStatus.OK,
@@ -269,13 +297,34 @@
                 scope.cancel()
         self._last_era = response_era
 
-    def _is_outdated(self, qualified: int) -> bool:
-        """Return whether a revision or lease is of an earlier era.
+    def _is_outdated(self, revision: int) -> bool:
+        """Return whether a revision is of an earlier era.
 
-        The store may have given its number to another key or lease. Those of
-        the copy may still be valid, but nothing tells which.
+        The store may have given it to another change since.
+        """
+        return bool(revision) and era.era_of(revision) != self._last_era
+
+    def _add_lease(self, lease: _Lease) -> int:
+        """Return the handle of a new lease; the oldest ones are forgotten."""
+        self._last_handle += 1
+        self._leases_by_handle[self._last_handle] = lease
+        if len(self._leases_by_handle) > const.KNOWN_LEASES_LIMIT:
+            self._leases_by_handle.popitem(last=False)
+        return self._last_handle
+
+    def _find_lease(self, handle: int) -> _Lease | None:
+        """Return the lease of a handle, None if it is of an earlier era.
+
+        The store may have given its number to another lease since. Those of
+        the copy may still be valid, but nothing tells which. Handle 0 stands
+        for no lease.
         """
-        return bool(qualified) and era.era_of(qualified) != self._last_era
+        if not handle:
+            return _NO_LEASE
+        lease = self._leases_by_handle.get(handle)
+        if lease is None or lease.era != self._last_era:
+            return None
+        return lease
 
     async def _request(
         self,
@@ -334,8 +383,8 @@
     return watched_store.StoreUnavailable('restored during the listing')
 
 
-def _integer(response: _Response, field: str) -> int | None:
-    """Return a revision or lease of a response, None without one."""
+def _revision(response: _Response, field: str) -> int | None:
+    """Return a revision of a response, None without one."""
     integer = response.document.get(field)
     if isinstance(integer, int):
         return era.qualify(response.era, integer)
@@ -343,15 +392,15 @@
 
 
 def _encode_write(
-    key: str, content: bytes, lease_id: int
+    key: str, content: bytes, lease: _Lease
 ) -> json_client.JsonObject:
-    """Encode a write of a transaction; lease 0 means none."""
+    """Encode a write of a transaction, under a lease if there is one."""
     write: json_client.JsonObject = {
         'key': key,
         'value': base64.b64encode(content).decode(),
     }
-    if lease_id:
-        write['lease'] = era.number_of(lease_id)
+    if lease.lease_id:
+        write['lease'] = lease.lease_id
     return write
 
 
