--- a/nutmegtrail/daemons/crash_marks.py
+++ b/nutmegtrail/daemons/crash_marks.py
@@ -11,25 +11,17 @@
 
 import anyio
 
-from nutmegtrail import const as shared_const
 from nutmegtrail.daemons import const
 from nutmegtrail.observability import logs
 from nutmegtrail.ports import key_value
 from nutmegtrail.retries import const as retry_const
+from nutmegtrail.retries import mark_store
 from nutmegtrail.wire import models
 
-MARK_PREFIX: typing.Final = f'{shared_const.KEY_VALUE_PREFIX}crashes/'
 _MARKED: typing.Final = b'marked'
 _CLEARED: typing.Final = b'cleared'
 
 
-class _Lease(typing.NamedTuple):
-    """Lease of the marks and the time until which new marks may use it."""
-
-    lease_id: int
-    usable_until_seconds: float
-
-
 class CrashMarks:
     """Reads the marks once and writes those that this entry observes."""
 
@@ -44,7 +36,7 @@
         self._pending_by_key: collections.OrderedDict[str, bytes] = (
             collections.OrderedDict()
         )
-        self._lease: _Lease | None = None
+        self._lease = mark_store.MarkLease(store)
 
     def add(self, crash_mark: models.CrashMark) -> None:
         """Write a mark soon."""
@@ -64,27 +56,25 @@
 
     async def _load(self) -> bool:
         """Apply the marks in the service; return False if it failed."""
-        scanned = await self._store.scan(MARK_PREFIX)
+        scanned = await self._store.scan(mark_store.MARK_PREFIX)
         if scanned.is_error():
             logs.decision('crash-marks:not-read', detail=str(scanned.error))
             return False
         for entry in scanned.ok:
-            fingerprint, _, crash_id = entry.key.removeprefix(
-                MARK_PREFIX
-            ).partition('/')
-            if entry.content == _MARKED and crash_id:
-                self._on_mark(models.CrashMark(fingerprint, crash_id))
+            parsed = mark_store.parse_mark_key(entry.key)
+            if entry.content == _MARKED and parsed is not None:
+                self._on_mark(models.CrashMark(*parsed))
         logs.decision('crash-marks:read', marks=len(scanned.ok))
         return True
 
     async def _write_pending(self) -> None:
         """Write changes in their order until one fails."""
         while self._pending_by_key:
-            lease = await self._current_lease()
-            if lease is None:
+            lease_id = await self._lease.current()
+            if lease_id is None:
                 return
             key, content = next(iter(self._pending_by_key.items()))
-            if not await self._write(key, content, lease.lease_id):
+            if not await self._write(key, content, lease_id):
                 return
             if self._pending_by_key.get(key) == content:
                 self._pending_by_key.pop(key)
@@ -109,31 +99,13 @@
         if isinstance(written.error, key_value.CompareFailed):
             return content == _MARKED
         # The lease may have expired.
-        self._lease = None
+        self._lease.forget()
         logs.decision('crash-marks:not-written', detail=str(written.error))
         return False
 
-    async def _current_lease(self) -> _Lease | None:
-        """Return a lease for marks, None if the service failed.
-
-        It is never renewed nor revoked, and expires with its last marks.
-        """
-        now = anyio.current_time()
-        if self._lease is None or now > self._lease.usable_until_seconds:
-            granted = await self._store.grant_lease(
-                int(retry_const.CRASH_MARK_TTL_SECONDS)
-            )
-            if granted.is_error():
-                logs.decision('crash-marks:no-lease')
-                return None
-            self._lease = _Lease(
-                granted.ok, now + retry_const.CRASH_LEASE_REUSE_SECONDS
-            )
-        return self._lease
-
     def _enqueue(self, crash_mark: models.CrashMark, content: bytes) -> None:
         """Add a change; the oldest one is dropped if there are too many."""
-        key = f'{MARK_PREFIX}{crash_mark.fingerprint}/{crash_mark.crash_id}'
+        key = mark_store.mark_key(crash_mark.fingerprint, crash_mark.crash_id)
         self._pending_by_key[key] = content
         if len(self._pending_by_key) > retry_const.MARKED_REQUESTS_LIMIT:
             dropped_key, _ = self._pending_by_key.popitem(last=False)
--- a/nutmegtrail/gateway/crash_quarantine.py
+++ b/nutmegtrail/gateway/crash_quarantine.py
@@ -15,17 +15,9 @@
 from nutmegtrail.ports import key_value
 from nutmegtrail.ports import watched_store
 from nutmegtrail.retries import const as retry_const
+from nutmegtrail.retries import mark_store
 from nutmegtrail.retries import quarantine
 
-MARK_PREFIX: typing.Final = 'nutmegtrail/crashes/'
-
-
-class _Lease(typing.NamedTuple):
-    """Lease of the marks and the time until which new marks may use it."""
-
-    lease_id: int
-    usable_until_seconds: float
-
 
 class CrashQuarantine:
     """Marks requests that were in flight when upstreams crashed.
@@ -49,7 +41,7 @@
             collections.OrderedDict()
         )
         self._has_pending = anyio.Event()
-        self._lease: _Lease | None = None
+        self._lease = mark_store.MarkLease(store)
         self._content_by_own_key: collections.OrderedDict[str, bytes] = (
             collections.OrderedDict()
         )
@@ -74,9 +66,9 @@
         self, change: watched_store.Item | watched_store.Removal
     ) -> None:
         """Apply a mark of any instance or its removal."""
-        if not change.key.startswith(MARK_PREFIX):
+        if not change.key.startswith(mark_store.MARK_PREFIX):
             return
-        parsed = _parse_mark_key(change.key)
+        parsed = mark_store.parse_mark_key(change.key)
         if parsed is None:
             logs.decision('crash-marks:malformed', key=change.key)
         elif isinstance(change, watched_store.Removal):
@@ -126,7 +118,7 @@
     ) -> None:
         """Record that a request was in flight when an upstream crashed."""
         self._mark(request_fingerprint, crash_id)
-        key = _mark_key(request_fingerprint, crash_id)
+        key = mark_store.mark_key(request_fingerprint, crash_id)
         content = upstream_id.encode()
         self._content_by_own_key[key] = content
         if len(self._content_by_own_key) > retry_const.MARKED_REQUESTS_LIMIT:
@@ -185,8 +177,8 @@
         Each change writes or deletes a key whatever it held, so that a change
         whose outcome is unknown can be written again.
         """
-        lease = await self._current_lease()
-        if lease is None:
+        lease_id = await self._lease.current()
+        if lease_id is None:
             return False
         batch = dict(
             list(self._pending_by_key.items())[: const.CRASH_MARKS_PER_WRITE]
@@ -198,42 +190,24 @@
                 if content is not None
             },
             [key for key, content in batch.items() if content is None],
-            lease.lease_id,
+            lease_id,
         )
         if written.is_error():
             logs.decision('crash-marks:not-written', detail=str(written.error))
             if isinstance(written.error, key_value.LeaseGone):
-                self._lease = None
+                self._lease.forget()
             return False
         for key, content in batch.items():
             if self._pending_by_key.get(key, b'') == content:
                 self._pending_by_key.pop(key)
         return True
 
-    async def _current_lease(self) -> _Lease | None:
-        """Return a lease for new marks, None if the store failed.
-
-        It is never renewed nor revoked, and expires with its last marks.
-        """
-        now = anyio.current_time()
-        if self._lease is None or now > self._lease.usable_until_seconds:
-            granted = await self._store.grant_lease(
-                int(retry_const.CRASH_MARK_TTL_SECONDS)
-            )
-            if granted.is_error():
-                logs.decision('crash-marks:no-lease')
-                return None
-            self._lease = _Lease(
-                granted.ok, now + retry_const.CRASH_LEASE_REUSE_SECONDS
-            )
-        return self._lease
-
     def _drop_unlisted(self, listed_keys: set[str]) -> None:
         """Drop marks that are neither in the store nor on their way."""
         marks_by_fingerprint = self._quarantine.marks_by_fingerprint
         for request_fingerprint, marks in marks_by_fingerprint.items():
             for crash_id in marks:
-                key = _mark_key(request_fingerprint, crash_id)
+                key = mark_store.mark_key(request_fingerprint, crash_id)
                 if key not in listed_keys and key not in self._pending_by_key:
                     self._quarantine = quarantine.unmark(
                         self._quarantine, request_fingerprint, crash_id
@@ -244,7 +218,7 @@
         self._quarantine = quarantine.unmark(
             self._quarantine, request_fingerprint, crash_id
         )
-        key = _mark_key(request_fingerprint, crash_id)
+        key = mark_store.mark_key(request_fingerprint, crash_id)
         self._content_by_own_key.pop(key, None)
         self._enqueue(key, None)
 
@@ -283,7 +257,7 @@
 
     def _is_marked(self, key: str) -> bool:
         """Return whether the mark of a key is in force."""
-        parsed = _parse_mark_key(key)
+        parsed = mark_store.parse_mark_key(key)
         if parsed is None:
             return False
         marks = self._quarantine.marks_by_fingerprint.get(parsed[0], ())
@@ -294,18 +268,3 @@
         return quarantine.attributed_times(
             self._quarantine, request_fingerprint, anyio.current_time()
         )
-
-
-def _mark_key(request_fingerprint: str, crash_id: str) -> str:
-    """Return the key of a mark."""
-    return f'{MARK_PREFIX}{request_fingerprint}/{crash_id}'
-
-
-def _parse_mark_key(key: str) -> tuple[str, str] | None:
-    """Return the fingerprint and the crash in a key, None if malformed."""
-    request_fingerprint, slash, crash_id = key.removeprefix(
-        MARK_PREFIX
-    ).partition('/')
-    if not slash or not request_fingerprint or not crash_id:
-        return None
-    return request_fingerprint, crash_id
--- a/tests/gateway/test_crash_quarantine.py
+++ b/tests/gateway/test_crash_quarantine.py
@@ -10,6 +10,7 @@
 from nutmegtrail.ports import key_value
 from nutmegtrail.ports import watched_store
 from nutmegtrail.retries import const as retry_const
+from nutmegtrail.retries import mark_store
 from tests import simulated_time
 
 
@@ -207,7 +208,7 @@
         """Keys of another form are ignored."""
 
         async def _scenario():
-            prefix = crash_quarantine.MARK_PREFIX
+            prefix = mark_store.MARK_PREFIX
             for key in (prefix, f'{prefix}x', f'{prefix}x/', f'{prefix}/x'):
                 self.entries[0].on_change(watched_store.Item(key, 1, b''))
                 self.entries[0].on_change(watched_store.Removal(key, 1))
