Register again soon after a failed registration

Since registrations are written over an own key of a known revision, a write can find another one: the key of the earlier lease, whose removal is not read yet. The new test fails without the change (one write in 2 s for two).

--- a/nutmegtrail/gateway/gossip.py
+++ b/nutmegtrail/gateway/gossip.py
@@ -138,7 +138,10 @@
             self._must_register = anyio.Event()
             if not await self._renew():
                 await self._write()
-            with anyio.move_on_after(const.REGISTRATION_INTERVAL_SECONDS):
+            interval_seconds = const.REGISTRATION_INTERVAL_SECONDS
+            if not self._lease_id:
+                interval_seconds = const.STORE_RETRY_SECONDS
+            with anyio.move_on_after(interval_seconds):
                 await self._must_register.wait()
 
     async def _renew(self) -> bool:
@@ -153,6 +156,7 @@
 
     async def _write(self) -> None:
         """Register this instance under a new lease."""
+        self._lease_id = 0
         granted = await self._store.grant_lease(
             const.REGISTRATION_TTL_SECONDS,
         )
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -1,11 +1,38 @@
 """Exchange of in-flight request counts in small datagrams."""
 
+import anyio
+import expression
 import testtools
 
 from nutmegtrail import models
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import gossip
+from nutmegtrail.ports import key_value
 from nutmegtrail.ports import watched_store
+from tests import simulated_time
+
+
+class _Store:
+    """Store whose first write finds another revision of the key."""
+
+    def __init__(self):
+        """Initialize the store."""
+        self.writes = 0
+
+    async def grant_lease(self, _):
+        """Grant a lease."""
+        return expression.Ok(7)
+
+    async def keep_alive(self, _):
+        """Renew the lease."""
+        return expression.Ok(value=True)
+
+    async def swap(self, key, *_):
+        """Fail the first time."""
+        self.writes += 1
+        if self.writes == 1:
+            return expression.Error(key_value.CompareFailed(key))
+        return expression.Ok(9)
 
 
 class GossipTest(testtools.TestCase):
@@ -63,3 +90,17 @@
         self.assertEqual(3, dispatcher.entries)
         receiver.on_snapshot(())
         self.assertEqual(1, dispatcher.entries)
+
+    def test_registration_after_a_failed_write(self):
+        """A failed registration is repeated soon, a successful one is not."""
+        store = _Store()
+
+        async def _main():
+            dispatcher = dispatching.Dispatcher('kandla-a')
+            own = models.Address('10.1.0.40', 7340)
+            receiver = gossip.Gossip('front-1/new', own, store, dispatcher)
+            with anyio.move_on_after(2):
+                await receiver._register()
+
+        simulated_time.run(_main)
+        self.assertEqual(2, store.writes)
