--- a/benchmarks/launcher.py
+++ b/benchmarks/launcher.py
@@ -1,10 +1,8 @@
 """Launcher of a small deployment of local processes on loopback."""
 
 import contextlib
-import os
 import pathlib
 import signal
-import socket
 import subprocess  # noqa: S404
 import sys
 import tempfile
@@ -13,17 +11,11 @@
 
 import httpx
 
+from benchmarks import ports
 from nutmegtrail.contracts import credentials
 
 OPERATOR_TOKEN: typing.Final = 'demo-operator-token'
 CALLER_KEY: typing.Final = 'demo-caller-key'
-_IP: typing.Final = '127.0.0.1'
-_FIRST_PORT: typing.Final = 18_000
-_LAST_PORT: typing.Final = 32_000
-# Concurrent runs start at different ports.
-_CANDIDATE_PORTS: typing.Final = iter(
-    range(_FIRST_PORT + os.getpid() % 100 * 100, _LAST_PORT),
-)
 _READY_TIMEOUT_SECONDS: typing.Final = 20.0
 _EXIT_TIMEOUT_SECONDS: typing.Final = 10.0
 _POLL_INTERVAL_SECONDS: typing.Final = 0.05
@@ -232,17 +224,8 @@
 
 
 def free_address() -> str:
-    """Return a loopback address with an unused port.
-
-    The ports are below the ephemeral range, from which the kernel assigns
-    ports to outgoing connections.
-    """
-    for port in _CANDIDATE_PORTS:
-        with contextlib.closing(socket.socket()) as probe:
-            with contextlib.suppress(OSError):
-                probe.bind((_IP, port))
-                return f'{_IP}:{port}'
-    raise OSError('no unused port is left in the range of the launcher')
+    """Return a loopback address with an unused port."""
+    return f'{ports.IP}:{ports.free_port()}'
 
 
 def wait_for_endpoint(url: str, path: str) -> None:
