Log why a request gets no further upstream

Callers saw streams cut beside silences of their engines. The logs told the failed attempt and that it was to be repeated, not why no upstream was found for it. The line attempt:not-placed tells how long the request waited, by how much its latest start had passed and the length of the queue; request:ended has the reason that the counters have, and explain names both. The stand-in deployment takes engines of other kinds.

Test: test_stream_without_place_to_resume, which failed before.

--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -19,6 +19,7 @@
 from nutmegtrail.gateway import health_recorder
 from nutmegtrail.gateway import jobs
 from nutmegtrail.gateway import models
+from nutmegtrail.gateway import request_queue
 from nutmegtrail.gateway import retry_budget
 from nutmegtrail.gateway import routes
 from nutmegtrail.observability import logs
@@ -148,10 +149,11 @@
             return refusal
         if not self._dispatcher.has_upstreams(job.service, excluded_ids):
             return self._give_up(job)
-        candidate = await self._dispatcher.acquire(
-            job.service, job.queued_request(self._crash_guard.is_suspect(job))
-        )
+        queued = job.queued_request(self._crash_guard.is_suspect(job))
+        queued_at = anyio.current_time()
+        candidate = await self._dispatcher.acquire(job.service, queued)
         if candidate is None:
+            self._log_not_placed(job, queued, queued_at)
             return self._give_up(job)
         upstream = candidate.upstream
         job.dispatched_at_seconds = anyio.current_time()
@@ -512,6 +514,26 @@
             action=type(action).__name__,
         )
 
+    def _log_not_placed(
+        self,
+        job: jobs.Job,
+        queued: request_queue.QueuedRequest,
+        queued_at_seconds: float,
+    ) -> None:
+        """Log and count that no upstream became free for an attempt."""
+        now = anyio.current_time()
+        self._metrics.increment('attempts_not_placed', job.service)
+        logs.decision(
+            'attempt:not-placed',
+            request_id=job.caller.request_id,
+            service=job.service,
+            reached=job.delivery.reached,
+            has_sent_events=job.delivery.has_sent_events,
+            waited_seconds=round(now - queued_at_seconds, 4),
+            late_by_seconds=round(now - queued.latest_start_seconds, 4),
+            waiting=self._dispatcher.waiting_count,
+        )
+
     def _record_end(self, job: jobs.Job) -> None:
         """Log and count the end of a request."""
         seconds = anyio.current_time() - job.exchange.received_at_seconds
@@ -534,6 +556,7 @@
             choices=job.choices,
             entries=self._dispatcher.entries,
             outcome=outcome,
+            reason=job.failure_reason,
             status=job.exchange.status,
             seconds=round(seconds, 4),
             first_event_seconds=job.first_event_seconds,
--- a/nutmegtrail/observability/explain.py
+++ b/nutmegtrail/observability/explain.py
@@ -183,7 +183,7 @@
     failures = _select_failures(request_lines)
     cause = _describe_slowest_phase(end_line)
     if end_line.get('outcome') != 'answered':
-        cause = _describe_incomplete_response(end_line, failures)
+        cause = _describe_incomplete_response(end_line, request_lines)
     elif failures and end_line.get('status', 0) >= const.FIRST_ERROR_STATUS:
         cause = f'status {end_line.get("status")} after {_as_text(failures)}'
     crashes = [
@@ -206,11 +206,21 @@
 
 
 def _describe_incomplete_response(
-    end_line: _Line, failures: list[_Line]
+    end_line: _Line, request_lines: list[_Line]
 ) -> str:
     """Return why the response to a request is incomplete."""
+    failures = _select_failures(request_lines)
     if failures:
-        return f'cut after {_as_text(failures)}'
+        text = f'cut after {_as_text(failures)}'
+        not_placed = [
+            line
+            for line in request_lines
+            if line.get('message_type') == 'attempt:not-placed'
+        ]
+        if not_placed:
+            waited_seconds = not_placed[-1].get('waited_seconds')
+            text = f'{text}, no upstream was free within {waited_seconds} s'
+        return text
     choices = end_line.get('choices') or []
     if not choices:
         return 'the caller left while the request waited for an upstream'
--- a/tests/observability/test_explain.py
+++ b/tests/observability/test_explain.py
@@ -118,6 +118,25 @@
             cause,
         )
 
+    def test_stream_without_place_to_resume(self):
+        """A stream that was cut names its failure and the missing place."""
+        failed = _line(
+            1.3,
+            'attempt:failed',
+            request_id='r1',
+            upstream='i-1',
+            failure='Broken',
+            action='Repeat',
+        )
+        not_placed = _line(
+            1.4, 'attempt:not-placed', request_id='r1', waited_seconds=0.1
+        )
+        self.assertEqual(
+            'cut after Broken at i-1 (then Repeat), '
+            'no upstream was free within 0.1 s',
+            self._cause(failed, not_placed, _end_line(1.4, outcome='cut')),
+        )
+
     def test_killed_process(self):
         """A request without its last log line is reported as unfinished."""
         failed = _line(0.3, 'attempt:failed', request_id='r1')
--- a/tests/platform/entries.py
+++ b/tests/platform/entries.py
@@ -95,16 +95,21 @@
         return await client.Client().fetch(call, 99_999)
 
 
+def create_desk_engine(number, store, tasks):
+    """Return an engine of the service 'desk' that may end."""
+    return engine_process.EngineProcess(f'd-{number}', 'desk', store, tasks)
+
+
 class Deployment:
-    """Store, engines of the service 'desk' and gateways."""
+    """Store, engines and gateways."""
 
-    def __init__(self, engine_count, entry_count, tasks):
+    def __init__(
+        self, engine_count, entry_count, tasks, create_engine=create_desk_engine
+    ):
         """Initialize the parts; nothing is running."""
         self.store = stand_in.Store()
         self.engines = [
-            engine_process.EngineProcess(
-                f'd-{number}', 'desk', self.store, tasks
-            )
+            create_engine(number, self.store, tasks)
             for number in range(engine_count)
         ]
         self.entries = [
@@ -120,9 +125,7 @@
         await server.start()
         self._tasks.start_soon(server.serve)
         self._tasks.start_soon(self.store.expire_leases)
-        document = json.loads(json.dumps(samples.CONFIG))
-        document['tenants'].append({'name': 'board', 'api_keys': ['key-9']})
-        self.store.put('op/config', json.dumps(document).encode())
+        self.configure(samples.CONFIG['version'])
         for engine in self.engines:
             await engine.start()
         self.first_copy = self.store.copy()
@@ -130,6 +133,15 @@
             await entry.start()
         await anyio.sleep(0.3)
 
+    def configure(self, version):
+        """Write a configuration that routes all streams to `drafts`."""
+        document = json.loads(json.dumps(samples.CONFIG))
+        document['version'] = version
+        document['tenants'].append({'name': 'board', 'api_keys': ['key-9']})
+        document['routes'][1].pop('traffic_split')
+        document['routes'][1]['service'] = 'drafts'
+        self.store.put('op/config', json.dumps(document).encode())
+
     def run_times(self, body, account=engine_process.FATAL_ACCOUNT):
         """Return the times at which engines began to run a request."""
         return sorted(
@@ -199,13 +211,15 @@
         self.response_by_id[request_id] = response
 
 
-def run(scenario, engine_count, entry_count):
+def run(scenario, engine_count, entry_count, create_engine=create_desk_engine):
     """Run a scenario with a started deployment."""
 
     async def _main():
         with anyio.fail_after(_SCENARIO_TIMEOUT_SECONDS):
             async with anyio.create_task_group() as tasks:
-                deployment = Deployment(engine_count, entry_count, tasks)
+                deployment = Deployment(
+                    engine_count, entry_count, tasks, create_engine
+                )
                 await deployment.start()
                 await scenario(deployment)
                 tasks.cancel_scope.cancel()
