--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -18,6 +18,7 @@
 from nutmegtrail.gateway import pacer
 from nutmegtrail.gateway import request_handler as request_handlers
 from nutmegtrail.gateway import retry_budget
+from nutmegtrail.gateway import retry_budgets
 from nutmegtrail.gateway import settings
 from nutmegtrail.gateway import store_listeners
 from nutmegtrail.gateway import store_watcher
@@ -172,7 +173,9 @@
     return request_handlers.RequestHandler(
         headers.PlatformHeaderTranslator(),
         shared.dispatcher,
-        allowance,
+        retry_budgets.RetryBudgets(
+            allowance, shared.dispatcher, shared.metrics_registry
+        ),
         guard,
         shared.metrics_registry,
     )
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -20,7 +20,7 @@
 from nutmegtrail.gateway import jobs
 from nutmegtrail.gateway import models
 from nutmegtrail.gateway import request_queue
-from nutmegtrail.gateway import retry_budget
+from nutmegtrail.gateway import retry_budgets
 from nutmegtrail.gateway import routes
 from nutmegtrail.observability import logs
 from nutmegtrail.observability import metrics
@@ -44,7 +44,7 @@
         self,
         header_translator: header_translators.HeaderTranslator,
         dispatcher: dispatching.Dispatcher,
-        allowance: retry_budget.Allowance,
+        budgets: retry_budgets.RetryBudgets,
         guard: crash_guard.CrashGuard,
         metrics_registry: metrics.Metrics,
     ) -> None:
@@ -53,11 +53,10 @@
         self._header_translator = header_translator
         self._dispatcher = dispatcher
         self._health_recorder = health_recorder.HealthRecorder(dispatcher)
-        self._allowance = allowance
+        self._retry_budgets = budgets
         self._crash_guard = guard
         self._metrics = metrics_registry
         self._client = client.Client()
-        self._budgets_by_service: dict[str, retry_budget.Budget] = {}
 
     async def close(self) -> None:
         """Close idle connections to upstreams."""
@@ -110,14 +109,7 @@
 
     async def _deliver(self, job: jobs.Job) -> None:
         """Try upstreams until the request is answered or given up."""
-        now = anyio.current_time()
-        budget = self._budget(job.service)
-        window_seconds = self._allowance.window_seconds
-        self._budgets_by_service[job.service] = retry_budget.record_request(
-            budget,
-            window_seconds,
-            now,
-        )
+        self._retry_budgets.record_request(job.service)
         while True:
             event = await self._next_attempt(job)
             if event is None:
@@ -130,9 +122,11 @@
             action = decision.action
             self._log_failure(job, event, action)
             if isinstance(action, attempts.Repeat):
-                if action.uses_retry_budget and not self._spend_retry(
-                    job.service
-                ):
+                has_retry = (
+                    not action.uses_retry_budget
+                    or self._retry_budgets.spend_retry(job.service)
+                )
+                if not has_retry:
                     action = self._give_up(job)
             if isinstance(action, attempts.GiveUp):
                 await self._send_final_response(job, action)
@@ -360,7 +354,7 @@
                 job.service,
                 decision.delivery.excluded_ids,
             )
-            and self._budget_after_retry(job.service) is not None
+            and self._retry_budgets.has_retry(job.service)
         )
 
     async def _forward_events(
@@ -472,29 +466,6 @@
             return attempts.GiveUp(attempts.Outcome.PASS_ON)
         return attempts.give_up(job.delivery)
 
-    def _budget(self, service: str) -> retry_budget.Budget:
-        """Return the retry budget of the service."""
-        return self._budgets_by_service.get(service, retry_budget.Budget())
-
-    def _budget_after_retry(self, service: str) -> retry_budget.Budget | None:
-        """Return the budget after one more retry, None if exhausted."""
-        entries = self._dispatcher.entries
-        base = self._allowance.base * const.RETRY_ALLOWANCE_RATIO / entries
-        return retry_budget.spend(
-            self._budget(service),
-            self._allowance._replace(base=base),
-            anyio.current_time(),
-        )
-
-    def _spend_retry(self, service: str) -> bool:
-        """Take a retry from the budget; return False if exhausted."""
-        remaining_budget = self._budget_after_retry(service)
-        if remaining_budget is None:
-            self._metrics.increment('retries_refused', service)
-            return False
-        self._budgets_by_service[service] = remaining_budget
-        return True
-
     def _log_failure(
         self,
         job: jobs.Job,
