Hedge silent upstreams instead of giving them up

Cause: after STREAM_IDLE_TIMEOUT_SECONDS (streams) or the response timeout (reads) the running attempt was closed since the request might be sent to another upstream; only then was one looked for. If none was free, or it rejected the request, nothing was left to wait for. The whole rank group was ejected too, and stayed so after it went on.

A silent attempt stays open now while another upstream is looked for and begins; the first that sends something goes on and the other is cancelled. A silent upstream is ejected with its group only if the whole group is silent, and no longer than it is. Both attempts count against the route's limit and the retry budget, also if one is cancelled. The attempts move to attempt_runner; a class of its own runs the race.

--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -6,6 +6,7 @@
 
 from nutmegtrail import const as shared_const
 from nutmegtrail import models
+from nutmegtrail.gateway import attempt_runner
 from nutmegtrail.gateway import const as gateway_const
 from nutmegtrail.gateway import crash_detector
 from nutmegtrail.gateway import crash_guard
@@ -170,8 +171,9 @@
         configured.retries.share,
         configured.retries.base,
     )
-    return request_handlers.RequestHandler(
-        headers.PlatformHeaderTranslator(),
+    header_translator = headers.PlatformHeaderTranslator()
+    runner = attempt_runner.AttemptRunner(
+        header_translator,
         shared.dispatcher,
         retry_budgets.RetryBudgets(
             allowance, shared.dispatcher, shared.metrics_registry
@@ -179,3 +181,10 @@
         guard,
         shared.metrics_registry,
     )
+    return request_handlers.RequestHandler(
+        header_translator,
+        shared.dispatcher,
+        runner,
+        guard,
+        shared.metrics_registry,
+    )
--- /dev/null
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -0,0 +1,451 @@
+"""Attempts at upstreams until a request is answered or given up."""
+
+import functools
+import math
+
+import anyio
+
+from nutmegtrail.adapters.http1 import client
+from nutmegtrail.adapters.http1 import errors as http_errors
+from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.gateway import attempt_log
+from nutmegtrail.gateway import attempts
+from nutmegtrail.gateway import const
+from nutmegtrail.gateway import crash_guard
+from nutmegtrail.gateway import dispatcher as dispatching
+from nutmegtrail.gateway import errors
+from nutmegtrail.gateway import events
+from nutmegtrail.gateway import health_recorder
+from nutmegtrail.gateway import hedging
+from nutmegtrail.gateway import jobs
+from nutmegtrail.gateway import models
+from nutmegtrail.gateway import opened_response
+from nutmegtrail.gateway import retry_budgets
+from nutmegtrail.observability import metrics
+from nutmegtrail.ports import header_translator as header_translators
+
+
+class AttemptRunner:
+    """Sends requests to upstreams and forwards their responses.
+
+    An upstream that is silent is not given up: the request is sent to another
+    one beside it, if one may run it too, and the first that goes on answers.
+    """
+
+    def __init__(
+        self,
+        header_translator: header_translators.HeaderTranslator,
+        dispatcher: dispatching.Dispatcher,
+        budgets: retry_budgets.RetryBudgets,
+        guard: crash_guard.CrashGuard,
+        metrics_registry: metrics.Metrics,
+    ) -> None:
+        """Initialize the runner without connections."""
+        self._header_translator = header_translator
+        self._dispatcher = dispatcher
+        self._health_recorder = health_recorder.HealthRecorder(dispatcher)
+        self._retry_budgets = budgets
+        self._crash_guard = guard
+        self._metrics = metrics_registry
+        self._log = attempt_log.AttemptLog(dispatcher, metrics_registry)
+        self._client = client.Client()
+
+    async def close(self) -> None:
+        """Close idle connections to upstreams."""
+        await self._client.close()
+
+    async def run(self, job: jobs.Job) -> attempts.GiveUp | None:
+        """Answer a request; return the outcome if no upstream does."""
+        self._retry_budgets.record_request(job.service)
+        try:
+            await self._answer(job)
+        except errors.GivenUp as error:
+            return error.action
+        return None
+
+    async def _answer(self, job: jobs.Job) -> None:
+        """Forward the response of an upstream, and those that continue it."""
+        opened: opened_response.OpenedResponse | None
+        opened = await self._open_next(job)
+        while opened is not None:
+            opened = await self._forward(job, opened)
+
+    async def _open_next(self, job: jobs.Job) -> opened_response.OpenedResponse:
+        """Return a successful response; raise GivenUp without one."""
+        while True:
+            place = await self._acquire(job)
+            try:
+                with anyio.fail_after(max(job.remaining_seconds, 0)):
+                    return await self._open_hedged(job, place)
+            except TimeoutError:
+                raise errors.GivenUp(
+                    attempts.GiveUp(attempts.Outcome.UNKNOWN)
+                ) from None
+            except errors.AttemptFailed as error:
+                self._handle_failure(job, error.event)
+
+    async def _acquire(self, job: jobs.Job) -> opened_response.Place:
+        """Wait for an upstream; raise GivenUp if there is none."""
+        self._raise_if_quarantined(job)
+        excluded_ids = job.delivery.excluded_ids
+        if not self._dispatcher.has_upstreams(job.service, excluded_ids):
+            raise errors.GivenUp(_give_up(job))
+        queued = job.queued_request(self._crash_guard.is_suspect(job))
+        queued_at = anyio.current_time()
+        candidate = await self._dispatcher.acquire(job.service, queued)
+        if candidate is None:
+            self._log.record_not_placed(job, queued, queued_at)
+            raise errors.GivenUp(_give_up(job))
+        place = opened_response.Place(
+            candidate.upstream, queued.request_id, anyio.current_time()
+        )
+        try:
+            # It may have been quarantined while it was queued.
+            self._raise_if_quarantined(job)
+        except errors.GivenUp:
+            self._release(place)
+            raise
+        job.choices.append(
+            jobs.describe_choice(candidate, job, place.assigned_at_seconds)
+        )
+        return place
+
+    async def _open_hedged(
+        self, job: jobs.Job, place: opened_response.Place
+    ) -> opened_response.OpenedResponse:
+        """Return the response of an upstream, or of another if it is silent.
+
+        Streams are not hedged before their first event: under load that takes
+        long, and a second attempt would add to the load.
+        """
+        if job.route.kind is not models.RouteKind.IDEMPOTENT:
+            return await self._open(job, place)
+        race = hedging.Race[
+            opened_response.OpenedResponse, opened_response.OpenedResponse
+        ](
+            functools.partial(self._open_hedge, job, place.upstream),
+            self._hedge_delay(job, place.upstream),
+        )
+        opened = await race.run(functools.partial(self._open, job, place))
+        if opened.place is not place:
+            self._log.record_superseded(job, place.upstream, opened.upstream)
+            if race.failure is None:
+                superseded = _superseded(place.upstream)
+                await self._record_failure(job, place.upstream, superseded)
+        return opened
+
+    async def _open(
+        self, job: jobs.Job, place: opened_response.Place
+    ) -> opened_response.OpenedResponse:
+        """Send the request; raise AttemptFailed without a success."""
+        opened = opened_response.OpenedResponse(
+            place, functools.partial(self._release, place)
+        )
+        try:
+            with self._crash_guard.watch(job, place.upstream) as watched:
+                event = await self._send(job, opened)
+                watched.is_answered = not isinstance(event, attempts.Broken)
+        except BaseException:
+            # The upstream may run it although its response is not awaited.
+            job.delivery = attempts.count_running(
+                job.delivery, place.upstream.upstream_id
+            )
+            await opened.close()
+            raise
+        if watched.is_cancelled:
+            await opened.close()
+            raise errors.GivenUp(attempts.GiveUp(attempts.Outcome.UNKNOWN))
+        if event is not None:
+            await opened.close()
+            await self._record_failure(job, place.upstream, event)
+            raise errors.AttemptFailed(event)
+        return opened
+
+    async def _send(
+        self, job: jobs.Job, opened: opened_response.OpenedResponse
+    ) -> attempts.Event | None:
+        """Send the request and read the head; return any failure."""
+        upstream = opened.upstream
+        request = job.exchange.request
+        forwarding = models.ForwardingMetadata(
+            upstream.upstream_id,
+            job.account.name,
+            job.remaining_seconds,
+            job.position.last_event,
+        )
+        call = client.Call(
+            upstream.address,
+            request.method,
+            request.target,
+            self._header_translator.upstream_headers(request, forwarding),
+            request.body,
+            needs_new_connection=not job.route.is_retryable,
+        )
+        try:
+            await opened.connect(self._client, call)
+            return await self._read_head(job, opened)
+        except http_errors.NotConnected:
+            return attempts.NotConnected(upstream.upstream_id)
+        except http_errors.ExchangeBroken as error:
+            return attempts.Broken(
+                upstream.upstream_id, str(error), is_closed=True
+            )
+
+    async def _read_head(
+        self, job: jobs.Job, opened: opened_response.OpenedResponse
+    ) -> attempts.Event | None:
+        """Return the failure that a response means, None for a success."""
+        upstream = opened.upstream
+        classification = self._header_translator.classify_response(
+            opened.head, job.caller.request_id
+        )
+        kind = classification.response_kind
+        if kind is models.ResponseKind.FOREIGN:
+            return attempts.Broken(upstream.upstream_id, 'foreign response')
+        self._crash_guard.record_response(upstream)
+        if kind is models.ResponseKind.SUCCESS:
+            if job.delivery.has_sent_events:
+                # The response is used only once the stream goes on.
+                await opened.prefetch()
+            return None
+        body = await opened.read(const.RESPONSE_BYTES_LIMIT)
+        if kind is models.ResponseKind.FAILURE:
+            job.failure = jobs.Failure(opened.head, body)
+            return attempts.Failed(upstream.upstream_id)
+        self._health_recorder.eject_blocked_group(upstream, classification)
+        return attempts.NotRun(upstream.upstream_id)
+
+    async def _open_hedge(
+        self, job: jobs.Job, upstream: models.Upstream
+    ) -> opened_response.OpenedResponse | None:
+        """Return a response beside a silent one, None if there is none."""
+        silence = attempts.Silent(upstream.upstream_id)
+        decision = attempts.decide(silence, job.delivery)
+        can_hedge = (
+            isinstance(decision.action, attempts.Repeat)
+            and self._dispatcher.has_upstreams(
+                job.service, decision.delivery.excluded_ids
+            )
+            and self._retry_budgets.spend_retry(job.service)
+        )
+        self._log.record_silence(job, upstream, is_hedged=can_hedge)
+        if not can_hedge:
+            return None
+        job.delivery = decision.delivery
+        try:
+            return await self._open_next(job)
+        except errors.GivenUp:
+            return None
+
+    async def _forward(
+        self, job: jobs.Job, opened: opened_response.OpenedResponse
+    ) -> opened_response.OpenedResponse | None:
+        """Forward a response; return another one that continues it.
+
+        Raises GivenUp if it is broken and not tried again.
+        """
+        upstream = opened.upstream
+        job.dispatched_at_seconds = opened.place.assigned_at_seconds
+        try:
+            with self._crash_guard.watch(job, upstream) as watched:
+                outcome = await self._forward_in_time(job, opened)
+                watched.is_answered = outcome is None
+        finally:
+            await opened.close()
+        if watched.is_cancelled:
+            raise errors.GivenUp(attempts.GiveUp(attempts.Outcome.UNKNOWN))
+        if isinstance(outcome, opened_response.Successor):
+            successor = outcome.opened
+            self._log.record_superseded(job, upstream, successor.upstream)
+            await self._record_failure(job, upstream, outcome.failure)
+            return successor
+        if outcome is None:
+            self._record_success(job, upstream)
+            return None
+        await self._record_failure(job, upstream, outcome)
+        self._handle_failure(job, outcome)
+        return await self._open_next(job)
+
+    async def _forward_in_time(
+        self, job: jobs.Job, opened: opened_response.OpenedResponse
+    ) -> attempts.Event | opened_response.Successor | None:
+        """Forward a response; raise GivenUp at the deadline."""
+        try:
+            with anyio.fail_after(max(job.remaining_seconds, 0)):
+                if job.route.kind is models.RouteKind.STREAM:
+                    return await self._forward_stream(job, opened)
+                await self._forward_body(job, opened)
+        except TimeoutError:
+            raise errors.GivenUp(
+                attempts.GiveUp(attempts.Outcome.UNKNOWN)
+            ) from None
+        except http_errors.ExchangeBroken as error:
+            return attempts.Broken(
+                opened.upstream.upstream_id, str(error), is_closed=True
+            )
+        except errors.AttemptFailed as failed:
+            return failed.event
+        return None
+
+    async def _forward_body(
+        self, job: jobs.Job, opened: opened_response.OpenedResponse
+    ) -> None:
+        """Forward a whole response."""
+        body = await opened.read(const.RESPONSE_BYTES_LIMIT)
+        seconds = anyio.current_time() - job.dispatched_at_seconds
+        self._health_recorder.record_latency(opened.upstream, seconds)
+        self._dispatcher.record_response_time(job.service, seconds)
+        headers = messages.end_to_end_headers(opened.head.headers)
+        await job.exchange.respond(opened.head.status, headers, body)
+
+    async def _forward_stream(
+        self, job: jobs.Job, opened: opened_response.OpenedResponse
+    ) -> attempts.Event | opened_response.Successor | None:
+        """Forward events as they arrive; return a failure or a successor."""
+        upstream_id = opened.upstream.upstream_id
+        splitter = events.Splitter()
+        while True:
+            part = await self._receive_part(job, opened)
+            if isinstance(part, opened_response.Successor):
+                return part
+            complete_events = splitter.feed(part)
+            new_events = events.select_new_events(job.position, complete_events)
+            if new_events.payload:
+                self._record_pause(job, opened, len(complete_events))
+                await self._forward_events(job, opened.head, new_events)
+            if new_events.has_gap:
+                return attempts.Broken(upstream_id, 'missing event')
+            if not part:
+                break
+        if splitter.has_partial_event or not job.delivery.has_sent_events:
+            return attempts.Broken(upstream_id, 'incomplete stream')
+        await job.exchange.finish()
+        return None
+
+    async def _receive_part(
+        self, job: jobs.Job, opened: opened_response.OpenedResponse
+    ) -> bytes | opened_response.Successor:
+        """Return the next part of a stream, or the response that resumes it.
+
+        A silent upstream may go on at any time: its stream is resumed
+        elsewhere only once the other upstream sends events.
+        """
+        with anyio.move_on_after(const.STREAM_IDLE_TIMEOUT_SECONDS):
+            return await opened.receive_or_fail()
+        upstream = opened.upstream
+        self._health_recorder.eject_silent(upstream)
+        race = hedging.Race[bytes, opened_response.OpenedResponse](
+            functools.partial(self._open_hedge, job, upstream)
+        )
+        received = await race.run(opened.receive_or_fail)
+        if isinstance(received, opened_response.OpenedResponse):
+            failure = race.failure or _superseded(upstream)
+            return opened_response.Successor(received, failure)
+        self._health_recorder.record_recovery(upstream)
+        return received
+
+    async def _forward_events(
+        self,
+        job: jobs.Job,
+        head: messages.Head,
+        new_events: events.NewEvents,
+    ) -> None:
+        """Send events to the caller, the first ones with the head."""
+        job.position = new_events.position
+        if job.delivery.has_sent_events:
+            await job.exchange.write(new_events.payload)
+            return
+        job.delivery = job.delivery._replace(has_sent_events=True)
+        now = anyio.current_time()
+        seconds = now - job.exchange.received_at_seconds
+        job.first_event_seconds = seconds
+        self._dispatcher.record_response_time(
+            job.service,
+            now - job.dispatched_at_seconds,
+        )
+        self._metrics.observe_seconds('first_event', seconds)
+        await job.exchange.start_chunked(
+            head.status,
+            messages.end_to_end_headers(head.headers),
+            new_events.payload,
+        )
+
+    def _record_pause(
+        self,
+        job: jobs.Job,
+        opened: opened_response.OpenedResponse,
+        event_count: int,
+    ) -> None:
+        """Record the pause before new events."""
+        now = anyio.current_time()
+        if job.delivery.has_sent_events:
+            pause_seconds = now - job.last_event_at_seconds
+            job.longest_pause_seconds = max(
+                job.longest_pause_seconds, pause_seconds
+            )
+            self._health_recorder.record_pause(
+                job, opened.upstream, pause_seconds / event_count
+            )
+        job.last_event_at_seconds = now
+
+    def _hedge_delay(self, job: jobs.Job, upstream: models.Upstream) -> float:
+        """Return the seconds without a response after which to hedge."""
+        if not job.route.is_retryable:
+            return math.inf
+        return max(
+            job.route.objective_seconds
+            * const.RESPONSE_TIMEOUT_OBJECTIVE_RATIO,
+            self._health_recorder.expected_latency(upstream)
+            * const.RESPONSE_TIMEOUT_LATENCY_RATIO,
+            const.MIN_RESPONSE_TIMEOUT_SECONDS,
+        )
+
+    def _record_success(self, job: jobs.Job, upstream: models.Upstream) -> None:
+        """Record that an upstream answered a request."""
+        self._health_recorder.record_outcome(upstream, None)
+        self._log.count_attempt(upstream, 'Success')
+        self._crash_guard.record_success(job)
+
+    async def _record_failure(
+        self, job: jobs.Job, upstream: models.Upstream, event: attempts.Event
+    ) -> None:
+        """Record a failed attempt, and examine an upstream that closed."""
+        self._health_recorder.record_outcome(upstream, event)
+        self._log.count_attempt(upstream, type(event).__name__)
+        if isinstance(event, attempts.Broken) and event.is_closed:
+            await self._crash_guard.examine(job, upstream)
+
+    def _handle_failure(self, job: jobs.Job, event: attempts.Event) -> None:
+        """Decide on another attempt; raise GivenUp if there is none."""
+        decision = attempts.decide(event, job.delivery)
+        job.delivery = decision.delivery
+        action = decision.action
+        self._log.record_failure(job, event, action)
+        if isinstance(action, attempts.GiveUp):
+            raise errors.GivenUp(action)
+        if action.uses_retry_budget and not self._retry_budgets.spend_retry(
+            job.service
+        ):
+            raise errors.GivenUp(_give_up(job))
+
+    def _raise_if_quarantined(self, job: jobs.Job) -> None:
+        """Raise GivenUp if a request must not reach upstreams."""
+        refusal = self._crash_guard.refusal(job)
+        if refusal is not None:
+            raise errors.GivenUp(refusal)
+
+    def _release(self, place: opened_response.Place) -> None:
+        """Free the place of a request at an upstream."""
+        self._dispatcher.release(place.upstream, place.queue_id)
+
+
+def _superseded(upstream: models.Upstream) -> attempts.Broken:
+    """Return the failure of an upstream that another one was faster than."""
+    return attempts.Broken(upstream.upstream_id, 'superseded')
+
+
+def _give_up(job: jobs.Job) -> attempts.GiveUp:
+    """Return the outcome of a request that is not tried again."""
+    if job.failure is not None:
+        return attempts.GiveUp(attempts.Outcome.PASS_ON)
+    return attempts.give_up(job.delivery)
--- a/nutmegtrail/gateway/attempts.py
+++ b/nutmegtrail/gateway/attempts.py
@@ -15,6 +15,7 @@
     `unreachable` those that could not be connected to. `may_have_run` is set
     once an attempt fails without proof that the request did not run.
     `has_sent_events` is set once events were sent to the caller.
+    `counted_ids` has upstreams that were counted before their attempts ended.
     """
 
     route: models.Route
@@ -23,6 +24,7 @@
     may_have_run: bool = False
     has_sent_events: bool = False
     excluded_ids: frozenset[str] = frozenset()
+    counted_ids: frozenset[str] = frozenset()
 
 
 class NotConnected(typing.NamedTuple):
@@ -49,6 +51,12 @@
     is_closed: bool = False
 
 
+class Silent(typing.NamedTuple):
+    """The upstream sends nothing for a while and may go on at any time."""
+
+    upstream_id: str
+
+
 class Failed(typing.NamedTuple):
     """The upstream ran the request and responded with an error."""
 
@@ -56,6 +64,7 @@
 
 
 Event: typing.TypeAlias = NotConnected | NotRun | Broken | Failed
+Observation: typing.TypeAlias = Event | Silent
 
 
 class Outcome(enum.Enum):
@@ -87,8 +96,8 @@
 
 
 @functools.singledispatch
-def decide(event: Event, delivery: Delivery) -> Decision:
-    """Return the action to take after a failed attempt."""
+def decide(event: Observation, delivery: Delivery) -> Decision:
+    """Return the action to take after an attempt failed or fell silent."""
     raise TypeError(f'unknown attempt event {event!r}')
 
 
@@ -119,6 +128,15 @@
     return _retry(failed)
 
 
+@decide.register
+def _silent(event: Silent, delivery: Delivery) -> Decision:
+    """Send the request to another upstream too, if it may run twice."""
+    counted = count_running(delivery, event.upstream_id)
+    if not delivery.route.is_retryable:
+        return _give_up(counted)
+    return _retry(counted)
+
+
 @decide.register
 def _failed(event: Failed, delivery: Delivery) -> Decision:
     """Retry if the request may run twice, otherwise return the error."""
@@ -153,8 +171,22 @@
     return Decision(delivery, Repeat(uses_retry_budget=True))
 
 
+def count_running(delivery: Delivery, upstream_id: str) -> Delivery:
+    """Return the state in which a running attempt is counted as sent.
+
+    It is not counted again when it ends.
+    """
+    counted = _record_sent(delivery, upstream_id)
+    return counted._replace(
+        may_have_run=True,
+        counted_ids=delivery.counted_ids | {upstream_id},
+    )
+
+
 def _record_sent(delivery: Delivery, upstream_id: str) -> Delivery:
     """Return the state after the request was sent to an upstream."""
+    if upstream_id in delivery.counted_ids:
+        return delivery
     return _exclude(delivery, upstream_id)._replace(
         reached=delivery.reached + 1,
     )
--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -43,13 +43,12 @@
 # given up.
 CONNECT_ATTEMPTS_LIMIT: typing.Final = 4
 
-# A stream that stays silent for this long is resumed on another upstream,
-# because callers abandon it after two seconds.
+# A stream that is silent for this long is hedged, early enough for another
+# upstream to resume it before its caller abandons it.
 STREAM_IDLE_TIMEOUT_SECONDS: typing.Final = 1.0
 
-# A request without a response is retried early enough for the second
-# response to meet the objective, but only after several times the usual
-# latency.
+# A request without a response is hedged early enough for the second response
+# to meet the objective, but only after several times the usual latency.
 RESPONSE_TIMEOUT_OBJECTIVE_RATIO: typing.Final = 0.6
 RESPONSE_TIMEOUT_LATENCY_RATIO: typing.Final = 3.0
 # Longer than the connect timeout, so that a failed connection attempt is
--- a/nutmegtrail/gateway/health.py
+++ b/nutmegtrail/gateway/health.py
@@ -135,6 +135,12 @@
     return previous.seconds * decay
 
 
+def last_latency_at(health: Health, group: str) -> float:
+    """Return the time of the last latency sample, -inf without one."""
+    previous = health.latencies_by_group.get(group)
+    return float('-inf') if previous is None else previous.observed_at_seconds
+
+
 def record_pause_ratio(
     health: Health,
     group: str,
--- a/nutmegtrail/gateway/health_recorder.py
+++ b/nutmegtrail/gateway/health_recorder.py
@@ -3,6 +3,7 @@
 import anyio
 
 from nutmegtrail.gateway import attempts
+from nutmegtrail.gateway import const
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import health
 from nutmegtrail.gateway import jobs
@@ -62,6 +63,34 @@
             failures_to_eject=1,
         )
 
+    def eject_silent(self, upstream: models.Upstream) -> None:
+        """Eject an upstream whose stream is silent.
+
+        Ranks of a group run in lock-step, so that the whole group is ejected
+        if none of its streams goes on.
+        """
+        now = anyio.current_time()
+        spoke_at = health.last_latency_at(
+            self._dispatcher.upstream_health, upstream.group_name
+        )
+        if now - spoke_at >= const.STREAM_IDLE_TIMEOUT_SECONDS:
+            self.eject_group(upstream)
+            return
+        logs.decision('upstream:left-out', upstream=upstream.upstream_id)
+        self._dispatcher.upstream_health = health.record_failure(
+            self._dispatcher.upstream_health,
+            upstream.upstream_id,
+            now,
+            failures_to_eject=1,
+        )
+
+    def record_recovery(self, upstream: models.Upstream) -> None:
+        """End the ejection of an upstream that was silent and goes on."""
+        upstream_health = self._dispatcher.upstream_health
+        for name in (upstream.upstream_id, upstream.group_name):
+            upstream_health = health.record_success(upstream_health, name)
+        self._dispatcher.upstream_health = upstream_health
+
     def expected_latency(self, upstream: models.Upstream) -> float:
         """Return the usual seconds per response or event, 0 if unknown."""
         return health.latency(
--- /dev/null
+++ b/nutmegtrail/gateway/hedging.py
@@ -0,0 +1,108 @@
+"""Hedged operations: a second one runs beside the first if that is slow."""
+
+import math
+import typing
+
+import anyio
+
+from nutmegtrail.gateway import attempts
+from nutmegtrail.gateway import errors
+
+_Primary = typing.TypeVar('_Primary')
+
+
+@typing.runtime_checkable
+class Closeable(typing.Protocol):
+    """Result that must be closed if it is not used."""
+
+    async def close(self) -> None:
+        """Release what the result holds."""
+
+
+_Hedge = typing.TypeVar('_Hedge', bound=Closeable)
+
+
+class Race(typing.Generic[_Primary, _Hedge]):
+    """Runs an operation and, after a delay, a hedge beside it.
+
+    The first result is returned and the other operation cancelled. Neither the
+    delay nor a hedge without a result ends the first operation. If that fails
+    while the hedge runs, the hedge decides.
+    """
+
+    def __init__(
+        self,
+        hedge: typing.Callable[[], typing.Awaitable[_Hedge | None]],
+        delay_seconds: float = 0,
+    ) -> None:
+        """Initialize a race whose operations have not started."""
+        self._hedge = hedge
+        self._delay_seconds = delay_seconds
+        self._is_hedged = False
+        self._hedge_scope = anyio.CancelScope()
+        self._primary_scope = anyio.CancelScope()
+        self._primary_error: errors.AttemptFailed | errors.GivenUp | None = None
+        self._primary_result: _Primary | None = None
+        self._hedge_result: _Hedge | None = None
+
+    @property
+    def failure(self) -> attempts.Event | None:
+        """Return how the first operation failed, None if it did not."""
+        if isinstance(self._primary_error, errors.AttemptFailed):
+            return self._primary_error.event
+        return None
+
+    async def run(
+        self, primary: typing.Callable[[], typing.Awaitable[_Primary]]
+    ) -> _Primary | _Hedge:
+        """Return the first result.
+
+        Without one, the error of the first operation is raised.
+        """
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._run_hedge)
+                with self._primary_scope:
+                    await self._run_primary(primary)
+        except BaseException:
+            await _discard(self._primary_result)
+            await _discard(self._hedge_result)
+            raise
+        if self._primary_result is not None:
+            await _discard(self._hedge_result)
+            return self._primary_result
+        if self._hedge_result is not None:
+            return self._hedge_result
+        raise typing.cast('Exception', self._primary_error)
+
+    async def _run_primary(
+        self, primary: typing.Callable[[], typing.Awaitable[_Primary]]
+    ) -> None:
+        """Run the first operation; its result ends the hedge."""
+        try:
+            self._primary_result = await primary()
+        except errors.GivenUp as given_up:
+            self._primary_error = given_up
+        except errors.AttemptFailed as failed:
+            self._primary_error = failed
+            if self._is_hedged:
+                return
+        self._hedge_scope.cancel()
+
+    async def _run_hedge(self) -> None:
+        """Run the hedge after the delay; its result ends the first one."""
+        with self._hedge_scope:
+            if self._delay_seconds == math.inf:
+                return
+            await anyio.sleep(self._delay_seconds)
+            self._is_hedged = True
+            self._hedge_result = await self._hedge()
+        if self._hedge_result is not None:
+            self._primary_scope.cancel()
+
+
+async def _discard(result: object) -> None:
+    """Close a result that is not used."""
+    if isinstance(result, Closeable):
+        with anyio.CancelScope(shield=True):
+            await result.close()
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -53,7 +53,9 @@
             budget_seconds = min(budget_seconds, caller.budget_seconds)
         self.deadline_seconds = exchange.received_at_seconds + budget_seconds
         self.choices: list[dict[str, object]] = []
+        self._queued_count = 0
         self.dispatched_at_seconds = 0.0
+        self.last_event_at_seconds = 0.0
         self.first_event_seconds: float | None = None
         self.longest_pause_seconds = 0.0
 
@@ -69,14 +71,6 @@
             request.body,
         )
 
-    @property
-    def queue_id(self) -> str:
-        """Return an identifier that no other running request has.
-
-        Callers may send the same request ID more than once.
-        """
-        return f'{self.caller.request_id}#{id(self):x}'
-
     @property
     def remaining_seconds(self) -> float:
         """Return the time until the caller's or the route's deadline."""
@@ -93,7 +87,7 @@
         """Return the entry for the request queue."""
         received_at = self.exchange.received_at_seconds
         return request_queue.QueuedRequest(
-            self.queue_id,
+            self._next_queue_id(),
             self.account.name,
             self.priority,
             received_at + self.route.objective_seconds,
@@ -104,6 +98,15 @@
             is_suspect,
         )
 
+    def _next_queue_id(self) -> str:
+        """Return an identifier that no other queued or running request has.
+
+        Callers may send the same request ID more than once, and two attempts
+        at one request may run at the same time.
+        """
+        self._queued_count += 1
+        return f'{self.caller.request_id}#{id(self):x}.{self._queued_count}'
+
 
 def retry_after_seconds(remaining_seconds: float) -> float:
     """Return the seconds after which a refused caller should retry."""
@@ -113,7 +116,7 @@
 
 
 def describe_choice(
-    candidate: selection.Candidate, job: Job
+    candidate: selection.Candidate, job: Job, assigned_at_seconds: float
 ) -> dict[str, object]:
     """Return the log fields that explain the choice of an upstream."""
     received_at = job.exchange.received_at_seconds
@@ -123,5 +126,5 @@
         'group_in_flight': candidate.group_in_flight,
         'group_room': round(candidate.group_capacity, 1),
         'pace_seconds': round(candidate.latency_seconds, 4),
-        'after_seconds': round(job.dispatched_at_seconds - received_at, 4),
+        'after_seconds': round(assigned_at_seconds - received_at, 4),
     }
--- /dev/null
+++ b/nutmegtrail/gateway/opened_response.py
@@ -0,0 +1,100 @@
+"""Response of an upstream while it is forwarded to the caller."""
+
+import contextlib
+import typing
+
+import anyio
+
+from nutmegtrail.adapters.http1 import client
+from nutmegtrail.adapters.http1 import errors as http_errors
+from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.gateway import attempts
+from nutmegtrail.gateway import errors
+from nutmegtrail.gateway import models
+
+
+class Place(typing.NamedTuple):
+    """Upstream that was assigned to a request in the queue."""
+
+    upstream: models.Upstream
+    queue_id: str
+    assigned_at_seconds: float
+
+
+class OpenedResponse:
+    """Connection to an upstream and its response; `close` releases both."""
+
+    def __init__(
+        self, place: Place, release: typing.Callable[[], None]
+    ) -> None:
+        """Initialize without a connection; `release` frees the place."""
+        self.place = place
+        self._resources = contextlib.AsyncExitStack()
+        self._resources.callback(release)
+        self._response: client.Response | None = None
+        self._first_part: bytes | None = None
+
+    @property
+    def upstream(self) -> models.Upstream:
+        """Return the upstream that responds."""
+        return self.place.upstream
+
+    @property
+    def head(self) -> messages.Head:
+        """Return the head of the response."""
+        return self._received.head
+
+    async def connect(
+        self, http_client: client.Client, call: client.Call
+    ) -> None:
+        """Send a call and receive the head of the response."""
+        self._response = await self._resources.enter_async_context(
+            http_client.open(call)
+        )
+
+    async def prefetch(self) -> None:
+        """Receive the first part of the body."""
+        self._first_part = await self._received.receive()
+
+    async def receive(self) -> bytes:
+        """Return the next part of the body, b'' at its end."""
+        part = self._first_part
+        if part is None:
+            return await self._received.receive()
+        self._first_part = None
+        return part
+
+    async def receive_or_fail(self) -> bytes:
+        """Return the next part; raise AttemptFailed if it is broken."""
+        try:
+            return await self.receive()
+        except http_errors.ExchangeBroken as error:
+            raise errors.AttemptFailed(
+                attempts.Broken(
+                    self.upstream.upstream_id, str(error), is_closed=True
+                )
+            ) from error
+
+    async def read(self, limit: int) -> bytes:
+        """Return the whole body; raise ExchangeBroken above the limit."""
+        return await self._received.read(limit)
+
+    async def close(self) -> None:
+        """Close the connection unless it can be reused, and free the place."""
+        with anyio.CancelScope(shield=True):
+            await self._resources.aclose()
+
+    @property
+    def _received(self) -> client.Response:
+        """Return the response, which `connect` has received."""
+        return typing.cast('client.Response', self._response)
+
+
+class Successor(typing.NamedTuple):
+    """Response that continues that of another upstream.
+
+    `failure` tells why the other one does not go on.
+    """
+
+    opened: OpenedResponse
+    failure: attempts.Event
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -84,3 +84,25 @@
             attempts.GiveUp(attempts.Outcome.PASS_ON),
             decision.action,
         )
+
+    def test_silent_upstream_counts_once(self):
+        """An upstream that falls silent and then fails is counted once."""
+        route = samples.route()
+        delivery = attempts.Delivery(route)
+        hedged = attempts.decide(attempts.Silent('u1'), delivery)
+        self.assertIsInstance(hedged.action, attempts.Repeat)
+        self.assertEqual(frozenset(('u1',)), hedged.delivery.excluded_ids)
+        failed = attempts.decide(attempts.Broken('u1'), hedged.delivery)
+        self.assertEqual(1, failed.delivery.reached)
+        self.assertIsInstance(failed.action, attempts.Repeat)
+        last = attempts.decide(attempts.Broken('u2'), failed.delivery)
+        self.assertIsInstance(last.action, attempts.GiveUp)
+
+    def test_non_idempotent_request_is_not_hedged(self):
+        """A silent upstream keeps a request that may run once."""
+        decision = attempts.decide(
+            attempts.Silent('u1'), attempts.Delivery(_ONCE)
+        )
+        self.assertEqual(
+            attempts.GiveUp(attempts.Outcome.UNKNOWN), decision.action
+        )
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -13,8 +13,10 @@
 
 _LIMITS = server.ConnectionLimits(messages.SizeLimits(65_536, 65_536), 9, 9)
 _JSON_HEADERS = ((b'content-type', b'application/json'),)
-# Exceeds the time after which a gateway resumes a stream on another engine.
+# Exceeds the time after which a gateway hedges a stream on another engine.
 _STREAM_PAUSE_SECONDS = 1.3
+# Exceeds the time after which a gateway hedges a read.
+_LATE_SECONDS = 0.8
 _LEASE_CHECK_INTERVAL_SECONDS = 0.05
 # Exceeds the timeout of every client.
 _NO_RESPONSE_SECONDS = 9
@@ -304,6 +306,11 @@
             await exchange.write(b'id: %d\ndata: x\n\n' % number)
         await exchange.finish()
 
+    async def late(self, exchange, headers):
+        """Send a complete response after a long time without any byte."""
+        await anyio.sleep(_LATE_SECONDS)
+        await exchange.respond(200, headers, b'late')
+
     async def not_run(self, exchange, _):
         """Reject the request without executing it."""
         not_executed = ((b'x-nutmegtrail-not-executed', b'1'),)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -180,6 +180,36 @@
 
         self._run(_scenario, retry_base=0)
 
+    def test_stream_pause_with_rejection_elsewhere(self):
+        """A paused stream goes on if another engine rejects its resumption.
+
+        Giving it up for the other engine cut it.
+        """
+
+        async def _scenario():
+            self.drafts[0].scripts = ['pausing']
+            self.drafts[1].scripts = ['not_run']
+            status, _, body = await self._request(b'/long/prefix/a')
+            self.assertEqual((200, _STREAM), (status, body))
+            self.assertEqual(2, self._request_count(self.drafts))
+
+        self._run(_scenario)
+
+    def test_late_read_with_rejection_elsewhere(self):
+        """A late response is used if another engine rejects the request.
+
+        Giving it up for the other engine answered 502.
+        """
+
+        async def _scenario():
+            self.desk[0].scripts = ['late']
+            self.desk[1].scripts = ['not_run']
+            status, _, body = await self._request(b'/long/read/c')
+            self.assertEqual((200, b'late'), (status, body))
+            self.assertEqual(2, self._request_count(self.desk))
+
+        self._run(_scenario)
+
     def test_stream_interrupted_on_all_engines(self):
         """A stream that no engine completes ends with a broken connection."""
 
