Let resumed streams wait as long as their callers do

Callers: a stream whose upstream broke off was cut at once unless an upstream was free at that moment.

Cause: the resumption was queued with the limits for the first event of a new request. Those are over for a stream that runs for 1.4 s, so that it was shed; it also counted as late and got less of the capacity.

A resumed stream waits until its caller abandons it (the longest of 2 s, four objectives and eight allowed pauses after the last event), goes before new requests and is never late.

Tests: test_resumed_streams_go_first and test_resumption failed before.

--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -43,6 +43,12 @@
 # given up.
 CONNECT_ATTEMPTS_LIMIT: typing.Final = 4
 
+# Callers abandon a stream after the longest of this pause, a multiple of the
+# latency objective and a multiple of the allowed pause.
+STREAM_ABANDONMENT_SECONDS: typing.Final = 2.0
+STREAM_ABANDONMENT_OBJECTIVES: typing.Final = 4.0
+STREAM_ABANDONMENT_PAUSES: typing.Final = 8.0
+
 # A stream that is silent for this long is hedged, early enough for another
 # upstream to resume it before its caller abandons it.
 STREAM_IDLE_TIMEOUT_SECONDS: typing.Final = 1.0
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -1,6 +1,7 @@
 """State of a caller's request while the gateway handles it."""
 
 import functools
+import math
 import typing
 
 import anyio
@@ -86,7 +87,7 @@
     def queued_request(self, is_suspect: bool) -> request_queue.QueuedRequest:
         """Return the entry for the request queue."""
         received_at = self.exchange.received_at_seconds
-        return request_queue.QueuedRequest(
+        queued = request_queue.QueuedRequest(
             self._next_queue_id(),
             self.account.name,
             self.priority,
@@ -97,6 +98,17 @@
             self.delivery.excluded_ids,
             is_suspect,
         )
+        if not self.delivery.has_sent_events:
+            return queued
+        # The limits above are for the first event, which has been sent.
+        abandoned_at = (
+            self.last_event_at_seconds + self.route.pause_limit_seconds
+        )
+        return queued._replace(
+            is_resumed=True,
+            objective_deadline_seconds=math.inf,
+            latest_start_seconds=min(abandoned_at, self.deadline_seconds),
+        )
 
     def _next_queue_id(self) -> str:
         """Return an identifier that no other queued or running request has.
--- a/nutmegtrail/gateway/models.py
+++ b/nutmegtrail/gateway/models.py
@@ -5,6 +5,7 @@
 import typing
 
 from nutmegtrail import models
+from nutmegtrail.gateway import const
 
 
 class RouteKind(enum.StrEnum):
@@ -49,6 +50,15 @@
     needs_key: bool
     resumable: bool
 
+    @property
+    def pause_limit_seconds(self) -> float:
+        """Return the pause after which callers abandon a stream."""
+        return max(
+            const.STREAM_ABANDONMENT_SECONDS,
+            self.objective_seconds * const.STREAM_ABANDONMENT_OBJECTIVES,
+            self.pause_objective_seconds * const.STREAM_ABANDONMENT_PAUSES,
+        )
+
     @property
     def is_retryable(self) -> bool:
         """Return whether a request that may have run can be sent again."""
--- a/nutmegtrail/gateway/request_queue.py
+++ b/nutmegtrail/gateway/request_queue.py
@@ -1,6 +1,7 @@
 """Queue of the requests that wait for a free upstream of a service.
 
-Requests that can still meet their latency objective are served first,
+Streams that are resumed go first, because their callers have received a part
+and wait for the rest. Then, requests that can still meet their latency objective are served first,
 because one that has missed it loses little by waiting longer. Among these,
 lower priority numbers are served first, and accounts share the upstreams by
 start-time fair queueing.
@@ -17,6 +18,7 @@
     After `objective_deadline_seconds` its response is late. After
     `latest_start_seconds` starting it no longer helps its caller. A suspect
     may have crashed an upstream and is kept apart from other suspects.
+    `is_resumed` marks a stream whose first events were sent.
     """
 
     request_id: str
@@ -26,6 +28,7 @@
     latest_start_seconds: float
     excluded_ids: frozenset[str]
     is_suspect: bool = False
+    is_resumed: bool = False
     start_tag: float = 0
     arrival_number: int = 0
 
@@ -85,6 +88,7 @@
         sorted(
             queue.requests,
             key=lambda request: (
+                not request.is_resumed,
                 response_at_seconds > request.objective_deadline_seconds,
                 request.priority,
                 request.start_tag,
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -1,8 +1,25 @@
-"""Tests of the retry delay for refused callers."""
+"""Tests of the state of a request."""
 
 import testtools
 
+from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.adapters.http1 import server
 from nutmegtrail.gateway import jobs
+from nutmegtrail.gateway import models
+from tests.gateway import samples
+
+
+def _job():
+    """Return a request for a stream that was received at time 0."""
+    request = messages.Request(b'POST', b'/a/b', (), b'', keep_alive=True)
+    caller = models.CallerRequest('r1', 'example', '/a/b', 'key-1', 8.0, None)
+    return jobs.Job(
+        server.Exchange(request, None, 0),
+        caller,
+        samples.route(models.RouteKind.STREAM),
+        models.Account('agency', 3),
+        7,
+    )
 
 
 class RetryAfterTest(testtools.TestCase):
@@ -13,3 +30,37 @@
         self.assertEqual(1.0, jobs.retry_after_seconds(8))
         self.assertEqual(0.1, jobs.retry_after_seconds(0.4))
         self.assertEqual(2.0, jobs.retry_after_seconds(60))
+
+
+class QueuedRequestTest(testtools.TestCase):
+    """Limits of a request in the queue."""
+
+    def test_first_event(self):
+        """Before its first event a stream has the limits of the route."""
+        queued = _job().queued_request(is_suspect=False)
+        self.assertEqual(0.4, queued.objective_deadline_seconds)
+        self.assertEqual(1.4, queued.latest_start_seconds)
+        self.assertFalse(queued.is_resumed)
+
+    def test_resumption(self):
+        """A stream that is resumed may wait until its caller abandons it.
+
+        It had the limits of the first event, which are over by then.
+        """
+        job = _job()
+        job.delivery = job.delivery._replace(has_sent_events=True)
+        job.last_event_at_seconds = 3.0
+        queued = job.queued_request(is_suspect=False)
+        self.assertEqual(5.0, queued.latest_start_seconds)
+        self.assertTrue(queued.is_resumed)
+        job.last_event_at_seconds = 7.5
+        queued = job.queued_request(is_suspect=False)
+        self.assertEqual(8.0, queued.latest_start_seconds)
+
+    def test_queue_ids(self):
+        """Attempts that run at the same time are queued under other IDs."""
+        job = _job()
+        queue_ids = {
+            job.queued_request(is_suspect=False).request_id for _ in range(3)
+        }
+        self.assertEqual(3, len(queue_ids))
--- a/tests/gateway/test_request_queue.py
+++ b/tests/gateway/test_request_queue.py
@@ -44,6 +44,17 @@
         self.assertEqual(['old', 'new'], _order(queue, 0.05))
         self.assertEqual(['new', 'old'], _order(queue, 0.2))
 
+    def test_resumed_streams_go_first(self):
+        """A stream whose caller has its first events is not refused for others.
+
+        It was refused at once, since its first event was long due.
+        """
+        resumed = _request('resumed', latest_start=9)._replace(is_resumed=True)
+        queue = _queue(_request('urgent', priority=0), resumed)
+        self.assertEqual(['resumed', 'urgent'], _order(queue, 3))
+        result = request_queue.shed_load(queue, 1, 3)
+        self.assertEqual(('urgent',), result.refused_ids)
+
     def test_accounts_share_fairly(self):
         """A burst of one account does not delay other accounts."""
         burst = [_request(f'flood-{number}') for number in range(9)]
