Move the replication of crash marks out of the quarantine

The marks of requests and, next, those of prompt parts are kept in the store alike. What reads, writes and restores them becomes mark_replica; the quarantine keeps the decisions. Nothing else changes: the tests name the replica where they called the quarantine.

--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -16,6 +16,7 @@
 from nutmegtrail.gateway import expert_balancer
 from nutmegtrail.gateway import gossip as gossiping
 from nutmegtrail.gateway import leader_lease
+from nutmegtrail.gateway import mark_replica
 from nutmegtrail.gateway import pacer
 from nutmegtrail.gateway import request_handler as request_handlers
 from nutmegtrail.gateway import retry_budget
@@ -45,6 +46,7 @@
 
     quarantine: crash_quarantine.CrashQuarantine
     detector: crash_detector.CrashDetector
+    mark_replicas: tuple[mark_replica.MarkReplica, ...]
 
 
 def create_gateway(configured: settings.GatewaySettings) -> daemon.Gateway:
@@ -96,7 +98,7 @@
         store_listeners.GATEWAY_PREFIX: store_listeners.FanOutListener(
             gossip,
             lease,
-            protection.quarantine,
+            *protection.mark_replicas,
         ),
     }
     return daemon.Gateway(
@@ -109,7 +111,7 @@
             shared.metrics_registry,
             lease,
             balancer,
-            protection.quarantine,
+            protection.mark_replicas,
             protection.detector,
             (engines, shared.store),
         ),
@@ -136,7 +138,7 @@
         shared.metrics_registry,
         heartbeat_seconds,
     )
-    return _CrashProtection(quarantine, detector)
+    return _CrashProtection(quarantine, detector, (quarantine.replica,))
 
 
 def _create_watchers(
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -12,11 +12,11 @@
 from nutmegtrail.adapters.http1 import server
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import crash_detector
-from nutmegtrail.gateway import crash_quarantine
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import expert_balancer
 from nutmegtrail.gateway import gossip as gossiping
 from nutmegtrail.gateway import leader_lease
+from nutmegtrail.gateway import mark_replica
 from nutmegtrail.gateway import request_handler as request_handlers
 from nutmegtrail.gateway import settings
 from nutmegtrail.gateway import store_watcher
@@ -57,7 +57,7 @@
     metrics_registry: metrics.Metrics
     lease: leader_lease.LeaderLease
     balancer: expert_balancer.ExpertBalancer
-    quarantine: crash_quarantine.CrashQuarantine
+    mark_replicas: tuple[mark_replica.MarkReplica, ...]
     detector: crash_detector.CrashDetector
     clients: tuple[Closeable, ...]
 
@@ -111,12 +111,14 @@
         background_tasks: list[Task] = [
             watcher.run for watcher in components.store_watchers
         ]
+        background_tasks.extend(
+            replica.run for replica in components.mark_replicas
+        )
         background_tasks.extend(
             (
                 components.gossip.run,
                 components.lease.run,
                 components.balancer.run,
-                components.quarantine.run,
                 components.detector.run,
             )
         )
@@ -157,7 +159,9 @@
         ready = (
             self._components.request_handler.configuration is not None
             and self._components.dispatcher.known_upstreams.is_known
-            and self._components.quarantine.is_known
+            and all(
+                replica.is_known for replica in self._components.mark_replicas
+            )
             and not self._stopping.is_set()
         )
         status = (
--- a/nutmegtrail/retries/mark_store.py
+++ b/nutmegtrail/retries/mark_store.py
@@ -12,16 +12,20 @@
 MARK_PREFIX: typing.Final = f'{shared_const.KEY_VALUE_PREFIX}crashes/'
 
 
-def mark_key(request_fingerprint: str, crash_id: str) -> str:
+def mark_key(
+    request_fingerprint: str, crash_id: str, prefix: str = MARK_PREFIX
+) -> str:
     """Return the key of a mark."""
-    return f'{MARK_PREFIX}{request_fingerprint}/{crash_id}'
+    return f'{prefix}{request_fingerprint}/{crash_id}'
 
 
-def parse_mark_key(key: str) -> tuple[str, str] | None:
+def parse_mark_key(
+    key: str, prefix: str = MARK_PREFIX
+) -> tuple[str, str] | None:
     """Return the fingerprint and the crash in a key, None if malformed."""
-    request_fingerprint, slash, crash_id = key.removeprefix(
-        MARK_PREFIX
-    ).partition('/')
+    request_fingerprint, slash, crash_id = key.removeprefix(prefix).partition(
+        '/'
+    )
     if not slash or not request_fingerprint or not crash_id:
         return None
     return request_fingerprint, crash_id
--- a/nutmegtrail/retries/quarantine.py
+++ b/nutmegtrail/retries/quarantine.py
@@ -89,6 +89,13 @@
     return Quarantine(marks_by_fingerprint, fingerprints_by_crash_id)
 
 
+def all_marks(quarantine: Quarantine) -> typing.Iterator[tuple[str, str]]:
+    """Return the fingerprint and the crash of each mark."""
+    for request_fingerprint, marks in quarantine.marks_by_fingerprint.items():
+        for crash_id in marks:
+            yield request_fingerprint, crash_id
+
+
 def clear(quarantine: Quarantine, request_fingerprint: str) -> Quarantine:
     """Return the quarantine after a request succeeded."""
     marks = quarantine.marks_by_fingerprint.get(request_fingerprint, ())
--- a/tests/gateway/test_crash_quarantine.py
+++ b/tests/gateway/test_crash_quarantine.py
@@ -78,7 +78,7 @@
         async def _main():
             async with anyio.create_task_group() as tasks:
                 for entry in self.entries:
-                    tasks.start_soon(entry.run)
+                    tasks.start_soon(entry.replica.run)
                 await scenario()
                 tasks.cancel_scope.cancel()
 
@@ -87,7 +87,7 @@
     def _entry(self):
         """Return the quarantine of one more entry."""
         entry = crash_quarantine.CrashQuarantine(self.store, metrics.Metrics())
-        self.store.listeners.append(entry)
+        self.store.listeners.append(entry.replica)
         return entry
 
     def _crash(self, *requests, numbers=_CRASH_NUMBERS):
@@ -115,7 +115,7 @@
             self._crash('bad')
             await anyio.sleep(1)
             entry = self._entry()
-            entry.on_snapshot(self.store.items())
+            entry.replica.on_snapshot(self.store.items())
             self.assertTrue(entry.remaining_seconds('bad') > 1)
 
         self._run(_scenario)
@@ -185,7 +185,7 @@
             self._crash('old')
             await anyio.sleep(1)
             self.entries[0].mark('new', 'c9', 'd-1')
-            self.entries[0].on_snapshot(())
+            self.entries[0].replica.on_snapshot(())
             self.assertFalse(self.entries[0].is_suspect('old'))
             self.assertTrue(self.entries[0].is_suspect('new'))
 
@@ -210,9 +210,13 @@
         async def _scenario():
             prefix = mark_store.MARK_PREFIX
             for key in (prefix, f'{prefix}x', f'{prefix}x/', f'{prefix}/x'):
-                self.entries[0].on_change(watched_store.Item(key, 1, b''))
-                self.entries[0].on_change(watched_store.Removal(key, 1))
-            self.entries[0].on_change(watched_store.Item('other/a/b', 1, b''))
+                self.entries[0].replica.on_change(
+                    watched_store.Item(key, 1, b'')
+                )
+                self.entries[0].replica.on_change(watched_store.Removal(key, 1))
+            self.entries[0].replica.on_change(
+                watched_store.Item('other/a/b', 1, b'')
+            )
             self.assertFalse(self.entries[0].is_suspect('a'))
 
         self._run(_scenario)
@@ -225,13 +229,13 @@
             await anyio.sleep(1)
             self.store.content_by_key.clear()
             for entry in self.entries:
-                entry.on_store_restored()
-                entry.on_snapshot(self.store.items())
+                entry.replica.on_store_restored()
+                entry.replica.on_snapshot(self.store.items())
                 self.assertTrue(entry.remaining_seconds('bad') > 1)
             await anyio.sleep(1)
             self.assertEqual(3, len(self.store.content_by_key))
             started = self._entry()
-            started.on_snapshot(self.store.items())
+            started.replica.on_snapshot(self.store.items())
             self.assertTrue(started.remaining_seconds('bad') > 1)
 
         self._run(_scenario)
