Log the shared prompt parts of requests that crashes interrupt

Users saw requests with one part in their prompts end one upstream after the other. The logs could not tell that such requests have anything in common: the parts of prompts were not read. The header is decoded in the platform folder, without the last part, which belongs to the request itself; request:interrupted names the others as hashes.

Test: test_shared_prompt_parts.

--- a/nutmegtrail/gateway/crash_detector.py
+++ b/nutmegtrail/gateway/crash_detector.py
@@ -24,12 +24,16 @@
 
 
 class Interruption(typing.NamedTuple):
-    """Attempt that an upstream did not answer to its end."""
+    """Attempt that an upstream did not answer to its end.
+
+    `part_keys` identifies the shared parts of its prompt.
+    """
 
     request_id: str
     fingerprint: str
     upstream: models.Upstream
     at_seconds: float
+    part_keys: tuple[str, ...] = ()
 
 
 class _ProbeResult(typing.NamedTuple):
@@ -89,7 +93,11 @@
         )
 
     def record_interruption(
-        self, request_id: str, fingerprint: str, upstream: models.Upstream
+        self,
+        request_id: str,
+        fingerprint: str,
+        upstream: models.Upstream,
+        part_keys: tuple[str, ...] = (),
     ) -> None:
         """Record an attempt without a complete response.
 
@@ -99,7 +107,7 @@
         if not self._is_registered(upstream):
             return
         interruption = Interruption(
-            request_id, fingerprint, upstream, anyio.current_time()
+            request_id, fingerprint, upstream, anyio.current_time(), part_keys
         )
         if crash_id_of(upstream) in self._crashes_by_id:
             self._mark(interruption, 'already crashed')
@@ -262,6 +270,7 @@
             'request:interrupted',
             request_id=interruption.request_id,
             fingerprint=interruption.fingerprint,
+            parts=interruption.part_keys,
             upstream=upstream_id,
             crash=crash_id,
             evidence=evidence,
--- a/nutmegtrail/gateway/crash_guard.py
+++ b/nutmegtrail/gateway/crash_guard.py
@@ -105,7 +105,10 @@
             self._attempts_by_fingerprint.pop(job.fingerprint)
         if not attempt.is_answered:
             self._detector.record_interruption(
-                job.caller.request_id, job.fingerprint, upstream
+                job.caller.request_id,
+                job.fingerprint,
+                upstream,
+                job.part_keys,
             )
 
     def _cancel_unanswered(self, fingerprint: str) -> None:
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -16,6 +16,7 @@
 from nutmegtrail.gateway import request_queue
 from nutmegtrail.gateway import routes
 from nutmegtrail.gateway import selection
+from nutmegtrail.retries import part_evidence
 from nutmegtrail.retries import quarantine
 
 
@@ -72,6 +73,14 @@
             request.body,
         )
 
+    @functools.cached_property
+    def part_keys(self) -> tuple[str, ...]:
+        """Return hashes of the prompt parts that other requests may share."""
+        return tuple(
+            part_evidence.part_key(self.service, part)
+            for part in self.caller.shared_parts
+        )
+
     @property
     def remaining_seconds(self) -> float:
         """Return the time until the caller's or the route's deadline."""
--- a/nutmegtrail/gateway/models.py
+++ b/nutmegtrail/gateway/models.py
@@ -169,7 +169,8 @@
 
     `budget_seconds` is how long the caller waits, or None if not stated.
     `last_event` is the number of the last event that a caller resuming a
-    stream has received.
+    stream has received. `shared_parts` identifies the parts of its prompt that
+    other requests may share, the first ones of the prompt.
     """
 
     request_id: str
@@ -178,6 +179,7 @@
     api_key: str
     budget_seconds: float | None
     last_event: int | None
+    shared_parts: tuple[str, ...] = ()
 
 
 class ResponseKind(enum.Enum):
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -34,6 +34,10 @@
 
 # HTTP headers, in lower case.
 REQUEST_ID_HEADER: typing.Final = b'x-nutmegtrail-request-id'
+# Lists the parts of the prompt as ID:TOKENS, the first one first.
+PROMPT_PARTS_HEADER: typing.Final = b'x-nutmegtrail-prompt-prefix'
+# Bounds the work for a request with an absurd number of parts.
+PROMPT_PARTS_LIMIT: typing.Final = 32
 DEADLINE_HEADER: typing.Final = b'x-nutmegtrail-deadline-ms'
 API_KEY_HEADER: typing.Final = b'api-key'
 ACCOUNT_HEADER: typing.Final = b'x-nutmegtrail-tenant'
--- a/nutmegtrail/platform/headers.py
+++ b/nutmegtrail/platform/headers.py
@@ -42,6 +42,9 @@
             ),
             _to_seconds(deadline),
             int(last_event) if last_event.isdigit() else None,
+            _shared_parts(
+                messages.find_header(headers, const.PROMPT_PARTS_HEADER)
+            ),
         )
 
     def upstream_headers(
@@ -122,6 +125,20 @@
     return models.ResponseKind.FAILURE
 
 
+def _shared_parts(listed: bytes) -> tuple[str, ...]:
+    """Return the identifiers of all parts of a prompt but the last.
+
+    The last part belongs to the request itself. Parts over the limit and
+    entries without an identifier are left out.
+    """
+    names = [
+        entry.partition(b':')[0].strip().lower().decode('latin-1')
+        for entry in listed.split(b',')[:-1]
+    ]
+    distinct_names = dict.fromkeys(filter(None, names))
+    return tuple(distinct_names)[: const.PROMPT_PARTS_LIMIT]
+
+
 def _to_seconds(milliseconds: bytes) -> float | None:
     """Convert milliseconds in a header to seconds, None if not a number."""
     try:
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -32,6 +32,7 @@
     return types.SimpleNamespace(
         caller=types.SimpleNamespace(request_id=name),
         fingerprint=fingerprint,
+        part_keys=(),
         delivery=delivery,
     )
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -54,6 +54,26 @@
             _TRANSLATOR.read_request(_request()),
         )
 
+    def test_shared_prompt_parts(self):
+        """All parts of a prompt but the last may be shared."""
+        for listed, expected in (
+            (b'', ()),
+            (b'5c1e07a2:800', ()),
+            (
+                b'5C1E07A2:800, 91bd3f06:410,e4402b7d:250',
+                ('5c1e07a2', '91bd3f06'),
+            ),
+            (b'a:1,a:1,:7,,b,c:1', ('a', 'b')),
+            (b'\xff:x,,', ('\xff',)),
+            (
+                b','.join(b'%x:1' % part for part in range(99)),
+                tuple(f'{part:x}' for part in range(32)),
+            ),
+        ):
+            sent = (*_CLIENT_HEADERS, (b'x-nutmegtrail-prompt-prefix', listed))
+            caller = _TRANSLATOR.read_request(_request(sent))
+            self.assertEqual(expected, caller.shared_parts, listed)
+
     def test_request_without_identifier(self):
         """A request without an ID is malformed."""
         self.assertRaises(
