--- a/tests/platform/engine_process.py
+++ b/tests/platform/engine_process.py
@@ -28,6 +28,7 @@
         self.runs = []
         self.ends = []
         self.started_at_ms = 1_000
+        self.restart_seconds = _RESTART_SECONDS
         self._store = store
         self._tasks = tasks
         self._scope = anyio.CancelScope()
@@ -76,6 +77,7 @@
     async def _return(self, key):
         """Let the registration expire, then start again."""
         await anyio.sleep(_REGISTRATION_SECONDS)
-        self._store.remove(key)
-        await anyio.sleep(_RESTART_SECONDS - _REGISTRATION_SECONDS)
+        if key in self._store.items_by_key:
+            self._store.remove(key)
+        await anyio.sleep(self.restart_seconds - _REGISTRATION_SECONDS)
         await self.start()
