Quarantine prompt parts that crash upstreams

Cause: crashes were counted by equal requests only. Each request with the bad part was new, was sent on, and tried again at a second upstream.

All shared parts of the requests that were about to begin at a crash are marked now, in the store like those of requests. Streams that went on for 0.5 s before are left out. A response that is begun clears the parts of its prompt. A part that was never sound is refused after three crashes that no other suspect explains better; one that was sound before only while requests without it are sound and none with it; suspects that were always marked together only together. Entries share proven verdicts; one that has seen few requests refuses for seconds only.

--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -18,6 +18,7 @@
 from nutmegtrail.gateway import leader_lease
 from nutmegtrail.gateway import mark_replica
 from nutmegtrail.gateway import pacer
+from nutmegtrail.gateway import part_quarantine
 from nutmegtrail.gateway import request_handler as request_handlers
 from nutmegtrail.gateway import retry_budget
 from nutmegtrail.gateway import retry_budgets
@@ -45,6 +46,7 @@
     """Components against requests that crash upstreams."""
 
     quarantine: crash_quarantine.CrashQuarantine
+    part_quarantine: part_quarantine.PartQuarantine
     detector: crash_detector.CrashDetector
     mark_replicas: tuple[mark_replica.MarkReplica, ...]
 
@@ -64,7 +66,11 @@
     request_handler = _create_request_handler(
         configured,
         shared,
-        crash_guard.CrashGuard(protection.detector, protection.quarantine),
+        crash_guard.CrashGuard(
+            protection.detector,
+            protection.quarantine,
+            protection.part_quarantine,
+        ),
     )
     gossip = gossiping.Gossip(
         shared.incarnation,
@@ -127,6 +133,9 @@
     quarantine = crash_quarantine.CrashQuarantine(
         shared.store, shared.metrics_registry
     )
+    parts = part_quarantine.PartQuarantine(
+        shared.store, shared.metrics_registry
+    )
     heartbeat_seconds = (
         configured.upstreams.heartbeat_milliseconds
         / shared_const.MILLISECONDS_PER_SECOND
@@ -135,10 +144,13 @@
         engines,
         shared.dispatcher,
         quarantine,
+        parts,
         shared.metrics_registry,
         heartbeat_seconds,
     )
-    return _CrashProtection(quarantine, detector, (quarantine.replica,))
+    return _CrashProtection(
+        quarantine, parts, detector, (quarantine.replica, parts.replica)
+    )
 
 
 def _create_watchers(
--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -246,6 +246,7 @@
         """
         upstream = opened.upstream
         job.dispatched_at_seconds = opened.place.assigned_at_seconds
+        job.begun_at_seconds = None
         try:
             with self._crash_guard.watch(job, upstream) as watched:
                 outcome = await self._forward_in_time(job, opened)
@@ -387,6 +388,7 @@
                 job, opened.upstream, pause_seconds / event_count
             )
         job.last_event_at_seconds = now
+        self._crash_guard.record_events(job)
 
     def _hedge_delay(self, job: jobs.Job, upstream: models.Upstream) -> float:
         """Return the seconds without a response after which to hedge."""
--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -63,6 +63,9 @@
 
 # Crashes attributed to a request from which on it is refused.
 CRASH_LIMIT: typing.Final = 3
+# A stream whose events arrive over this long has not crashed its upstream by
+# being begun.
+SETTLED_STREAM_SECONDS: typing.Final = 0.5
 # Responses that are broken by the same crash arrive within this time.
 CRASH_MARK_BATCH_SECONDS: typing.Final = 0.05
 # The platform accepts 32 entries per transaction.
--- a/nutmegtrail/gateway/crash_detector.py
+++ b/nutmegtrail/gateway/crash_detector.py
@@ -17,6 +17,7 @@
 from nutmegtrail.gateway import crash_quarantine
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import models
+from nutmegtrail.gateway import part_quarantine
 from nutmegtrail.observability import logs
 from nutmegtrail.observability import metrics
 from nutmegtrail.ports import upstream_probe
@@ -67,6 +68,7 @@
         probe: upstream_probe.UpstreamProbe,
         dispatcher: dispatching.Dispatcher,
         quarantine: crash_quarantine.CrashQuarantine,
+        parts: part_quarantine.PartQuarantine,
         metrics_registry: metrics.Metrics,
         heartbeat_seconds: float,
     ) -> None:
@@ -74,6 +76,7 @@
         self._probe = probe
         self._dispatcher = dispatcher
         self._quarantine = quarantine
+        self._part_quarantine = parts
         self._metrics = metrics_registry
         self._removal_seconds = (
             heartbeat_seconds * const.SILENT_HEARTBEATS
@@ -211,6 +214,7 @@
                     crash=crash_id,
                 )
                 self._quarantine.withdraw(crash_id)
+                self._part_quarantine.withdraw(crash_id)
                 self._crashes_by_id.pop(crash_id)
 
     def _forget_older(self, oldest: float) -> None:
@@ -266,6 +270,12 @@
         crash_id = crash_id_of(interruption.upstream)
         upstream_id = interruption.upstream.upstream_id
         self._quarantine.mark(interruption.fingerprint, crash_id, upstream_id)
+        self._part_quarantine.mark(
+            interruption.part_keys,
+            crash_id,
+            upstream_id,
+            interruption.at_seconds,
+        )
         logs.decision(
             'request:interrupted',
             request_id=interruption.request_id,
--- a/nutmegtrail/gateway/crash_guard.py
+++ b/nutmegtrail/gateway/crash_guard.py
@@ -6,10 +6,12 @@
 import anyio
 
 from nutmegtrail.gateway import attempts
+from nutmegtrail.gateway import const
 from nutmegtrail.gateway import crash_detector
 from nutmegtrail.gateway import crash_quarantine
 from nutmegtrail.gateway import jobs
 from nutmegtrail.gateway import models
+from nutmegtrail.gateway import part_quarantine
 
 
 class Attempt:
@@ -38,24 +40,33 @@
         self,
         detector: crash_detector.CrashDetector,
         quarantine: crash_quarantine.CrashQuarantine,
+        parts: part_quarantine.PartQuarantine,
     ) -> None:
         """Initialize the guard without any attempt."""
         self._detector = detector
         self._quarantine = quarantine
+        self._part_quarantine = parts
         self._attempts_by_fingerprint: dict[str, set[Attempt]] = {}
         quarantine.add_listener(self._cancel_unanswered)
+        parts.add_listener(self._cancel_unanswered_on_part)
 
     def crash_count(self, job: jobs.Job) -> int:
-        """Return the crashes that are attributed to a request."""
-        return self._quarantine.crash_count(job.fingerprint)
+        """Return the crashes attributed to a request or a part of it."""
+        return max(
+            self._quarantine.crash_count(job.fingerprint),
+            self._part_quarantine.crash_count(job.part_keys),
+        )
 
     def is_suspect(self, job: jobs.Job) -> bool:
         """Return whether a request may have crashed an upstream."""
-        return self.crash_count(job) > 0
+        return self._quarantine.is_suspect(job.fingerprint)
 
     def refused_seconds(self, job: jobs.Job) -> float:
         """Return for how long a request is refused, 0 if it is not."""
-        return self._quarantine.remaining_seconds(job.fingerprint)
+        return max(
+            self._quarantine.remaining_seconds(job.fingerprint),
+            self._part_quarantine.remaining_seconds(job.part_keys),
+        )
 
     def refusal(self, job: jobs.Job) -> attempts.GiveUp | None:
         """Return the outcome of a quarantined request, None for others."""
@@ -82,9 +93,21 @@
         """Record that an upstream responds."""
         self._detector.record_response(upstream)
 
+    def record_events(self, job: jobs.Job) -> None:
+        """Record events; a stream that goes on did not crash its upstream."""
+        if job.has_settled:
+            return
+        now = anyio.current_time()
+        if job.begun_at_seconds is None:
+            job.begun_at_seconds = now
+        if now - job.begun_at_seconds >= const.SETTLED_STREAM_SECONDS:
+            self._record_sound(job)
+
     def record_success(self, job: jobs.Job) -> None:
         """Clear a request, because it ran without a crash."""
         self._quarantine.record_success(job.fingerprint)
+        if not job.has_settled:
+            self._record_sound(job)
 
     async def examine(self, job: jobs.Job, upstream: models.Upstream) -> None:
         """Find out whether an upstream that closed a connection crashed.
@@ -96,6 +119,12 @@
         else:
             self._detector.examine_later(upstream)
 
+    def _record_sound(self, job: jobs.Job) -> None:
+        """Record that the prompt of a request does not crash upstreams."""
+        job.has_settled = True
+        begun_at = job.begun_at_seconds or job.dispatched_at_seconds
+        self._part_quarantine.record_sound(job.part_keys, begun_at)
+
     def _end(self, attempt: Attempt, upstream: models.Upstream) -> None:
         """Forget an attempt; without an answer, it was interrupted."""
         job = attempt.job
@@ -108,7 +137,7 @@
                 job.caller.request_id,
                 job.fingerprint,
                 upstream,
-                job.part_keys,
+                () if job.has_settled else job.part_keys,
             )
 
     def _cancel_unanswered(self, fingerprint: str) -> None:
@@ -122,3 +151,11 @@
         ):
             if not attempt.job.delivery.has_sent_events:
                 attempt.scope.cancel()
+
+    def _cancel_unanswered_on_part(self, part: str) -> None:
+        """Cancel the attempts of all requests with a part of the prompt."""
+        for fingerprint, running in tuple(
+            self._attempts_by_fingerprint.items()
+        ):
+            if any(part in attempt.job.part_keys for attempt in running):
+                self._cancel_unanswered(fingerprint)
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -58,6 +58,10 @@
         self._queued_count = 0
         self.dispatched_at_seconds = 0.0
         self.last_event_at_seconds = 0.0
+        # When the running response began, None before its first event.
+        self.begun_at_seconds: float | None = None
+        # Set once a response went on after its upstream had begun it.
+        self.has_settled = False
         self.first_event_seconds: float | None = None
         self.longest_pause_seconds = 0.0
 
--- a/nutmegtrail/observability/explain.py
+++ b/nutmegtrail/observability/explain.py
@@ -198,7 +198,8 @@
     """Return why a request was rejected."""
     if line.get('reason') == 'quarantined':
         return (
-            f'quarantined: it or copies of it were in flight at '
+            f'quarantined: it, copies of it or a part of its prompt were in '
+            f'flight at '
             f'{line.get("crashes")} crashes of upstreams'
         )
     text = f'{line.get("reason")}; {line.get("waiting")} requests waited'
--- a/nutmegtrail/retries/part_evidence.py
+++ b/nutmegtrail/retries/part_evidence.py
@@ -1,9 +1,274 @@
-"""Identification of the prompt parts that requests share."""
+"""Evidence for and against prompt parts that may crash upstreams.
 
+A part that crashes upstreams crashes each one that begins to write a response
+on it. All parts of the requests that were about to begin at a crash are
+marked. A part of which a response was begun since is sound.
+
+Counting marks is not enough: parts that most requests share are marked at
+every crash, and many upstreams may crash at once for another reason. So a part
+that has been sound before needs a contrast as well: requests without it that
+are sound while none with it is. Of parts that were always marked together,
+only requests with all of them are refused, unless it goes on for long. An entry that has seen few sound
+requests yet refuses for a short time only.
+"""
+
+import typing
+
+import pyrsistent
+import pyrsistent.typing
 import xxhash
 
+from nutmegtrail.retries import const
+from nutmegtrail.retries import quarantine
+
+_SERVICE_KEY_LENGTH: typing.Final = 16
+
+CountsByService: typing.TypeAlias = pyrsistent.typing.PMap[str, int]
+TimesByPart: typing.TypeAlias = pyrsistent.typing.PMap[str, float]
+CountsByPart: typing.TypeAlias = pyrsistent.typing.PMap[str, int]
+
+
+class Evidence(typing.NamedTuple):
+    """Marks of parts and the sound requests that this entry has seen.
+
+    `sound_count_by_service` counts sound requests. `sound_at_by_part` has the
+    time at which the last sound response on a part was begun.
+    `count_at_mark_by_part` has the count of the service at the first mark.
+    """
+
+    marks: quarantine.Quarantine = quarantine.Quarantine()
+    sound_count_by_service: CountsByService = pyrsistent.pmap()
+    sound_at_by_part: TimesByPart = pyrsistent.pmap()
+    count_at_mark_by_part: CountsByPart = pyrsistent.pmap()
+
+
+class Verdict(typing.NamedTuple):
+    """Refusal of requests with a part.
+
+    It is proven if the part alone is at fault, whatever else a request holds.
+    """
+
+    expires_at_seconds: float
+    is_proven: bool
+
 
 def part_key(service: str, part: str) -> str:
     """Return a key that identifies a part and, by its start, the service."""
     service_key = xxhash.xxh3_64_hexdigest(service.encode())
     return service_key + xxhash.xxh3_64_hexdigest(part.encode())
+
+
+def mark(
+    evidence: Evidence, part: str, crash_id: str, at_seconds: float
+) -> Evidence:
+    """Return the evidence after a crash beside which a part was to begin.
+
+    It does not count if a response on the part has been begun since.
+    """
+    if evidence.sound_at_by_part.get(part, float('-inf')) > at_seconds:
+        return evidence
+    counts = evidence.count_at_mark_by_part
+    if part not in evidence.marks.marks_by_fingerprint:
+        counts = counts.set(part, _sound_count(evidence, part))
+    marks = quarantine.mark(evidence.marks, part, crash_id, at_seconds)
+    if len(counts) > 2 * const.MARKED_REQUESTS_LIMIT:
+        counts = _only_marked(counts, marks)
+    return evidence._replace(marks=marks, count_at_mark_by_part=counts)
+
+
+def unmark(evidence: Evidence, part: str, crash_id: str) -> Evidence:
+    """Return the evidence without one mark."""
+    marks = quarantine.unmark(evidence.marks, part, crash_id)
+    counts = evidence.count_at_mark_by_part
+    if part not in marks.marks_by_fingerprint:
+        counts = counts.discard(part)
+    return evidence._replace(marks=marks, count_at_mark_by_part=counts)
+
+
+def record_sound(
+    evidence: Evidence, parts: tuple[str, ...], begun_at_seconds: float
+) -> Evidence:
+    """Return the evidence after a response was begun without a crash."""
+    if not parts:
+        return evidence
+    service = _service_of(parts[0])
+    count = evidence.sound_count_by_service.get(service, 0) + 1
+    sound_at = evidence.sound_at_by_part.update(
+        dict.fromkeys(parts, begun_at_seconds)
+    )
+    if len(sound_at) > const.SOUND_PARTS_LIMIT:
+        sound_at = _without_oldest(sound_at)
+    return evidence._replace(
+        sound_count_by_service=evidence.sound_count_by_service.set(
+            service, count
+        ),
+        sound_at_by_part=sound_at,
+    )
+
+
+def refuted_marks(evidence: Evidence, part: str) -> tuple[str, ...]:
+    """Return the crashes of a part since which a response was begun."""
+    sound_at = evidence.sound_at_by_part.get(part, float('-inf'))
+    marks = evidence.marks.marks_by_fingerprint.get(part)
+    if marks is None:
+        return ()
+    return tuple(
+        crash_id
+        for crash_id, time_seconds in marks.items()
+        if time_seconds < sound_at
+    )
+
+
+def crash_count(evidence: Evidence, part: str, now_seconds: float) -> int:
+    """Return the crashes that are attributed to a part."""
+    return len(_attributed_crashes(evidence, part, now_seconds))
+
+
+def judge(
+    evidence: Evidence,
+    part: str,
+    parts: typing.Collection[str],
+    now_seconds: float,
+) -> Verdict | None:
+    """Return why a request with these parts is refused because of one.
+
+    None means that it is not.
+    """
+    crashes = _attributed_crashes(evidence, part, now_seconds)
+    if len(crashes) < const.PART_CRASH_LIMIT:
+        return None
+    marks = evidence.marks.marks_by_fingerprint[part]
+    last_crash_at = max(marks[crash_id] for crash_id in crashes)
+    expires_at = last_crash_at + const.CRASH_MARK_TTL_SECONDS
+    if part in evidence.sound_at_by_part:
+        return _judge_known_part(evidence, part, expires_at)
+    suspects = _common_suspects(evidence, crashes)
+    may_be_another = not suspects.issubset(parts)
+    if _sound_count(evidence, part) >= const.EXPERIENCED_SOUND_COUNT:
+        is_certain = len(crashes) >= const.CERTAIN_CRASH_COUNT
+        if may_be_another and not is_certain:
+            return None
+        return Verdict(expires_at, is_proven=is_certain or len(suspects) == 1)
+    if may_be_another:
+        return None
+    excess_crashes = len(crashes) - const.PART_CRASH_LIMIT
+    hold_seconds = const.PROVISIONAL_HOLD_SECONDS * 2.0**excess_crashes
+    return Verdict(
+        min(last_crash_at + hold_seconds, expires_at), is_proven=False
+    )
+
+
+def _judge_known_part(
+    evidence: Evidence, part: str, expires_at_seconds: float
+) -> Verdict | None:
+    """Return the verdict on a part that has been sound before its crashes."""
+    sound_count = _sound_count(evidence, part)
+    count_at_mark = evidence.count_at_mark_by_part.get(part, sound_count)
+    if sound_count - count_at_mark < const.CONTRAST_SOUND_COUNT:
+        return None
+    return Verdict(expires_at_seconds, is_proven=True)
+
+
+def remove_expired(evidence: Evidence, now_seconds: float) -> Evidence:
+    """Return the evidence without expired marks."""
+    marks = quarantine.remove_expired(evidence.marks, now_seconds)
+    return evidence._replace(
+        marks=marks,
+        count_at_mark_by_part=_only_marked(
+            evidence.count_at_mark_by_part, marks
+        ),
+    )
+
+
+def _attributed_crashes(
+    evidence: Evidence, part: str, now_seconds: float
+) -> tuple[str, ...]:
+    """Return the crashes that are attributed to a part.
+
+    A crash is attributed to the parts with the most crashes among those that
+    it marked. Parts that have been sound before do not count there for one
+    that has not.
+    """
+    marks = evidence.marks.marks_by_fingerprint.get(part)
+    if marks is None:
+        return ()
+    count = _count(evidence, part, now_seconds)
+    return tuple(
+        crash_id
+        for crash_id, time_seconds in marks.items()
+        if not _is_expired(time_seconds, now_seconds)
+        and _highest_rival(evidence, part, crash_id, now_seconds) <= count
+    )
+
+
+def _highest_rival(
+    evidence: Evidence, part: str, crash_id: str, now_seconds: float
+) -> int:
+    """Return the most crashes of another part that a crash marked."""
+    is_new = part not in evidence.sound_at_by_part
+    return max(
+        (
+            _count(evidence, rival, now_seconds)
+            for rival in evidence.marks.fingerprints_by_crash_id[crash_id]
+            if rival != part
+            and not (is_new and rival in evidence.sound_at_by_part)
+        ),
+        default=0,
+    )
+
+
+def _common_suspects(
+    evidence: Evidence, crashes: tuple[str, ...]
+) -> frozenset[str]:
+    """Return the parts that all crashes marked and that may be at fault.
+
+    Which one of them it is cannot be told until one is sound.
+    """
+    marked = evidence.marks.fingerprints_by_crash_id
+    common = frozenset.intersection(
+        *(frozenset(marked[crash_id]) for crash_id in crashes)
+    )
+    return common.difference(evidence.sound_at_by_part)
+
+
+def _count(evidence: Evidence, part: str, now_seconds: float) -> int:
+    """Return the number of marks of a part that have not expired."""
+    return sum(
+        not _is_expired(time_seconds, now_seconds)
+        for time_seconds in evidence.marks.marks_by_fingerprint[part].values()
+    )
+
+
+def _is_expired(time_seconds: float, now_seconds: float) -> bool:
+    """Return whether a mark of this time has expired."""
+    return time_seconds < now_seconds - const.CRASH_MARK_TTL_SECONDS
+
+
+def _sound_count(evidence: Evidence, part: str) -> int:
+    """Return the number of sound requests of a part's service."""
+    return evidence.sound_count_by_service.get(_service_of(part), 0)
+
+
+def _service_of(part: str) -> str:
+    """Return the part of a key that identifies the service."""
+    return part[:_SERVICE_KEY_LENGTH]
+
+
+def _only_marked(
+    counts: CountsByPart, marks: quarantine.Quarantine
+) -> CountsByPart:
+    """Return the counts of the parts that are marked."""
+    return pyrsistent.pmap(
+        {
+            part: count
+            for part, count in counts.items()
+            if part in marks.marks_by_fingerprint
+        }
+    )
+
+
+def _without_oldest(sound_at: TimesByPart) -> TimesByPart:
+    """Return the times without the oldest ones, several at once."""
+    ordered = sorted(sound_at, key=sound_at.__getitem__, reverse=True)
+    kept = ordered[: const.SOUND_PARTS_LIMIT - const.EVICTED_REQUESTS]
+    return pyrsistent.pmap({part: sound_at[part] for part in kept})
--- a/tests/gateway/test_crash_detector.py
+++ b/tests/gateway/test_crash_detector.py
@@ -8,11 +8,14 @@
 from nutmegtrail.gateway import crash_quarantine
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import fleet
+from nutmegtrail.gateway import part_quarantine
 from nutmegtrail.observability import metrics
 from nutmegtrail.ports import upstream_probe
+from nutmegtrail.retries import part_evidence
 from tests import simulated_time
 from tests.gateway import samples
 
+_PART = part_evidence.part_key('drafts', 'part')
 _HEARTBEAT_SECONDS = 1.2
 _AFTER_REMOVAL_SECONDS = 10.0
 
@@ -46,10 +49,12 @@
         self.registry = metrics.Metrics()
         self.quarantine = crash_quarantine.CrashQuarantine(None, self.registry)
         self.probe = _Probe(condition)
+        self.parts = part_quarantine.PartQuarantine(None, metrics.Metrics())
         self.detector = crash_detector.CrashDetector(
             self.probe,
             self.dispatcher,
             self.quarantine,
+            self.parts,
             self.registry,
             _HEARTBEAT_SECONDS,
         )
@@ -63,7 +68,9 @@
 
     def _interrupt(self, request='bad'):
         """Interrupt a request at the upstream."""
-        self.detector.record_interruption('r1', request, self.upstream)
+        self.detector.record_interruption(
+            'r1', request, self.upstream, (_PART,)
+        )
 
     def test_refused_connection(self):
         """An upstream whose host refuses connections has crashed."""
@@ -72,6 +79,7 @@
             self._interrupt()
             await self.detector.examine(self.upstream)
             self.assertEqual(1, self.quarantine.crash_count('bad'))
+            self.assertEqual(1, self.parts.crash_count((_PART,)))
 
         self._run(_scenario, upstream_probe.Condition.ENDED)
 
--- a/tests/gateway/test_crash_quarantine.py
+++ b/tests/gateway/test_crash_quarantine.py
@@ -1,7 +1,6 @@
 """Marks of crashing requests, shared by entries through the store."""
 
 import anyio
-import expression
 import testtools
 
 from nutmegtrail.gateway import const
@@ -12,67 +11,18 @@
 from nutmegtrail.retries import const as retry_const
 from nutmegtrail.retries import mark_store
 from tests import simulated_time
+from tests.gateway import mark_stores
 
 
 _CRASH_NUMBERS = tuple(range(const.CRASH_LIMIT))
 
 
-class _Store:
-    """Store that passes each batch on to the entries."""
-
-    def __init__(self):
-        """Initialize an empty store without failures."""
-        self.content_by_key = {}
-        self.batches = []
-        self.leases = 0
-        self.failures = []
-        self.gone_leases = set()
-        self.listeners = []
-
-    async def grant_lease(self, _):
-        """Grant a lease."""
-        self.leases += 1
-        return expression.Ok(self.leases)
-
-    async def write_batch(self, content_by_key, deleted_keys, lease):
-        """Apply a batch; an unknown outcome applies it too."""
-        failure = self.failures.pop(0) if self.failures else None
-        if isinstance(failure, key_value.LeaseGone):
-            self.gone_leases.add(lease)
-        if lease in self.gone_leases:
-            return expression.Error(key_value.LeaseGone(lease))
-        if isinstance(failure, key_value.Unavailable):
-            return expression.Error(failure)
-        self.batches.append(len(content_by_key) + len(deleted_keys))
-        self.content_by_key.update(content_by_key)
-        for key, content in content_by_key.items():
-            self._notify(watched_store.Item(key, 1, content))
-        for key in deleted_keys:
-            self.content_by_key.pop(key, None)
-            self._notify(watched_store.Removal(key, 1))
-        if failure is not None:
-            return expression.Error(failure)
-        return expression.Ok(None)
-
-    def items(self):
-        """Return a snapshot."""
-        return tuple(
-            watched_store.Item(key, 1, content)
-            for key, content in self.content_by_key.items()
-        )
-
-    def _notify(self, change):
-        """Pass a change on to all entries."""
-        for listener in self.listeners:
-            listener.on_change(change)
-
-
 class CrashQuarantineTest(testtools.TestCase):
     """Two entries and their store."""
 
     def _run(self, scenario):
         """Run a scenario beside both entries in simulated time."""
-        self.store = _Store()
+        self.store = mark_stores.SharedStore()
         self.entries = [self._entry(), self._entry()]
 
         async def _main():
--- a/tests/observability/test_explain.py
+++ b/tests/observability/test_explain.py
@@ -175,7 +175,8 @@
         fingerprint = explain.find_fingerprint(lines, 'r1')
         timeline = explain.explain('entry-1.log', lines, 'r1', fingerprint)
         self.assertEqual(
-            'quarantined: it or copies of it were in flight at 3 crashes of '
+            'quarantined: it, copies of it or a part of its prompt were in '
+            'flight at 3 crashes of '
             'upstreams',
             timeline.cause,
         )
--- a/tests/platform/part_callers.py
+++ b/tests/platform/part_callers.py
@@ -9,6 +9,7 @@
 
 from nutmegtrail.adapters.http1 import client
 from nutmegtrail.adapters.http1 import errors
+from nutmegtrail.gateway import const
 from tests.platform import part_engine
 
 CALL_PATH = b'/long/read/2f'
@@ -17,8 +18,8 @@
 FIRST_PART = b'f1257a11'
 OTHER_FIRST_PART = b'0f1257a1'
 MIDDLE_PARTS = tuple(b'a11%05x' % number for number in range(8))
-# Refusals for a lack of free engines are for a few seconds at most.
-QUARANTINE_SECONDS = 30
+# Refusals for a lack of free engines are for less.
+QUARANTINE_SECONDS = const.MAX_RETRY_AFTER_SECONDS
 _REQUEST_TIMEOUT_SECONDS = 5
 _DEADLINE_MS = b'4000'
 _SETTLED_CHECK_SECONDS = 0.05
@@ -66,6 +67,11 @@
         """Return all replies."""
         return self.bad_replies + self.sound_replies
 
+    @property
+    def has_quarantined(self):
+        """Return whether a bad request was refused because of its part."""
+        return any(reply.is_quarantined for reply in self.bad_replies)
+
     def run_count_by_id(self):
         """Return how often engines began each request identifier."""
         return collections.Counter(
--- a/tests/platform/part_engine.py
+++ b/tests/platform/part_engine.py
@@ -19,7 +19,7 @@
 _END_SECONDS = 0.03
 _STALL_SECONDS = 1.5
 # A rank is back after its group has stalled and answered that it is broken.
-_RANK_RESTART_SECONDS = 2.0
+_RANK_RESTART_SECONDS = 1.6
 # A leaving engine ends while requests of before its report are running.
 _LEAVING_SECONDS = 0.5
 
