Answer a request whose handler fails with 502

Callers: a request whose handler raised an unexpected exception, or an exception group, ended with a closed connection and no response. Cause: the exception left the connection's loop, which only logged it. Change: the server responds with 502 and `connection: close` if no response has started; the request may have run, so no status that denies that is possible. A response that has started is cut and does not look complete; after a complete one the connection goes on. A disconnect inside an exception group counts as a disconnect. The log line is request:failed.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -114,7 +114,7 @@
         limits: LimitsSource,
     ) -> None:
         """Initialize the server without listening."""
-        self._address = address
+        self.address = address
         self._handler = handler
         self._limits = limits
         self._listener: anyio.abc.Listener[typing.Any] | None = None
@@ -125,8 +125,8 @@
     async def start(self) -> None:
         """Start listening; connections are queued until `serve`."""
         listeners = await anyio.create_tcp_listener(
-            local_host=self._address.ip,
-            local_port=self._address.port,
+            local_host=self.address.ip,
+            local_port=self.address.port,
             backlog=const.LISTEN_BACKLOG,
         )
         self._listener = listeners
@@ -163,7 +163,7 @@
             return
         except Exception:
             # A failure in handling one request must not affect the others.
-            logs.failure('connection:failed', address=str(self._address))
+            logs.failure('connection:failed', address=str(self.address))
         finally:
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
@@ -258,13 +258,37 @@
             exchange.keep_alive = False
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_for_disconnect, tasks.cancel_scope)
-            try:
-                await self._server._handler(exchange)
-            except errors.ClientDisconnected:
-                exchange.keep_alive = False
+            await self._handle(exchange)
             tasks.cancel_scope.cancel()
         return exchange.is_complete and exchange.keep_alive
 
+    async def _handle(self, exchange: Exchange) -> None:
+        """Call the handler; respond with 502 if it fails before it responds.
+
+        No status that tells callers that the request has not run would be
+        true.
+        """
+        is_connected = True
+        try:
+            await self._server._handler(exchange)
+        except* errors.ClientDisconnected:
+            is_connected = False
+            exchange.keep_alive = False
+        except* Exception:
+            logs.failure('request:failed', address=str(self._server.address))
+        else:
+            return
+        if is_connected and not exchange.has_started:
+            exchange.keep_alive = False
+            await self._respond_with_error(exchange)
+
+    async def _respond_with_error(self, exchange: Exchange) -> None:
+        """Send 502, unless the client disconnects."""
+        try:
+            await exchange.respond(http.HTTPStatus.BAD_GATEWAY, (), b'')
+        except errors.ClientDisconnected:
+            return
+
     async def _watch_for_disconnect(self, scope: anyio.CancelScope) -> None:
         """Cancel the handling of a request when its client disconnects."""
         while len(self._reader.ready) < const.PIPELINED_REQUESTS_LIMIT:
--- /dev/null
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -0,0 +1,175 @@
+"""Tests that the server answers each request that it has read."""
+
+import sys
+
+import anyio
+import testtools
+
+from nutmegtrail.adapters.http1 import errors
+from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.adapters.http1 import server
+from nutmegtrail.observability import logs
+from tests import loopback
+from tests import simulated_time
+
+_LIMITS = server.ConnectionLimits(messages.SizeLimits(8_192, 8_192), 5, 5)
+_HOST = b' HTTP/1.1\r\nHost: h\r\n'
+
+
+def _get(target, headers=b''):
+    """Return the bytes of a request without a body."""
+    return b'GET %b%b%b\r\n' % (target, _HOST, headers)
+
+
+async def _receive_all(stream):
+    """Return what the server sends until it closes the connection."""
+    received = b''
+    while True:
+        try:
+            received += await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return received
+
+
+class ServerCase(testtools.TestCase):
+    """Base of tests with a server in simulated time."""
+
+    def setUp(self):
+        """Prepare limits that a scenario can change."""
+        super().setUp()
+        self.limits = _LIMITS
+        self.address = loopback.free_address()
+        self.log_lines = []
+        self.patch(logs, 'decision', self._log)
+        self.patch(logs, 'failure', self._log)
+
+    def _log(self, message_type, **fields):
+        """Record a log line and the exception that is being handled."""
+        self.log_lines.append((message_type, fields, sys.exc_info()[1]))
+
+    def logged(self, message_type):
+        """Return the recorded lines of a type."""
+        return [line for line in self.log_lines if line[0] == message_type]
+
+    def run_scenario(self, handle, scenario):
+        """Run a scenario beside a server with a handler."""
+
+        async def _main():
+            self.server = server.Server(
+                self.address, handle, lambda: self.limits
+            )
+            await self.server.start()
+            async with anyio.create_task_group() as tasks:
+                self.tasks = tasks
+                tasks.start_soon(self.server.serve)
+                with anyio.fail_after(200):
+                    outcome = await scenario()
+                tasks.cancel_scope.cancel()
+            return outcome
+
+        return simulated_time.run(_main)
+
+    async def connect(self):
+        """Return a connection to the server."""
+        return await anyio.connect_tcp(self.address.ip, self.address.port)
+
+    async def exchange(self, request):
+        """Send bytes; return what arrives until the connection closes."""
+        async with await self.connect() as stream:
+            await stream.send(request)
+            return await _receive_all(stream)
+
+
+class FailingHandlerTest(ServerCase):
+    """Handlers that raise an exception.
+
+    Their requests used to end with a closed connection and no response.
+    """
+
+    def _response(self, handle):
+        """Return the response to a request that a handler fails to handle."""
+
+        async def _scenario():
+            return await self.exchange(_get(b'/'))
+
+        return self.run_scenario(handle, _scenario)
+
+    def test_exception(self):
+        """The response is 502, because the request may have run."""
+
+        async def _handle(_):
+            raise ValueError('a fault')
+
+        response = self._response(_handle)
+        self.assertTrue(response.startswith(b'HTTP/1.1 502 '), response)
+        self.assertIn(b'\r\nconnection: close\r\n', response)
+        self.assertTrue(response.endswith(b'\r\n\r\n'), response)
+
+    def test_exception_group(self):
+        """An exception of a handler's own task group gets a response too."""
+
+        async def _handle(_):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_raise_fault)
+
+        response = self._response(_handle)
+        self.assertTrue(response.startswith(b'HTTP/1.1 502 '), response)
+
+    def test_started_response(self):
+        """A response that has started is cut and does not look complete."""
+
+        async def _handle(exchange):
+            await exchange.start_chunked(200, (), b'part')
+            raise ValueError('a fault')
+
+        response = self._response(_handle)
+        self.assertTrue(response.startswith(b'HTTP/1.1 200 '), response)
+        self.assertTrue(response.endswith(b'4\r\npart\r\n'), response)
+
+    def test_complete_response(self):
+        """A failure after the response does not affect the next request."""
+
+        async def _handle(exchange):
+            await exchange.respond(200, (), exchange.request.target)
+            if exchange.request.target == b'/1':
+                raise ValueError('a fault')
+
+        async def _scenario():
+            return await self.exchange(
+                _get(b'/1') + _get(b'/2', b'Connection: close\r\n')
+            )
+
+        response = self.run_scenario(_handle, _scenario)
+        self.assertEqual(2, response.count(b'HTTP/1.1 200 '), response)
+
+    def test_grouped_disconnect(self):
+        """A ClientDisconnected in a group is no failure of the handler."""
+
+        async def _handle(_):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_raise_disconnect)
+
+        self.assertEqual(b'', self._response(_handle))
+        self.assertEqual([], self.logged('request:failed'))
+        self.assertEqual([], self.logged('connection:failed'))
+
+    def test_failure_is_logged(self):
+        """The log says which exception the handler raised."""
+
+        async def _handle(_):
+            raise ValueError('a fault')
+
+        self._response(_handle)
+        failures = self.logged('request:failed')
+        self.assertEqual(1, len(failures))
+        self.assertIn('a fault', repr(failures[0][2]))
+
+
+async def _raise_fault():
+    """Fail for a reason that no layer expects."""
+    raise ValueError('a fault')
+
+
+async def _raise_disconnect():
+    """Fail as a write to a closed connection does."""
+    raise errors.ClientDisconnected('client disconnected')
