Count a response as started when its first bytes are sent

Callers: if the request's deadline passed in the moment in which its response was about to be sent, the connection was closed without any response. Cause: the response was marked as started before the cancellation took effect at the first checkpoint of the send, so the handler, which may not send a second response, sent none. Change: the pending cancellation is looked for before the mark. Up to the write no other checkpoint follows, because earlier writes were flushed.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -6,6 +6,7 @@
 
 import anyio
 import anyio.abc
+from anyio import lowlevel
 
 from nutmegtrail import const as shared_const
 from nutmegtrail import models
@@ -57,8 +58,7 @@
         """Send a complete response."""
         length = (b'content-length', b'%d' % len(payload))
         head = self._head(status, (*headers, length))
-        self.has_started = True
-        await self._send(head + payload)
+        await self._start(head + payload)
         self.is_complete = True
 
     async def start_chunked(
@@ -70,8 +70,7 @@
         """Send the head and the first part of a chunked body."""
         encoding = (b'transfer-encoding', b'chunked')
         head = self._head(status, (*headers, encoding))
-        self.has_started = True
-        await self._send(head + messages.chunk(payload))
+        await self._start(head + messages.chunk(payload))
 
     async def write(self, payload: bytes) -> None:
         """Send the next part of a chunked body."""
@@ -89,6 +88,16 @@
             headers = (*headers, (b'connection', b'close'))
         return messages.response_head_bytes(status, headers)
 
+    async def _start(self, payload: bytes) -> None:
+        """Send the first bytes of the response.
+
+        If it is cancelled before it sends them, the response has not started
+        and the handler can send another one.
+        """
+        await lowlevel.checkpoint_if_cancelled()
+        self.has_started = True
+        await self._send(payload)
+
     async def _send(self, payload: bytes) -> None:
         """Send bytes; raise ClientDisconnected on failure or timeout."""
         try:
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -165,6 +165,37 @@
         self.assertIn('a fault', repr(failures[0][2]))
 
 
+class CancelledResponseTest(ServerCase):
+    """Responses that the handler's deadline cancels before they are sent.
+
+    They used to count as started, so that the handler sent no other response.
+    """
+
+    def test_respond(self):
+        """A complete response has not started if no byte was sent."""
+        self._check(lambda exchange: exchange.respond(200, (), b'late'))
+
+    def test_start_chunked(self):
+        """A chunked response has not started if no byte was sent."""
+        self._check(lambda exchange: exchange.start_chunked(200, (), b'late'))
+
+    def _check(self, respond):
+        """Check that another response can follow a cancelled one."""
+
+        async def _handle(exchange):
+            with anyio.CancelScope() as scope:
+                scope.cancel()
+                await respond(exchange)
+            if not exchange.has_started:
+                await exchange.respond(504, (), b'')
+
+        async def _scenario():
+            return await self.exchange(_get(b'/', b'Connection: close\r\n'))
+
+        response = self.run_scenario(_handle, _scenario)
+        self.assertTrue(response.startswith(b'HTTP/1.1 504 '), response)
+
+
 async def _raise_fault():
     """Fail for a reason that no layer expects."""
     raise ValueError('a fault')
