Follow a longer idle timeout while a connection is idle

Callers: after a new configuration with a longer idle timeout, a connection that was idle already was closed at the old one, although clients reuse it for the new one; requests crossed the close. Cause: the wait took its timeout once, at its start. Change: at the end of the wait the timeout is read again, and the longer of both applies. A shorter one doesn't close a waiting connection early.

Tests: IdleTimeoutTest; test_longer_timeout and test_connection_closes failed before; tests/adapters/http1 passes, 31 tests.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -213,24 +213,39 @@
         """Return received bytes, b'' at the end or after an idle timeout."""
         limits = self._server._limits()
         self._reader.limits = limits.sizes
-        has_partial_request = self._reader.has_partial_request
-        if (
-            self._server.is_stopping
-            and self._has_served
-            and not has_partial_request
-        ):
+        if self._reader.has_partial_request:
+            return await self._receive_rest(limits)
+        if self._server.is_stopping and self._has_served:
             return await self._receive_buffered()
-        timeout = limits.idle_timeout_seconds
-        if has_partial_request:
-            timeout = self._partial_request_timeout(limits)
-        with anyio.move_on_after(timeout) as scope:
-            if not has_partial_request:
+        return await self._receive_first(limits.idle_timeout_seconds)
+
+    async def _receive_first(self, timeout_seconds: float) -> bytes:
+        """Return the first bytes of a request, b'' after an idle timeout.
+
+        If the timeout changes during the wait, the longer one applies, because
+        clients use the connection for the current one.
+        """
+        idle_since = anyio.current_time()
+        remaining_seconds = timeout_seconds
+        while remaining_seconds > 0:
+            with anyio.move_on_after(remaining_seconds) as scope:
                 self._server._idle_scopes.add(scope)
-            try:
-                return await _receive_or_end(self._stream)
-            finally:
-                self._server._idle_scopes.discard(scope)
-        if has_partial_request and not self._server.is_stopping:
+                try:
+                    return await _receive_or_end(self._stream)
+                finally:
+                    self._server._idle_scopes.discard(scope)
+            if self._server.is_stopping:
+                break
+            current_seconds = self._server._limits().idle_timeout_seconds
+            idle_until = idle_since + max(timeout_seconds, current_seconds)
+            remaining_seconds = idle_until - anyio.current_time()
+        return b''
+
+    async def _receive_rest(self, limits: ConnectionLimits) -> bytes:
+        """Return more bytes of a request; refuse it after a timeout."""
+        with anyio.move_on_after(self._partial_request_timeout(limits)):
+            return await _receive_or_end(self._stream)
+        if not self._server.is_stopping:
             raise errors.RequestRefused(
                 http.HTTPStatus.REQUEST_TIMEOUT,
                 'timed out while receiving the request',
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -196,6 +196,57 @@
         self.assertTrue(response.startswith(b'HTTP/1.1 504 '), response)
 
 
+class IdleTimeoutTest(ServerCase):
+    """Changes of the idle timeout while a connection is idle.
+
+    The connection used to be closed at the timeout from the start of the
+    wait, while its client may use it for the new one.
+    """
+
+    def _request_after(self, seconds, idle_timeout_seconds):
+        """Change the timeout after 1 s; return the response to a request."""
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(_get(b'/'))
+                await stream.receive()
+                await anyio.sleep(1)
+                self.limits = _LIMITS._replace(
+                    idle_timeout_seconds=idle_timeout_seconds
+                )
+                await anyio.sleep(seconds - 1)
+                await stream.send(_get(b'/', b'Connection: close\r\n'))
+                return await _receive_all(stream)
+
+        return self.run_scenario(_respond, _scenario)
+
+    def test_longer_timeout(self):
+        """A request within the new, longer timeout is served."""
+        self.assertIn(b' 200 ', self._request_after(16, 20))
+
+    def test_shorter_timeout(self):
+        """A request within the old, longer timeout is served."""
+        self.assertIn(b' 200 ', self._request_after(4, 2))
+
+    def test_connection_closes(self):
+        """An idle connection is closed at the new timeout."""
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await anyio.sleep(1)
+                self.limits = _LIMITS._replace(idle_timeout_seconds=20)
+                await _receive_all(stream)
+            return anyio.current_time()
+
+        seconds = self.run_scenario(_respond, _scenario)
+        self.assertTrue(20 <= seconds < 21, seconds)
+
+
+async def _respond(exchange):
+    """Respond at once with the target of the request."""
+    await exchange.respond(200, (), exchange.request.target)
+
+
 async def _raise_fault():
     """Fail for a reason that no layer expects."""
     raise ValueError('a fault')
