Serve a request that has arrived when its connection closes

Callers: a request that reached the socket buffer in the moment in which the server closed the idle connection (at the end of the drain, at the idle timeout, after the last response of a stop) was dropped. Cause: a cancelled wait does not read what has arrived. The read meant for it, with a timeout of 0, is cancelled at its first checkpoint and never returned anything. Change: before the close, the connection is read once more with a timeout of 1 ms. A positive timeout suffices, since the event loop handles readable sockets before timers. A request found is served and announces the close.

--- a/nutmegtrail/adapters/http1/const.py
+++ b/nutmegtrail/adapters/http1/const.py
@@ -13,6 +13,7 @@
 # because it is not retransmitted within a second.
 CONNECT_TIMEOUT_SECONDS: typing.Final = 0.3
 CLIENT_WRITE_TIMEOUT_SECONDS: typing.Final = 10.0
+ARRIVED_BYTES_TIMEOUT_SECONDS: typing.Final = 0.001
 
 # TCP keep-alive probes detect an unresponsive peer within three seconds, the
 # shortest time after which the platform counts a host as connected again.
--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -188,6 +188,7 @@
         limits = server._limits()
         self._reader = messages.RequestReader(limits.sizes)
         self._has_served = False
+        self._is_closing = False
         self._request_deadline_seconds = math.inf
 
     async def run(self) -> None:
@@ -216,7 +217,7 @@
         if self._reader.has_partial_request:
             return await self._receive_rest(limits)
         if self._server.is_stopping and self._has_served:
-            return await self._receive_buffered()
+            return await self._receive_arrived()
         return await self._receive_first(limits.idle_timeout_seconds)
 
     async def _receive_first(self, timeout_seconds: float) -> bytes:
@@ -239,7 +240,7 @@
             current_seconds = self._server._limits().idle_timeout_seconds
             idle_until = idle_since + max(timeout_seconds, current_seconds)
             remaining_seconds = idle_until - anyio.current_time()
-        return b''
+        return await self._receive_arrived()
 
     async def _receive_rest(self, limits: ConnectionLimits) -> bytes:
         """Return more bytes of a request; refuse it after a timeout."""
@@ -268,9 +269,15 @@
         remaining_seconds = max(self._request_deadline_seconds - now, 0)
         return min(limits.header_timeout_seconds, remaining_seconds)
 
-    async def _receive_buffered(self) -> bytes:
-        """Return bytes that have already arrived, without waiting."""
-        with anyio.move_on_after(0):
+    async def _receive_arrived(self) -> bytes:
+        """Return bytes that have arrived before the connection closes.
+
+        A request among them is answered, the last one of the connection. The
+        timeout must be positive: only then does the event loop read from the
+        socket before the wait is cancelled.
+        """
+        self._is_closing = True
+        with anyio.move_on_after(const.ARRIVED_BYTES_TIMEOUT_SECONDS):
             return await _receive_or_end(self._stream)
         return b''
 
@@ -278,7 +285,7 @@
         """Handle a request; return whether the connection stays open."""
         self._has_served = True
         exchange = Exchange(request, self._stream, anyio.current_time())
-        if self._server.is_stopping:
+        if self._server.is_stopping or self._is_closing:
             exchange.keep_alive = False
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_for_disconnect, tasks.cancel_scope)
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -1,5 +1,6 @@
 """Tests that the server answers each request that it has read."""
 
+import socket
 import sys
 
 import anyio
@@ -242,6 +243,79 @@
         self.assertTrue(20 <= seconds < 21, seconds)
 
 
+class ArrivedRequestTest(ServerCase):
+    """Requests that are in the socket buffer when their connection closes.
+
+    They used to be dropped. The clients send by a blocking socket, so that the
+    server cannot read in between.
+    """
+
+    async def connect_blocking(self):
+        """Return an accepted connection of a blocking socket."""
+        raw = socket.create_connection((self.address.ip, self.address.port))
+        self.addCleanup(raw.close)
+        await anyio.sleep(0.1)
+        return raw
+
+    async def receive_blocking(self, raw):
+        """Return what the server sends until it closes the connection."""
+        await anyio.sleep(1)
+        raw.settimeout(1)
+        received = b''
+        part = raw.recv(9_999)
+        while part:
+            received += part
+            part = raw.recv(9_999)
+        return received
+
+    def test_server_closes(self):
+        """A request that arrives as the server closes is served."""
+
+        async def _scenario():
+            raw = await self.connect_blocking()
+            raw.sendall(_get(b'/'))
+            self.server.close()
+            return await self.receive_blocking(raw)
+
+        response = self.run_scenario(_respond, _scenario)
+        self.assertTrue(response.startswith(b'HTTP/1.1 200 '), response)
+        self.assertIn(b'connection: close', response)
+
+    def test_response_ends_after_close(self):
+        """A request that arrives at the end of the last response is served.
+
+        That response has not announced that the connection closes.
+        """
+
+        async def _handle(exchange):
+            await _respond(exchange)
+            if exchange.request.target == b'/1':
+                self.server.close()
+                self.raw.sendall(_get(b'/2'))
+
+        async def _scenario():
+            self.raw = await self.connect_blocking()
+            self.raw.sendall(_get(b'/1'))
+            return await self.receive_blocking(self.raw)
+
+        response = self.run_scenario(_handle, _scenario)
+        self.assertTrue(response.endswith(b'\r\n\r\n/2'), response)
+        self.assertEqual(1, response.count(b'connection: close'), response)
+
+    def test_idle_timeout(self):
+        """A request that arrives at the idle timeout is served."""
+
+        async def _scenario():
+            raw = await self.connect_blocking()
+            idle_scopes = tuple(self.server._idle_scopes)
+            await anyio.sleep_until(idle_scopes[0].deadline)
+            raw.sendall(_get(b'/'))
+            return await self.receive_blocking(raw)
+
+        response = self.run_scenario(_respond, _scenario)
+        self.assertTrue(response.startswith(b'HTTP/1.1 200 '), response)
+
+
 async def _respond(exchange):
     """Respond at once with the target of the request."""
     await exchange.respond(200, (), exchange.request.target)
