Announce the close in each response that starts while stopping

Callers: a response whose request had begun before the stop kept the connection open; so did a stream that had started before. The server then closed the connection right after the response, and the client's next request crossed the close. Cause: whether the connection closes was decided when the request was read, and the close after the response didn't wait for an announcement. Change: it is decided when the head is sent. A connection whose last head came before the stop stays idle, like one that was idle at the stop, until its next request or `Server.close()`. Pipelined requests are answered up to the response that announces the close; later ones are not handled, which RFC 9112, section 9.6, tells clients to expect.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -39,6 +39,7 @@
         request: messages.Request,
         stream: anyio.abc.ByteStream,
         received_at_seconds: float,
+        must_close: typing.Callable[[], bool],
     ) -> None:
         """Initialize the exchange; nothing has been sent."""
         self.request = request
@@ -48,6 +49,7 @@
         self.is_complete = False
         self.keep_alive = request.keep_alive
         self._stream = stream
+        self._must_close = must_close
 
     async def respond(
         self,
@@ -84,6 +86,8 @@
     def _head(self, status: int, headers: messages.Headers) -> bytes:
         """Return the response head; announce if the connection closes."""
         self.status = status
+        if self._must_close():
+            self.keep_alive = False
         if not self.keep_alive:
             headers = (*headers, (b'connection', b'close'))
         return messages.response_head_bytes(status, headers)
@@ -130,6 +134,7 @@
         self._accept_scope: anyio.CancelScope | None = None
         self._idle_scopes: set[anyio.CancelScope] = set()
         self.is_stopping = False
+        self.is_closed = False
 
     async def start(self) -> None:
         """Start listening; connections are queued until `serve`."""
@@ -152,12 +157,13 @@
             await listener.aclose()
 
     def stop(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection after the next response that starts."""
         self.is_stopping = True
 
     def close(self) -> None:
         """Stop listening and close idle connections."""
         self.is_stopping = True
+        self.is_closed = True
         if self._accept_scope is not None:
             self._accept_scope.cancel()
         for scope in tuple(self._idle_scopes):
@@ -216,7 +222,7 @@
         self._reader.limits = limits.sizes
         if self._reader.has_partial_request:
             return await self._receive_rest(limits)
-        if self._server.is_stopping and self._has_served:
+        if self._server.is_closed and self._has_served:
             return await self._receive_arrived()
         return await self._receive_first(limits.idle_timeout_seconds)
 
@@ -235,7 +241,7 @@
                     return await _receive_or_end(self._stream)
                 finally:
                     self._server._idle_scopes.discard(scope)
-            if self._server.is_stopping:
+            if self._server.is_closed:
                 break
             current_seconds = self._server._limits().idle_timeout_seconds
             idle_until = idle_since + max(timeout_seconds, current_seconds)
@@ -284,15 +290,22 @@
     async def _serve(self, request: messages.Request) -> bool:
         """Handle a request; return whether the connection stays open."""
         self._has_served = True
-        exchange = Exchange(request, self._stream, anyio.current_time())
-        if self._server.is_stopping or self._is_closing:
-            exchange.keep_alive = False
+        exchange = Exchange(
+            request,
+            self._stream,
+            anyio.current_time(),
+            self._must_close,
+        )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_for_disconnect, tasks.cancel_scope)
             await self._handle(exchange)
             tasks.cancel_scope.cancel()
         return exchange.is_complete and exchange.keep_alive
 
+    def _must_close(self) -> bool:
+        """Return whether a response that starts now announces the close."""
+        return self._server.is_stopping or self._is_closing
+
     async def _handle(self, exchange: Exchange) -> None:
         """Call the handler; respond with 502 if it fails before it responds.
 
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -316,6 +316,89 @@
         self.assertTrue(response.startswith(b'HTTP/1.1 200 '), response)
 
 
+class StopTest(ServerCase):
+    """Requests in progress and pipelined ones when the server stops."""
+
+    def test_response_after_stop(self):
+        """A response that starts after the stop announces the close.
+
+        It used to keep the connection if its request had begun before, and
+        the next request of the client crossed the close.
+        """
+
+        async def _handle(exchange):
+            self.server.stop()
+            await _respond(exchange)
+
+        async def _scenario():
+            return await self.exchange(_get(b'/'))
+
+        response = self.run_scenario(_handle, _scenario)
+        self.assertIn(b'connection: close', response)
+
+    def test_next_request_after_stop(self):
+        """A connection whose close is not announced takes one more request.
+
+        It used to close at the end of a stream that had begun before the stop.
+        """
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(_get(b'/1'))
+                await anyio.sleep(3)
+                await stream.send(_get(b'/2'))
+                return await _receive_all(stream)
+
+        response = self.run_scenario(self._stop_during_stream, _scenario)
+        self.assertTrue(response.endswith(b'\r\n\r\n/2'), response)
+        self.assertEqual(1, response.count(b'connection: close'), response)
+
+    def test_close_after_stream(self):
+        """That connection is closed with the server if it stays idle."""
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(_get(b'/1'))
+                await anyio.sleep(3)
+                self.server.close()
+                await _receive_all(stream)
+            return anyio.current_time()
+
+        seconds = self.run_scenario(self._stop_during_stream, _scenario)
+        self.assertTrue(3 <= seconds < 4, seconds)
+
+    def test_pipelined_requests(self):
+        """Requests that were read behind a stream are answered after it.
+
+        Only the last response announces the close; requests behind that one
+        are not handled.
+        """
+        handled = []
+
+        async def _handle(exchange):
+            handled.append(exchange.request.target)
+            await self._stop_during_stream(exchange)
+
+        async def _scenario():
+            return await self.exchange(_get(b'/1') + _get(b'/2') + _get(b'/3'))
+
+        response = self.run_scenario(_handle, _scenario)
+        self.assertEqual([b'/1', b'/2'], handled)
+        self.assertTrue(response.endswith(b'\r\n\r\n/2'), response)
+        self.assertEqual(1, response.count(b'connection: close'), response)
+
+    async def _stop_during_stream(self, exchange):
+        """Respond to `/1` with a stream during which the server stops."""
+        if exchange.request.target != b'/1':
+            await _respond(exchange)
+            return
+        await exchange.start_chunked(200, (), b'part')
+        await anyio.sleep(1)
+        self.server.stop()
+        await anyio.sleep(1)
+        await exchange.finish()
+
+
 async def _respond(exchange):
     """Respond at once with the target of the request."""
     await exchange.respond(200, (), exchange.request.target)
