Stop parsing at a refused request

Callers: a request whose body exceeds the limit was passed on without the end of its body, and got no 413, if another request followed in the same packet. A refused upgrade was in the list of complete requests too. Cause: the callbacks noted the refusal and let the parser go on; the next request reset the note, and the refused one counted as complete. Change: the callbacks raise, which stops the parser. Nothing refused and nothing behind it becomes ready.

Tests: test_refused_request_is_not_ready failed before; tests/adapters/http1 passes, 39 tests, and tests/platform/test_hostile_input.py, 13 tests.

--- a/nutmegtrail/adapters/http1/messages.py
+++ b/nutmegtrail/adapters/http1/messages.py
@@ -103,7 +103,7 @@
         self.ready: collections.deque[Request] = collections.deque()
         self.has_partial_request = False
         self.limits = limits
-        self._error_status: int = 0
+        self._refusal: tuple[int, str] | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._reset()
 
@@ -112,20 +112,15 @@
         self.has_partial_request = True
         try:
             self._parser.feed_data(received)
-        except httptools.HttpParserUpgrade as error:
-            raise errors.RequestRefused(
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            status, detail = self._refusal or (
                 http.HTTPStatus.BAD_REQUEST,
-                'protocol upgrades are not supported',
-            ) from error
-        except httptools.HttpParserError as error:
-            raise errors.RequestRefused(
-                self._error_status or http.HTTPStatus.BAD_REQUEST,
                 f'invalid HTTP/1.1 request: {error}',
-            ) from error
-        if self._error_status:
-            raise errors.RequestRefused(
-                self._error_status, 'request exceeds the size limits'
             )
+            raise errors.RequestRefused(status, detail) from error
 
     def on_message_begin(self) -> None:
         """Handle the start of a request."""
@@ -145,12 +140,19 @@
     def on_body(self, part: bytes) -> None:
         """Take a part of the body."""
         if len(self._body) + len(part) > self.limits.body_bytes:
-            self._error_status = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-            return
+            self._refuse(
+                http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                'body exceeds the size limit',
+            )
         self._body += part
 
     def on_message_complete(self) -> None:
         """Handle the end of a request."""
+        if self._parser.should_upgrade():
+            self._refuse(
+                http.HTTPStatus.BAD_REQUEST,
+                'protocol upgrades are not supported',
+            )
         request = Request(
             self._parser.get_method(),
             self._target,
@@ -162,10 +164,18 @@
         self.has_partial_request = False
 
     def _count_header(self, size: int) -> None:
-        """Add to the head's size; set an error status above the limit."""
+        """Add to the head's size; refuse the request above the limit."""
         self._header_bytes += size
         if self._header_bytes > self.limits.header_bytes:
-            self._error_status = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            self._refuse(
+                http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                'head exceeds the size limit',
+            )
+
+    def _refuse(self, status: int, detail: str) -> typing.NoReturn:
+        """Stop the parser, so that nothing behind the request is read."""
+        self._refusal = (status, detail)
+        raise errors.RequestRefused(status, detail)
 
     def _reset(self) -> None:
         """Discard the parts of a request."""
@@ -173,7 +183,6 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
         self._body = bytearray()
-        self._error_status = 0
 
 
 class ResponseReader:
--- a/tests/adapters/http1/test_messages.py
+++ b/tests/adapters/http1/test_messages.py
@@ -56,6 +56,27 @@
             )
             self.assertEqual(status, error.status)
 
+    def test_refused_request_is_not_ready(self):
+        """A refused request is never passed on, whatever follows it.
+
+        One with an oversized body used to be ready without the end of its
+        body, and its refusal was lost, if another followed in one packet.
+        """
+        cases = {
+            413: b'POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\n' + b'x' * 60,
+            431: b'GET / HTTP/1.1\r\nA: ' + b'x' * 300 + b'\r\n\r\n',
+            400: b'GET / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: a\r\n\r\n',
+        }
+        for status, sent in cases.items():
+            reader = messages.RequestReader(_LIMITS)
+            error = self.assertRaises(
+                errors.RequestRefused,
+                reader.feed,
+                sent + _POST,
+            )
+            self.assertEqual(status, error.status)
+            self.assertEqual(0, len(reader.ready))
+
     def test_smuggled_length(self):
         """A request with two conflicting lengths is refused."""
         sent = (
