Answer a request although the following one is invalid

Callers: a request whose client sent something invalid behind it was cancelled while it was handled and its connection closed without a response; if both came in one packet, it got the other one's refusal. Cause: the bytes that are read ahead raised the refusal where they were read. The watch for a disconnect took it for one. Change: the refusal is kept and sent after the responses to the requests before it. The watch goes on and still detects a disconnect. Its docstring says that a half-closed connection counts as a disconnect.

Tests: RefusedFollowerTest; all three tests failed before; tests/adapters/http1 passes, 42 tests, two runs.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -195,6 +195,7 @@
         self._reader = messages.RequestReader(limits.sizes)
         self._has_served = False
         self._is_closing = False
+        self._refusal: errors.RequestRefused | None = None
         self._request_deadline_seconds = math.inf
 
     async def run(self) -> None:
@@ -209,13 +210,28 @@
     async def _next_request(self) -> messages.Request | None:
         """Return the next request, None if the client sends no more."""
         while not self._reader.ready:
+            if self._refusal is not None:
+                raise self._refusal
             received = await self._receive()
             if not received:
                 return None
-            self._reader.feed(received)
+            self._feed(received)
         self._request_deadline_seconds = math.inf
         return self._reader.ready.popleft()
 
+    def _feed(self, received: bytes) -> None:
+        """Parse received bytes.
+
+        The refusal of an invalid request is kept until the valid ones before
+        it have been answered. Bytes behind it belong to no request.
+        """
+        if self._refusal is not None:
+            return
+        try:
+            self._reader.feed(received)
+        except errors.RequestRefused as error:
+            self._refusal = error
+
     async def _receive(self) -> bytes:
         """Return received bytes, b'' at the end or after an idle timeout."""
         limits = self._server._limits()
@@ -334,17 +350,18 @@
             return
 
     async def _watch_for_disconnect(self, scope: anyio.CancelScope) -> None:
-        """Cancel the handling of a request when its client disconnects."""
+        """Cancel the handling of a request when its client disconnects.
+
+        A client that closes only its sending side counts as disconnected too:
+        it cannot be told apart from one that is gone, and upstreams must not
+        go on working for that one.
+        """
         while len(self._reader.ready) < const.PIPELINED_REQUESTS_LIMIT:
             received = await _receive_or_end(self._stream)
             if not received:
                 scope.cancel()
                 return
-            try:
-                self._reader.feed(received)
-            except errors.RequestRefused:
-                scope.cancel()
-                return
+            self._feed(received)
 
     async def _reject(self, status: int) -> None:
         """Send an error response to an invalid request."""
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -399,6 +399,77 @@
         await exchange.finish()
 
 
+class RefusedFollowerTest(ServerCase):
+    """Invalid requests behind a valid one on the same connection."""
+
+    def setUp(self):
+        """Prepare the list of handled targets."""
+        super().setUp()
+        self.handled = []
+
+    async def _handle(self, exchange):
+        """Respond after a second."""
+        self.handled.append(exchange.request.target)
+        await anyio.sleep(1)
+        await _respond(exchange)
+
+    def test_same_packet(self):
+        """A request in one packet with an invalid one is answered.
+
+        It used to get the refusal of the invalid one.
+        """
+
+        async def _scenario():
+            return await self.exchange(_get(b'/1') + b'invalid\r\n\r\n')
+
+        self._check(self.run_scenario(self._handle, _scenario))
+
+    def test_during_handling(self):
+        """A request is not cancelled because the following one is invalid.
+
+        It used to end with a closed connection.
+        """
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(_get(b'/1'))
+                await anyio.sleep(0.5)
+                await stream.send(b'invalid\r\n\r\n')
+                return await _receive_all(stream)
+
+        self._check(self.run_scenario(self._handle, _scenario))
+
+    def _check(self, response):
+        """Check for the response to the first request, then a refusal."""
+        self.assertEqual([b'/1'], self.handled)
+        first, _, second = response.partition(b'\r\n\r\n/1')
+        self.assertTrue(first.startswith(b'HTTP/1.1 200 '), response)
+        self.assertTrue(second.startswith(b'HTTP/1.1 400 '), response)
+
+    def test_disconnect(self):
+        """A disconnect is detected also behind an invalid request."""
+        cancelled = []
+
+        async def _handle(_):
+            try:
+                await anyio.sleep(100)
+            except anyio.get_cancelled_exc_class():
+                cancelled.append(anyio.current_time())
+                raise
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(_get(b'/1'))
+                await anyio.sleep(0.5)
+                await stream.send(b'invalid\r\n\r\n')
+                await anyio.sleep(1)
+            await anyio.sleep(0.1)
+
+        self.run_scenario(_handle, _scenario)
+        self.assertEqual(1, len(cancelled))
+        self.assertTrue(1.5 <= cancelled[0] < 1.6, cancelled)
+
+
 async def _respond(exchange):
     """Respond at once with the target of the request."""
     await exchange.respond(200, (), exchange.request.target)
