Keep the limits under which a request began

Callers: a request that was half sent when a new configuration came was refused (413, 431, 408) if it exceeded the new limits, though it was within those from its start. The first request on an idle connection was measured by the limits from before the wait, and refused under a raised limit. Cause: sizes were read before each wait for bytes, timeouts for each wait, and the limit of the whole request once from the old timeout. Change: sizes are read when bytes have come. Sizes and timeouts that change during a request apply to it only if they are larger.

--- a/nutmegtrail/adapters/http1/messages.py
+++ b/nutmegtrail/adapters/http1/messages.py
@@ -95,14 +95,27 @@
     return b'\r\n'.join(lines) + b'\r\n\r\n'
 
 
+def _larger(first: SizeLimits, second: SizeLimits) -> SizeLimits:
+    """Return the larger of each limit."""
+    return SizeLimits(
+        max(first.header_bytes, second.header_bytes),
+        max(first.body_bytes, second.body_bytes),
+    )
+
+
 class RequestReader:
-    """Parses received bytes into complete requests."""
+    """Parses received bytes into complete requests.
+
+    If `limits` changes while a request is received, the larger limits apply to
+    it.
+    """
 
     def __init__(self, limits: SizeLimits) -> None:
         """Initialize the reader between two requests."""
         self.ready: collections.deque[Request] = collections.deque()
         self.has_partial_request = False
         self.limits = limits
+        self._request_limits = limits
         self._refusal: tuple[int, str] | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._reset()
@@ -110,6 +123,7 @@
     def feed(self, received: bytes) -> None:
         """Parse received bytes; raise RequestRefused if not HTTP/1.1."""
         self.has_partial_request = True
+        self._request_limits = _larger(self._request_limits, self.limits)
         try:
             self._parser.feed_data(received)
         except (
@@ -125,6 +139,7 @@
     def on_message_begin(self) -> None:
         """Handle the start of a request."""
         self._reset()
+        self._request_limits = self.limits
         self.has_partial_request = True
 
     def on_url(self, part: bytes) -> None:
@@ -139,7 +154,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Take a part of the body."""
-        if len(self._body) + len(part) > self.limits.body_bytes:
+        if len(self._body) + len(part) > self._request_limits.body_bytes:
             self._refuse(
                 http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
                 'body exceeds the size limit',
@@ -166,7 +181,7 @@
     def _count_header(self, size: int) -> None:
         """Add to the head's size; refuse the request above the limit."""
         self._header_bytes += size
-        if self._header_bytes > self.limits.header_bytes:
+        if self._header_bytes > self._request_limits.header_bytes:
             self._refuse(
                 http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
                 'head exceeds the size limit',
--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -196,7 +196,8 @@
         self._has_served = False
         self._is_closing = False
         self._refusal: errors.RequestRefused | None = None
-        self._request_deadline_seconds = math.inf
+        self._request_since_seconds = math.inf
+        self._header_timeout_seconds: float = 0
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -216,7 +217,8 @@
             if not received:
                 return None
             self._feed(received)
-        self._request_deadline_seconds = math.inf
+        self._request_since_seconds = math.inf
+        self._header_timeout_seconds = 0
         return self._reader.ready.popleft()
 
     def _feed(self, received: bytes) -> None:
@@ -227,6 +229,7 @@
         """
         if self._refusal is not None:
             return
+        self._reader.limits = self._server._limits().sizes
         try:
             self._reader.feed(received)
         except errors.RequestRefused as error:
@@ -234,21 +237,20 @@
 
     async def _receive(self) -> bytes:
         """Return received bytes, b'' at the end or after an idle timeout."""
-        limits = self._server._limits()
-        self._reader.limits = limits.sizes
         if self._reader.has_partial_request:
-            return await self._receive_rest(limits)
+            return await self._receive_rest()
         if self._server.is_closed and self._has_served:
             return await self._receive_arrived()
-        return await self._receive_first(limits.idle_timeout_seconds)
+        return await self._receive_first()
 
-    async def _receive_first(self, timeout_seconds: float) -> bytes:
+    async def _receive_first(self) -> bytes:
         """Return the first bytes of a request, b'' after an idle timeout.
 
         If the timeout changes during the wait, the longer one applies, because
         clients use the connection for the current one.
         """
         idle_since = anyio.current_time()
+        timeout_seconds = self._server._limits().idle_timeout_seconds
         remaining_seconds = timeout_seconds
         while remaining_seconds > 0:
             with anyio.move_on_after(remaining_seconds) as scope:
@@ -264,10 +266,18 @@
             remaining_seconds = idle_until - anyio.current_time()
         return await self._receive_arrived()
 
-    async def _receive_rest(self, limits: ConnectionLimits) -> bytes:
+    async def _receive_rest(self) -> bytes:
         """Return more bytes of a request; refuse it after a timeout."""
-        with anyio.move_on_after(self._partial_request_timeout(limits)):
-            return await _receive_or_end(self._stream)
+        waiting_since = anyio.current_time()
+        self._request_since_seconds = min(
+            self._request_since_seconds, waiting_since
+        )
+        remaining_seconds = self._rest_deadline(waiting_since) - waiting_since
+        while remaining_seconds > 0:
+            with anyio.move_on_after(remaining_seconds):
+                return await _receive_or_end(self._stream)
+            deadline = self._rest_deadline(waiting_since)
+            remaining_seconds = deadline - anyio.current_time()
         if not self._server.is_stopping:
             raise errors.RequestRefused(
                 http.HTTPStatus.REQUEST_TIMEOUT,
@@ -275,21 +285,22 @@
             )
         return b''
 
-    def _partial_request_timeout(self, limits: ConnectionLimits) -> float:
-        """Return how long to wait for the next bytes of a request.
+    def _rest_deadline(self, waiting_since_seconds: float) -> float:
+        """Return until when to wait for the next bytes of a request.
 
         The whole request has a limit too: a client that sends a byte now and
-        then would otherwise hold its connection for ever.
+        then would otherwise hold its connection for ever. If the timeout
+        changes during the request, the longest one applies.
         """
-        now = anyio.current_time()
-        if self._request_deadline_seconds == math.inf:
-            self._request_deadline_seconds = (
-                now
-                + limits.header_timeout_seconds
-                + shared_const.BODY_READ_TIMEOUT_SECONDS
-            )
-        remaining_seconds = max(self._request_deadline_seconds - now, 0)
-        return min(limits.header_timeout_seconds, remaining_seconds)
+        self._header_timeout_seconds = max(
+            self._header_timeout_seconds,
+            self._server._limits().header_timeout_seconds,
+        )
+        return self._header_timeout_seconds + min(
+            waiting_since_seconds,
+            self._request_since_seconds
+            + shared_const.BODY_READ_TIMEOUT_SECONDS,
+        )
 
     async def _receive_arrived(self) -> bytes:
         """Return bytes that have arrived before the connection closes.
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -470,6 +470,97 @@
         self.assertTrue(1.5 <= cancelled[0] < 1.6, cancelled)
 
 
+class ChangedLimitsTest(ServerCase):
+    """Limits that change while a request is received.
+
+    Such a request used to be refused in its middle, and the first request
+    after the change was measured by the limits before it.
+    """
+
+    def _response(self, limits, pause_seconds=1):
+        """Change the limits within a body of 200 bytes; return the status."""
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(
+                    b'POST /%bContent-Length: 200\r\n\r\n' % _HOST
+                )
+                await stream.send(b'x' * 100)
+                await anyio.sleep(0.1)
+                self.limits = limits
+                await stream.send(b'x')
+                await anyio.sleep(pause_seconds)
+                await stream.send(b'x' * 99)
+                return await stream.receive()
+
+        return self.run_scenario(_respond, _scenario)
+
+    def test_smaller_body_limit(self):
+        """A body within the limit from its start is read to its end."""
+        response = self._response(
+            _LIMITS._replace(sizes=messages.SizeLimits(100, 100))
+        )
+        self.assertIn(b' 200 ', response)
+
+    def test_smaller_header_limit(self):
+        """A head within the limit from its start is read to its end."""
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(b'GET /%bA: x\r\n' % _HOST)
+                await anyio.sleep(0.1)
+                self.limits = _LIMITS._replace(
+                    sizes=messages.SizeLimits(5, 100)
+                )
+                await stream.send(b'B: ')
+                await anyio.sleep(0.1)
+                await stream.send(b'x\r\n\r\n')
+                return await stream.receive()
+
+        self.assertIn(b' 200 ', self.run_scenario(_respond, _scenario))
+
+    def test_shorter_timeout(self):
+        """A request may pause for the timeout from its start."""
+        limits = _LIMITS._replace(header_timeout_seconds=1)
+        self.assertIn(b' 200 ', self._response(limits, 4))
+
+    def test_longer_timeout(self):
+        """A request may pause for the longer timeout."""
+        limits = _LIMITS._replace(header_timeout_seconds=20)
+        self.assertIn(b' 200 ', self._response(limits, 18))
+
+    def test_larger_limit_while_idle(self):
+        """A request is measured by the limits when it arrives."""
+
+        async def _scenario():
+            self.limits = _LIMITS._replace(sizes=messages.SizeLimits(100, 9))
+            async with await self.connect() as stream:
+                await anyio.sleep(1)
+                self.limits = _LIMITS
+                await stream.send(
+                    b'POST /%bContent-Length: 10\r\n\r\n' % _HOST + b'x' * 10
+                )
+                return await stream.receive()
+
+        self.assertIn(b' 200 ', self.run_scenario(_respond, _scenario))
+
+    def test_smaller_limit_while_idle(self):
+        """A smaller limit holds for requests that begin after the change."""
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await anyio.sleep(1)
+                self.limits = _LIMITS._replace(
+                    sizes=messages.SizeLimits(100, 9)
+                )
+                await stream.send(
+                    b'POST /%bContent-Length: 10\r\n\r\n' % _HOST + b'x' * 10
+                )
+                return await stream.receive()
+
+        self.assertIn(b' 413 ', self.run_scenario(_respond, _scenario))
+
+
 async def _respond(exchange):
     """Respond at once with the target of the request."""
     await exchange.respond(200, (), exchange.request.target)
