Log that a client stopped reading

Callers: a stream whose client reads nothing for 10 s is cut, as it must be; the log did not tell this from a disconnect. Change: the line client:stopped-reading with the status and the timeout.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -107,14 +107,18 @@
         try:
             with anyio.fail_after(const.CLIENT_WRITE_TIMEOUT_SECONDS):
                 await self._stream.send(payload)
+        except TimeoutError as error:
+            logs.decision(
+                'client:stopped-reading',
+                status=self.status,
+                timeout_seconds=const.CLIENT_WRITE_TIMEOUT_SECONDS,
+            )
+            raise errors.ClientDisconnected('client stopped reading') from error
         except (
             anyio.BrokenResourceError,
             anyio.ClosedResourceError,
-            TimeoutError,
         ) as error:
-            raise errors.ClientDisconnected(
-                'client disconnected or stopped reading'
-            ) from error
+            raise errors.ClientDisconnected('client disconnected') from error
 
 
 class Server:
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -6,6 +6,7 @@
 import anyio
 import testtools
 
+from nutmegtrail.adapters.http1 import const
 from nutmegtrail.adapters.http1 import errors
 from nutmegtrail.adapters.http1 import messages
 from nutmegtrail.adapters.http1 import server
@@ -561,6 +562,33 @@
         self.assertIn(b' 413 ', self.run_scenario(_respond, _scenario))
 
 
+class SlowReaderTest(ServerCase):
+    """Clients that stop reading."""
+
+    def test_stream_is_cut(self):
+        """The stream is cut after the timeout, and the log says why.
+
+        The log used to have no line on it.
+        """
+
+        async def _handle(exchange):
+            await exchange.start_chunked(200, (), b'part')
+            while True:
+                await exchange.write(b'x' * 1_000_000)
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(_get(b'/'))
+                await anyio.sleep(const.CLIENT_WRITE_TIMEOUT_SECONDS + 1)
+                return await _receive_all(stream)
+
+        response = self.run_scenario(_handle, _scenario)
+        self.assertFalse(response.endswith(messages.LAST_CHUNK))
+        lines = self.logged('client:stopped-reading')
+        self.assertEqual(1, len(lines))
+        self.assertEqual(200, lines[0][1]['status'])
+
+
 async def _respond(exchange):
     """Respond at once with the target of the request."""
     await exchange.respond(200, (), exchange.request.target)
