Answer requests that are cancelled with the server

Callers: a request that still ran at the end of the grace period ended with a closed connection and no response. Cause: the cancellation of the server's tasks ended the connection at once. Change: such a request gets 502, because it may have run, if no response has started; the send is shielded for 0.1 s at most, a quarter of the margin that the daemon keeps. The log line is request:cancelled. A response that has started is cut and does not look complete.

Tests: CancelledServerTest; test_no_response_yet and test_failure_while_cancelled failed before; tests/adapters/http1 passes, 52 tests, two runs; tests/gateway/test_daemon.py, tests/platform/test_callers.py and tests/platform/test_path.py pass, 18 tests.

--- a/nutmegtrail/adapters/http1/const.py
+++ b/nutmegtrail/adapters/http1/const.py
@@ -15,6 +15,9 @@
 CLIENT_WRITE_TIMEOUT_SECONDS: typing.Final = 10.0
 ARRIVED_BYTES_TIMEOUT_SECONDS: typing.Final = 0.001
 
+# The process waits for these responses before it exits.
+CANCELLED_RESPONSE_TIMEOUT_SECONDS: typing.Final = 0.1
+
 # TCP keep-alive probes detect an unresponsive peer within three seconds, the
 # shortest time after which the platform counts a host as connected again.
 KEEP_ALIVE_IDLE_SECONDS: typing.Final = 1
--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -327,10 +327,15 @@
             anyio.current_time(),
             self._must_close,
         )
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch_for_disconnect, tasks.cancel_scope)
-            await self._handle(exchange)
-            tasks.cancel_scope.cancel()
+        cancelled_error = anyio.get_cancelled_exc_class()
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._watch_for_disconnect, tasks.cancel_scope)
+                await self._handle(exchange)
+                tasks.cancel_scope.cancel()
+        except cancelled_error:
+            await self._end_cancelled(exchange)
+            raise
         return exchange.is_complete and exchange.keep_alive
 
     def _must_close(self) -> bool:
@@ -353,12 +358,28 @@
             logs.failure('request:failed', address=str(self._server.address))
         else:
             return
-        if is_connected and not exchange.has_started:
-            exchange.keep_alive = False
+        if is_connected:
+            await self._respond_with_error(exchange)
+
+    async def _end_cancelled(self, exchange: Exchange) -> None:
+        """Respond with 502 if the server is cancelled during a request."""
+        if exchange.is_complete:
+            return
+        logs.decision(
+            'request:cancelled',
+            address=str(self._server.address),
+            has_started=exchange.has_started,
+        )
+        with anyio.move_on_after(
+            const.CANCELLED_RESPONSE_TIMEOUT_SECONDS, shield=True
+        ):
             await self._respond_with_error(exchange)
 
     async def _respond_with_error(self, exchange: Exchange) -> None:
-        """Send 502, unless the client disconnects."""
+        """Send 502, unless a response has started or the client is gone."""
+        if exchange.has_started:
+            return
+        exchange.keep_alive = False
         try:
             await exchange.respond(http.HTTPStatus.BAD_GATEWAY, (), b'')
         except errors.ClientDisconnected:
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -62,8 +62,7 @@
             )
             await self.server.start()
             async with anyio.create_task_group() as tasks:
-                self.tasks = tasks
-                tasks.start_soon(self.server.serve)
+                tasks.start_soon(self._serve)
                 with anyio.fail_after(200):
                     outcome = await scenario()
                 tasks.cancel_scope.cancel()
@@ -71,6 +70,12 @@
 
         return simulated_time.run(_main)
 
+    async def _serve(self):
+        """Run the server in a scope that a scenario can cancel."""
+        self.serving = anyio.CancelScope()
+        with self.serving:
+            await self.server.serve()
+
     async def connect(self):
         """Return a connection to the server."""
         return await anyio.connect_tcp(self.address.ip, self.address.port)
@@ -562,6 +567,59 @@
         self.assertIn(b' 413 ', self.run_scenario(_respond, _scenario))
 
 
+class CancelledServerTest(ServerCase):
+    """Requests that still run when the server is cancelled.
+
+    That is at the end of the grace period. Their connections used to close
+    without a response.
+    """
+
+    def _response(self, handle):
+        """Return the response to a request during which the server ends."""
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(_get(b'/'))
+                await anyio.sleep(1)
+                self.serving.cancel()
+                return await _receive_all(stream)
+
+        return self.run_scenario(handle, _scenario)
+
+    def test_no_response_yet(self):
+        """The response is 502, because the request may have run."""
+
+        async def _handle(_):
+            await anyio.sleep_forever()
+
+        response = self._response(_handle)
+        self.assertTrue(response.startswith(b'HTTP/1.1 502 '), response)
+        self.assertIn(b'\r\nconnection: close\r\n', response)
+        self.assertEqual(1, len(self.logged('request:cancelled')))
+
+    def test_failure_while_cancelled(self):
+        """A handler that fails at its cancellation gets a response too."""
+
+        async def _handle(_):
+            try:
+                await anyio.sleep_forever()
+            finally:
+                await _raise_fault()
+
+        response = self._response(_handle)
+        self.assertTrue(response.startswith(b'HTTP/1.1 502 '), response)
+
+    def test_started_response(self):
+        """A response that has started is cut and does not look complete."""
+
+        async def _handle(exchange):
+            await exchange.start_chunked(200, (), b'part')
+            await anyio.sleep_forever()
+
+        response = self._response(_handle)
+        self.assertTrue(response.endswith(b'4\r\npart\r\n'), response)
+
+
 class SlowReaderTest(ServerCase):
     """Clients that stop reading."""
 
