Refuse a request that stays incomplete also while stopping

Callers: a request that was not received in time got 408, but only a closed connection if the server was stopping. Change: 408 in both cases. It has not run, and its client may repeat it.

Test: test_slow_request_while_stopping, which failed before; tests/adapters/http1 passes, 53 tests.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -282,12 +282,10 @@
                 return await _receive_or_end(self._stream)
             deadline = self._rest_deadline(waiting_since)
             remaining_seconds = deadline - anyio.current_time()
-        if not self._server.is_stopping:
-            raise errors.RequestRefused(
-                http.HTTPStatus.REQUEST_TIMEOUT,
-                'timed out while receiving the request',
-            )
-        return b''
+        raise errors.RequestRefused(
+            http.HTTPStatus.REQUEST_TIMEOUT,
+            'timed out while receiving the request',
+        )
 
     def _rest_deadline(self, waiting_since_seconds: float) -> float:
         """Return until when to wait for the next bytes of a request.
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -620,6 +620,26 @@
         self.assertTrue(response.endswith(b'4\r\npart\r\n'), response)
 
 
+class RefusalTest(ServerCase):
+    """Refusals of requests that are not valid or not complete in time."""
+
+    def test_slow_request_while_stopping(self):
+        """A request that is not complete in time gets 408 also then.
+
+        Its connection used to close without a response.
+        """
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(b'GET / HTTP/1.1\r\n')
+                await anyio.sleep(1)
+                self.server.close()
+                return await _receive_all(stream)
+
+        response = self.run_scenario(_respond, _scenario)
+        self.assertTrue(response.startswith(b'HTTP/1.1 408 '), response)
+
+
 class SlowReaderTest(ServerCase):
     """Clients that stop reading."""
 
