Log refused requests and handlers without a response

Callers: a 400, 408, 413 or 431 of the server left no line in the log, nor did a request whose handler ended without sending a response, so neither could be told from a lost one. Change: the lines request:refused, with status and reason, and request:unanswered. The send of a refusal is bounded like each other write.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -210,7 +210,7 @@
             while request is not None and await self._serve(request):
                 request = await self._next_request()
         except errors.RequestRefused as error:
-            await self._reject(error.status)
+            await self._reject(error)
 
     async def _next_request(self) -> messages.Request | None:
         """Return the next request, None if the client sends no more."""
@@ -355,10 +355,18 @@
         except* Exception:
             logs.failure('request:failed', address=str(self._server.address))
         else:
+            self._log_unanswered(exchange)
             return
         if is_connected:
             await self._respond_with_error(exchange)
 
+    def _log_unanswered(self, exchange: Exchange) -> None:
+        """Log if the handler has ended without a response."""
+        if not exchange.has_started:
+            logs.decision(
+                'request:unanswered', address=str(self._server.address)
+            )
+
     async def _end_cancelled(self, exchange: Exchange) -> None:
         """Respond with 502 if the server is cancelled during a request."""
         if exchange.is_complete:
@@ -397,13 +405,19 @@
                 return
             self._feed(received)
 
-    async def _reject(self, status: int) -> None:
+    async def _reject(self, error: errors.RequestRefused) -> None:
         """Send an error response to an invalid request."""
+        logs.decision(
+            'request:refused',
+            address=str(self._server.address),
+            status=error.status,
+            detail=str(error),
+        )
         headers = ((b'content-length', b'0'), (b'connection', b'close'))
+        payload = messages.response_head_bytes(error.status, headers)
         try:
-            await self._stream.send(
-                messages.response_head_bytes(status, headers),
-            )
+            with anyio.move_on_after(const.CLIENT_WRITE_TIMEOUT_SECONDS):
+                await self._stream.send(payload)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             return
 
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -639,6 +639,30 @@
         response = self.run_scenario(_respond, _scenario)
         self.assertTrue(response.startswith(b'HTTP/1.1 408 '), response)
 
+    def test_log(self):
+        """The log says which status was sent and why; it used not to."""
+
+        async def _scenario():
+            return await self.exchange(b'invalid\r\n\r\n')
+
+        self.run_scenario(_respond, _scenario)
+        lines = self.logged('request:refused')
+        self.assertEqual(1, len(lines))
+        self.assertEqual(400, lines[0][1]['status'])
+        self.assertIn('invalid HTTP/1.1 request', lines[0][1]['detail'])
+
+    def test_no_response_is_logged(self):
+        """The log tells of a handler that sends no response."""
+
+        async def _handle(exchange):
+            exchange.keep_alive = False
+
+        async def _scenario():
+            return await self.exchange(_get(b'/'))
+
+        self.assertEqual(b'', self.run_scenario(_handle, _scenario))
+        self.assertEqual(1, len(self.logged('request:unanswered')))
+
 
 class SlowReaderTest(ServerCase):
     """Clients that stop reading."""
