Keep serving when a connection cannot be accepted

Callers: if the process had too many open files when a connection came, all its connections ended and the requests in progress with them. Cause: the error of the accept ended the server's task group. Change: it is logged as connection:not-accepted, and accepting goes on after 50 ms; the connection waits in the backlog.

--- a/nutmegtrail/adapters/http1/const.py
+++ b/nutmegtrail/adapters/http1/const.py
@@ -4,6 +4,7 @@
 
 RECEIVE_BYTES: typing.Final = 65_536
 LISTEN_BACKLOG: typing.Final = 1_024
+ACCEPT_RETRY_SECONDS: typing.Final = 0.05
 
 # Further pipelined requests wait in the socket buffer.
 PIPELINED_REQUESTS_LIMIT: typing.Final = 4
--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -157,9 +157,28 @@
         async with anyio.create_task_group() as tasks:
             self._accept_scope = anyio.CancelScope()
             with self._accept_scope:
-                await listener.serve(self._serve_connection, tasks)
+                await self._accept(listener, tasks)
             await listener.aclose()
 
+    async def _accept(
+        self,
+        listener: anyio.abc.Listener[typing.Any],
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Accept connections; go on after a failure.
+
+        A connection that cannot be accepted, for example because the process
+        has too many open files, must not affect the others.
+        """
+        while True:
+            try:
+                await listener.serve(self._serve_connection, tasks)
+            except* OSError:
+                logs.failure(
+                    'connection:not-accepted', address=str(self.address)
+                )
+            await anyio.sleep(const.ACCEPT_RETRY_SECONDS)
+
     def stop(self) -> None:
         """Close each connection after the next response that starts."""
         self.is_stopping = True
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -1,5 +1,7 @@
 """Tests that the server answers each request that it has read."""
 
+import os
+import resource
 import socket
 import sys
 
@@ -664,6 +666,44 @@
         self.assertEqual(1, len(self.logged('request:unanswered')))
 
 
+class FailingAcceptTest(ServerCase):
+    """Connections that cannot be accepted."""
+
+    def test_no_free_descriptor(self):
+        """The requests in progress and later connections are served.
+
+        The failure used to end the server with all its connections.
+        """
+        limit = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self.addCleanup(resource.setrlimit, resource.RLIMIT_NOFILE, limit)
+
+        async def _handle(exchange):
+            await anyio.sleep(1)
+            await _respond(exchange)
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(_get(b'/1', b'Connection: close\r\n'))
+                await anyio.sleep(0.1)
+                with socket.socket() as refused:
+                    refused.setblocking(False)
+                    lowest_free = os.dup(refused.fileno())
+                    os.close(lowest_free)
+                    resource.setrlimit(
+                        resource.RLIMIT_NOFILE, (lowest_free, limit[1])
+                    )
+                    refused.connect_ex((self.address.ip, self.address.port))
+                    await anyio.sleep(0.5)
+                    resource.setrlimit(resource.RLIMIT_NOFILE, limit)
+                first = await _receive_all(stream)
+            second = await self.exchange(_get(b'/2', b'Connection: close\r\n'))
+            return first[-2:], second[-2:]
+
+        outcome = self.run_scenario(_handle, _scenario)
+        self.assertEqual((b'/1', b'/2'), outcome)
+        self.assertNotEqual([], self.logged('connection:not-accepted'))
+
+
 class SlowReaderTest(ServerCase):
     """Clients that stop reading."""
 
