Keep a connection that fails at its start from ending the server

Callers: none seen; found while reading. If the limits cannot be read when a connection is accepted, all connections of the server end. Cause: the connection was created outside the try block that contains the failures of one connection.

Test: FailingLimitsTest.test_other_connections, which failed before; tests/adapters/http1 passes, 57 tests, two runs.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -194,9 +194,8 @@
 
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Serve the requests of one connection."""
-        connection = _Connection(stream, self)
         try:
-            await connection.run()
+            await _Connection(stream, self).run()
         except errors.ClientDisconnected:
             return
         except Exception:
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -704,6 +704,33 @@
         self.assertNotEqual([], self.logged('connection:not-accepted'))
 
 
+class FailingLimitsTest(ServerCase):
+    """A configuration whose limits cannot be read."""
+
+    def test_other_connections(self):
+        """A new connection fails; the request in progress is answered.
+
+        The failure used to end the server with all its connections.
+        """
+
+        async def _handle(exchange):
+            await anyio.sleep(1)
+            await _respond(exchange)
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(_get(b'/1', b'Connection: close\r\n'))
+                await anyio.sleep(0.1)
+                self.limits = None
+                failed = await self.exchange(_get(b'/2'))
+                self.limits = _LIMITS
+                return failed, (await _receive_all(stream))[-2:]
+
+        outcome = self.run_scenario(_handle, _scenario)
+        self.assertEqual((b'', b'/1'), outcome)
+        self.assertEqual(1, len(self.logged('connection:failed')))
+
+
 class SlowReaderTest(ServerCase):
     """Clients that stop reading."""
 
