Answer a request when the watch of its connection fails

Callers: none seen; found while reading. A failure in the task that watches for a disconnect cancelled the request and closed its connection without a response. Change: it is handled like a failure of the handler: request:failed in the log and 502 if no response has started.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -352,6 +352,9 @@
         except cancelled_error:
             await self._end_cancelled(exchange)
             raise
+        except Exception:
+            logs.failure('request:failed', address=str(self._server.address))
+            await self._respond_with_error(exchange)
         return exchange.is_complete and exchange.keep_alive
 
     def _must_close(self) -> bool:
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -730,6 +730,27 @@
         self.assertEqual((b'', b'/1'), outcome)
         self.assertEqual(1, len(self.logged('connection:failed')))
 
+    def test_request_in_progress(self):
+        """A request gets 502 if the watch of its connection fails.
+
+        It used to end with a closed connection.
+        """
+
+        async def _handle(_):
+            await anyio.sleep_forever()
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(_get(b'/1'))
+                await anyio.sleep(0.1)
+                self.limits = None
+                await stream.send(_get(b'/2'))
+                return await _receive_all(stream)
+
+        response = self.run_scenario(_handle, _scenario)
+        self.assertTrue(response.startswith(b'HTTP/1.1 502 '), response)
+        self.assertEqual(1, len(self.logged('request:failed')))
+
 
 class SlowReaderTest(ServerCase):
     """Clients that stop reading."""
