Answer cancelled requests only after a stop

Cause: the simulated engines end by cancelling their server, as a crash would. Since they answered 502 then and counted as running: six of the nine tests of tests/platform/test_crashing_request.py failed. Change: the 502 is sent only if the server was stopped before, which the daemon does at the begin of its drain. Without a stop, a cancelled server closes its connections as before.

Tests: CancelledServerTest.test_no_stop_before, which failed before; tests/adapters/http1 passes, 59 tests, two runs; test_crashing_request.py, test_callers.py, test_path.py, test_hostile_input.py, test_engine_condition.py of tests/platform and tests/gateway/test_daemon.py pass, 43 tests.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -389,8 +389,11 @@
             )
 
     async def _end_cancelled(self, exchange: Exchange) -> None:
-        """Respond with 502 if the server is cancelled during a request."""
-        if exchange.is_complete:
+        """Respond with 502 if a stop ends before the request does.
+
+        A server that is cancelled without a stop ends as if it were killed.
+        """
+        if exchange.is_complete or not self._server.is_stopping:
             return
         logs.decision(
             'request:cancelled',
