--- a/nutmegtrail/adapters/http1/const.py
+++ b/nutmegtrail/adapters/http1/const.py
@@ -4,6 +4,7 @@
 
 RECEIVE_BYTES: typing.Final = 65_536
 LISTEN_BACKLOG: typing.Final = 1_024
+ACCEPT_RETRY_SECONDS: typing.Final = 0.05
 
 # Further pipelined requests wait in the socket buffer.
 PIPELINED_REQUESTS_LIMIT: typing.Final = 4
@@ -13,6 +14,10 @@
 # because it is not retransmitted within a second.
 CONNECT_TIMEOUT_SECONDS: typing.Final = 0.3
 CLIENT_WRITE_TIMEOUT_SECONDS: typing.Final = 10.0
+ARRIVED_BYTES_TIMEOUT_SECONDS: typing.Final = 0.001
+
+# The process waits for these responses before it exits.
+CANCELLED_RESPONSE_TIMEOUT_SECONDS: typing.Final = 0.1
 
 # TCP keep-alive probes detect an unresponsive peer within three seconds, the
 # shortest time after which the platform counts a host as connected again.
--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -6,6 +6,7 @@
 
 import anyio
 import anyio.abc
+from anyio import lowlevel
 
 from nutmegtrail import const as shared_const
 from nutmegtrail import models
@@ -38,6 +39,7 @@
         request: messages.Request,
         stream: anyio.abc.ByteStream,
         received_at_seconds: float,
+        must_close: typing.Callable[[], bool],
     ) -> None:
         """Initialize the exchange; nothing has been sent."""
         self.request = request
@@ -47,6 +49,7 @@
         self.is_complete = False
         self.keep_alive = request.keep_alive
         self._stream = stream
+        self._must_close = must_close
 
     async def respond(
         self,
@@ -57,8 +60,7 @@
         """Send a complete response."""
         length = (b'content-length', b'%d' % len(payload))
         head = self._head(status, (*headers, length))
-        self.has_started = True
-        await self._send(head + payload)
+        await self._start(head + payload)
         self.is_complete = True
 
     async def start_chunked(
@@ -70,8 +72,7 @@
         """Send the head and the first part of a chunked body."""
         encoding = (b'transfer-encoding', b'chunked')
         head = self._head(status, (*headers, encoding))
-        self.has_started = True
-        await self._send(head + messages.chunk(payload))
+        await self._start(head + messages.chunk(payload))
 
     async def write(self, payload: bytes) -> None:
         """Send the next part of a chunked body."""
@@ -85,23 +86,39 @@
     def _head(self, status: int, headers: messages.Headers) -> bytes:
         """Return the response head; announce if the connection closes."""
         self.status = status
+        if self._must_close():
+            self.keep_alive = False
         if not self.keep_alive:
             headers = (*headers, (b'connection', b'close'))
         return messages.response_head_bytes(status, headers)
 
+    async def _start(self, payload: bytes) -> None:
+        """Send the first bytes of the response.
+
+        If it is cancelled before it sends them, the response has not started
+        and the handler can send another one.
+        """
+        await lowlevel.checkpoint_if_cancelled()
+        self.has_started = True
+        await self._send(payload)
+
     async def _send(self, payload: bytes) -> None:
         """Send bytes; raise ClientDisconnected on failure or timeout."""
         try:
             with anyio.fail_after(const.CLIENT_WRITE_TIMEOUT_SECONDS):
                 await self._stream.send(payload)
+        except TimeoutError as error:
+            logs.decision(
+                'client:stopped-reading',
+                status=self.status,
+                timeout_seconds=const.CLIENT_WRITE_TIMEOUT_SECONDS,
+            )
+            raise errors.ClientDisconnected('client stopped reading') from error
         except (
             anyio.BrokenResourceError,
             anyio.ClosedResourceError,
-            TimeoutError,
         ) as error:
-            raise errors.ClientDisconnected(
-                'client disconnected or stopped reading'
-            ) from error
+            raise errors.ClientDisconnected('client disconnected') from error
 
 
 class Server:
@@ -114,19 +131,20 @@
         limits: LimitsSource,
     ) -> None:
         """Initialize the server without listening."""
-        self._address = address
+        self.address = address
         self._handler = handler
         self._limits = limits
         self._listener: anyio.abc.Listener[typing.Any] | None = None
         self._accept_scope: anyio.CancelScope | None = None
         self._idle_scopes: set[anyio.CancelScope] = set()
         self.is_stopping = False
+        self.is_closed = False
 
     async def start(self) -> None:
         """Start listening; connections are queued until `serve`."""
         listeners = await anyio.create_tcp_listener(
-            local_host=self._address.ip,
-            local_port=self._address.port,
+            local_host=self.address.ip,
+            local_port=self.address.port,
             backlog=const.LISTEN_BACKLOG,
         )
         self._listener = listeners
@@ -139,16 +157,36 @@
         async with anyio.create_task_group() as tasks:
             self._accept_scope = anyio.CancelScope()
             with self._accept_scope:
-                await listener.serve(self._serve_connection, tasks)
+                await self._accept(listener, tasks)
             await listener.aclose()
 
+    async def _accept(
+        self,
+        listener: anyio.abc.Listener[typing.Any],
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Accept connections; go on after a failure.
+
+        A connection that cannot be accepted, for example because the process
+        has too many open files, must not affect the others.
+        """
+        while True:
+            try:
+                await listener.serve(self._serve_connection, tasks)
+            except* OSError:
+                logs.failure(
+                    'connection:not-accepted', address=str(self.address)
+                )
+            await anyio.sleep(const.ACCEPT_RETRY_SECONDS)
+
     def stop(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection after the next response that starts."""
         self.is_stopping = True
 
     def close(self) -> None:
         """Stop listening and close idle connections."""
         self.is_stopping = True
+        self.is_closed = True
         if self._accept_scope is not None:
             self._accept_scope.cancel()
         for scope in tuple(self._idle_scopes):
@@ -156,14 +194,13 @@
 
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Serve the requests of one connection."""
-        connection = _Connection(stream, self)
         try:
-            await connection.run()
+            await _Connection(stream, self).run()
         except errors.ClientDisconnected:
             return
         except Exception:
             # A failure in handling one request must not affect the others.
-            logs.failure('connection:failed', address=str(self._address))
+            logs.failure('connection:failed', address=str(self.address))
         finally:
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
@@ -179,7 +216,10 @@
         limits = server._limits()
         self._reader = messages.RequestReader(limits.sizes)
         self._has_served = False
-        self._request_deadline_seconds = math.inf
+        self._is_closing = False
+        self._refusal: errors.RequestRefused | None = None
+        self._request_since_seconds = math.inf
+        self._header_timeout_seconds: float = 0
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -188,103 +228,220 @@
             while request is not None and await self._serve(request):
                 request = await self._next_request()
         except errors.RequestRefused as error:
-            await self._reject(error.status)
+            await self._reject(error)
 
     async def _next_request(self) -> messages.Request | None:
         """Return the next request, None if the client sends no more."""
         while not self._reader.ready:
+            if self._refusal is not None:
+                raise self._refusal
             received = await self._receive()
             if not received:
                 return None
-            self._reader.feed(received)
-        self._request_deadline_seconds = math.inf
+            self._feed(received)
+        self._request_since_seconds = math.inf
+        self._header_timeout_seconds = 0
         return self._reader.ready.popleft()
 
+    def _feed(self, received: bytes) -> None:
+        """Parse received bytes.
+
+        The refusal of an invalid request is kept until the valid ones before
+        it have been answered. Bytes behind it belong to no request.
+        """
+        if self._refusal is not None:
+            return
+        self._reader.limits = self._server._limits().sizes
+        try:
+            self._reader.feed(received)
+        except errors.RequestRefused as error:
+            self._refusal = error
+
     async def _receive(self) -> bytes:
         """Return received bytes, b'' at the end or after an idle timeout."""
-        limits = self._server._limits()
-        self._reader.limits = limits.sizes
-        has_partial_request = self._reader.has_partial_request
-        if (
-            self._server.is_stopping
-            and self._has_served
-            and not has_partial_request
-        ):
-            return await self._receive_buffered()
-        timeout = limits.idle_timeout_seconds
-        if has_partial_request:
-            timeout = self._partial_request_timeout(limits)
-        with anyio.move_on_after(timeout) as scope:
-            if not has_partial_request:
+        if self._reader.has_partial_request:
+            return await self._receive_rest()
+        if self._server.is_closed and self._has_served:
+            return await self._receive_arrived()
+        return await self._receive_first()
+
+    async def _receive_first(self) -> bytes:
+        """Return the first bytes of a request, b'' after an idle timeout.
+
+        If the timeout changes during the wait, the longer one applies, because
+        clients use the connection for the current one.
+        """
+        idle_since = anyio.current_time()
+        timeout_seconds = self._server._limits().idle_timeout_seconds
+        remaining_seconds = timeout_seconds
+        while remaining_seconds > 0:
+            with anyio.move_on_after(remaining_seconds) as scope:
                 self._server._idle_scopes.add(scope)
-            try:
+                try:
+                    return await _receive_or_end(self._stream)
+                finally:
+                    self._server._idle_scopes.discard(scope)
+            if self._server.is_closed:
+                break
+            current_seconds = self._server._limits().idle_timeout_seconds
+            idle_until = idle_since + max(timeout_seconds, current_seconds)
+            remaining_seconds = idle_until - anyio.current_time()
+        return await self._receive_arrived()
+
+    async def _receive_rest(self) -> bytes:
+        """Return more bytes of a request; refuse it after a timeout."""
+        waiting_since = anyio.current_time()
+        self._request_since_seconds = min(
+            self._request_since_seconds, waiting_since
+        )
+        remaining_seconds = self._rest_deadline(waiting_since) - waiting_since
+        while remaining_seconds > 0:
+            with anyio.move_on_after(remaining_seconds):
                 return await _receive_or_end(self._stream)
-            finally:
-                self._server._idle_scopes.discard(scope)
-        if has_partial_request and not self._server.is_stopping:
-            raise errors.RequestRefused(
-                http.HTTPStatus.REQUEST_TIMEOUT,
-                'timed out while receiving the request',
-            )
-        return b''
+            deadline = self._rest_deadline(waiting_since)
+            remaining_seconds = deadline - anyio.current_time()
+        raise errors.RequestRefused(
+            http.HTTPStatus.REQUEST_TIMEOUT,
+            'timed out while receiving the request',
+        )
 
-    def _partial_request_timeout(self, limits: ConnectionLimits) -> float:
-        """Return how long to wait for the next bytes of a request.
+    def _rest_deadline(self, waiting_since_seconds: float) -> float:
+        """Return until when to wait for the next bytes of a request.
 
         The whole request has a limit too: a client that sends a byte now and
-        then would otherwise hold its connection for ever.
+        then would otherwise hold its connection for ever. If the timeout
+        changes during the request, the longest one applies.
         """
-        now = anyio.current_time()
-        if self._request_deadline_seconds == math.inf:
-            self._request_deadline_seconds = (
-                now
-                + limits.header_timeout_seconds
-                + shared_const.BODY_READ_TIMEOUT_SECONDS
-            )
-        remaining_seconds = max(self._request_deadline_seconds - now, 0)
-        return min(limits.header_timeout_seconds, remaining_seconds)
+        self._header_timeout_seconds = max(
+            self._header_timeout_seconds,
+            self._server._limits().header_timeout_seconds,
+        )
+        return self._header_timeout_seconds + min(
+            waiting_since_seconds,
+            self._request_since_seconds
+            + shared_const.BODY_READ_TIMEOUT_SECONDS,
+        )
 
-    async def _receive_buffered(self) -> bytes:
-        """Return bytes that have already arrived, without waiting."""
-        with anyio.move_on_after(0):
+    async def _receive_arrived(self) -> bytes:
+        """Return bytes that have arrived before the connection closes.
+
+        A request among them is answered, the last one of the connection. The
+        timeout must be positive: only then does the event loop read from the
+        socket before the wait is cancelled.
+        """
+        self._is_closing = True
+        with anyio.move_on_after(const.ARRIVED_BYTES_TIMEOUT_SECONDS):
             return await _receive_or_end(self._stream)
         return b''
 
     async def _serve(self, request: messages.Request) -> bool:
         """Handle a request; return whether the connection stays open."""
         self._has_served = True
-        exchange = Exchange(request, self._stream, anyio.current_time())
-        if self._server.is_stopping:
-            exchange.keep_alive = False
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch_for_disconnect, tasks.cancel_scope)
-            try:
-                await self._server._handler(exchange)
-            except errors.ClientDisconnected:
-                exchange.keep_alive = False
-            tasks.cancel_scope.cancel()
+        exchange = Exchange(
+            request,
+            self._stream,
+            anyio.current_time(),
+            self._must_close,
+        )
+        cancelled_error = anyio.get_cancelled_exc_class()
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._watch_for_disconnect, tasks.cancel_scope)
+                await self._handle(exchange)
+                tasks.cancel_scope.cancel()
+        except cancelled_error:
+            await self._end_cancelled(exchange)
+            raise
+        except Exception:
+            logs.failure('request:failed', address=str(self._server.address))
+            await self._respond_with_error(exchange)
         return exchange.is_complete and exchange.keep_alive
 
+    def _must_close(self) -> bool:
+        """Return whether a response that starts now announces the close."""
+        return self._server.is_stopping or self._is_closing
+
+    async def _handle(self, exchange: Exchange) -> None:
+        """Call the handler; respond with 502 if it fails before it responds.
+
+        No status that tells callers that the request has not run would be
+        true.
+        """
+        is_connected = True
+        try:
+            await self._server._handler(exchange)
+        except* errors.ClientDisconnected:
+            is_connected = False
+            exchange.keep_alive = False
+        except* Exception:
+            logs.failure('request:failed', address=str(self._server.address))
+        else:
+            self._log_unanswered(exchange)
+            return
+        if is_connected:
+            await self._respond_with_error(exchange)
+
+    def _log_unanswered(self, exchange: Exchange) -> None:
+        """Log if the handler has ended without a response."""
+        if not exchange.has_started:
+            logs.decision(
+                'request:unanswered', address=str(self._server.address)
+            )
+
+    async def _end_cancelled(self, exchange: Exchange) -> None:
+        """Respond with 502 if a stop ends before the request does.
+
+        A server that is cancelled without a stop ends as if it were killed.
+        """
+        if exchange.is_complete or not self._server.is_stopping:
+            return
+        logs.decision(
+            'request:cancelled',
+            address=str(self._server.address),
+            has_started=exchange.has_started,
+        )
+        with anyio.move_on_after(
+            const.CANCELLED_RESPONSE_TIMEOUT_SECONDS, shield=True
+        ):
+            await self._respond_with_error(exchange)
+
+    async def _respond_with_error(self, exchange: Exchange) -> None:
+        """Send 502, unless a response has started or the client is gone."""
+        if exchange.has_started:
+            return
+        exchange.keep_alive = False
+        try:
+            await exchange.respond(http.HTTPStatus.BAD_GATEWAY, (), b'')
+        except errors.ClientDisconnected:
+            return
+
     async def _watch_for_disconnect(self, scope: anyio.CancelScope) -> None:
-        """Cancel the handling of a request when its client disconnects."""
+        """Cancel the handling of a request when its client disconnects.
+
+        A client that closes only its sending side counts as disconnected too:
+        it cannot be told apart from one that is gone, and upstreams must not
+        go on working for that one.
+        """
         while len(self._reader.ready) < const.PIPELINED_REQUESTS_LIMIT:
             received = await _receive_or_end(self._stream)
             if not received:
                 scope.cancel()
                 return
-            try:
-                self._reader.feed(received)
-            except errors.RequestRefused:
-                scope.cancel()
-                return
+            self._feed(received)
 
-    async def _reject(self, status: int) -> None:
+    async def _reject(self, error: errors.RequestRefused) -> None:
         """Send an error response to an invalid request."""
+        logs.decision(
+            'request:refused',
+            address=str(self._server.address),
+            status=error.status,
+            detail=str(error),
+        )
         headers = ((b'content-length', b'0'), (b'connection', b'close'))
+        payload = messages.response_head_bytes(error.status, headers)
         try:
-            await self._stream.send(
-                messages.response_head_bytes(status, headers),
-            )
+            with anyio.move_on_after(const.CLIENT_WRITE_TIMEOUT_SECONDS):
+                await self._stream.send(payload)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             return
 
