--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -14,7 +14,7 @@
     request = messages.Request(b'POST', b'/a/b', (), b'', keep_alive=True)
     caller = models.CallerRequest('r1', 'example', '/a/b', 'key-1', 8.0, None)
     return jobs.Job(
-        server.Exchange(request, None, 0),
+        server.Exchange(request, None, 0, bool),
         caller,
         samples.route(models.RouteKind.STREAM),
         models.Account('agency', 3),
