Refuse transfer codings that were not asked for

A caller could get a body that was still encoded by a transfer coding: the reader took any Transfer-Encoding for a length, and the header is not forwarded. A body with the obsolete coding 'identity', which ends with its connection, counted as truncated.

The reader now accepts no transfer coding, 'identity' and 'chunked'; any other value breaks the exchange, so that the request is repeated or gets 502. Requests carry no TE header, so that a conforming upstream sends no other coding (RFC 9112, section 7.4).

Both new tests in tests/adapters/http1/test_messages.py failed before (one FIN not accepted, one body accepted); tests/adapters/http1 passes after.

--- a/nutmegtrail/adapters/http1/messages.py
+++ b/nutmegtrail/adapters/http1/messages.py
@@ -11,6 +11,11 @@
 
 Headers: typing.TypeAlias = tuple[tuple[bytes, bytes], ...]
 LAST_CHUNK: typing.Final = b'0\r\n\r\n'
+_CHUNKED: typing.Final = (b'chunked',)
+# Upstreams may use no other coding, because requests have no TE header.
+_SUPPORTED_TRANSFER_CODINGS: typing.Final = frozenset(
+    ((), (b'identity',), _CHUNKED),
+)
 
 
 class Request(typing.NamedTuple):
@@ -190,6 +195,7 @@
         self.has_surplus = False
         self.ends_with_connection = False
         self._may_keep_alive = False
+        self._fault = ''
         self._body = bytearray()
         self._headers: list[tuple[bytes, bytes]] = []
         self._parser = httptools.HttpResponseParser(self)
@@ -207,9 +213,13 @@
         ) as error:
             if not self.complete:
                 raise errors.ExchangeBroken(
-                    f'invalid HTTP/1.1 response: {error}',
+                    f'invalid HTTP/1.1 response: {self._fault or error}',
                 ) from error
             self.has_surplus = True
+        if self._fault:
+            raise errors.ExchangeBroken(
+                f'invalid HTTP/1.1 response: {self._fault}'
+            )
 
     def take_body(self) -> bytes:
         """Return the body received since the last call."""
@@ -242,12 +252,19 @@
         status = self._parser.get_status_code()
         headers = tuple(self._headers)
         self._headers = []
-        if self.complete or status < http.HTTPStatus.OK:
+        if self.complete or self._fault or status < http.HTTPStatus.OK:
+            return
+        codings = tuple(
+            text.strip().lower()
+            for name, text in headers
+            if name == b'transfer-encoding'
+        )
+        if codings not in _SUPPORTED_TRANSFER_CODINGS:
+            self._fault = f'unsupported transfer codings {codings}'
             return
         self.head = Head(status, headers)
-        has_length = any(
-            name in {b'content-length', b'transfer-encoding'}
-            for name, _ in headers
+        has_length = codings == _CHUNKED or any(
+            name == b'content-length' for name, _ in headers
         )
         self.ends_with_connection = not has_length and status not in {
             http.HTTPStatus.NO_CONTENT,
--- a/tests/adapters/http1/test_messages.py
+++ b/tests/adapters/http1/test_messages.py
@@ -90,6 +90,45 @@
         self.assertTrue(reader.finish())
         self.assertFalse(reader.keeps_alive())
 
+    def test_identity_coding_ends_with_connection(self):
+        """A body with the identity coding ends when the connection closes.
+
+        It used to count as truncated, because the coding was taken for a
+        length.
+        """
+        for coding in (b'identity', b'Identity'):
+            reader = _read(
+                b'HTTP/1.1 200 OK\r\nTransfer-Encoding: %b\r\n\r\nhello'
+                % coding
+            )
+            self.assertFalse(reader.complete)
+            self.assertTrue(reader.finish())
+            self.assertEqual(b'hello', reader.take_body())
+            self.assertFalse(reader.keeps_alive())
+
+    def test_transfer_coding_other_than_chunked(self):
+        """A body in a coding that was not asked for is refused.
+
+        It used to be forwarded still encoded, without the header that tells.
+        """
+        for codings in (
+            b'gzip',
+            b'gzip, chunked',
+            b'chunked, gzip',
+            b'chunked, identity',
+            b'chunked\r\nTransfer-Encoding: identity',
+            b'chunked\r\nTransfer-Encoding: chunked',
+            b'',
+        ):
+            head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: %b\r\n\r\n' % codings
+            reader = messages.ResponseReader()
+            self.assertRaises(
+                errors.ExchangeBroken,
+                reader.feed,
+                head + b'5\r\nhello\r\n0\r\n\r\n',
+            )
+            self.assertFalse(reader.finish(), codings)
+
     def test_surplus_bytes(self):
         """Bytes after a response prevent reuse but do not affect it."""
         for extra_bytes in (_CHUNKED, b'\x00\x01garbage', b'HTTP/1.1 500'):
