Refuse responses with a status below 100

A caller could get bytes that belong to no response in front of the body: a status below 100 was taken for an interim one, but the parser reads a body after it, which was kept for the final response.

Such a status now breaks the exchange, and no body is kept without a head.

test_status_without_class failed before (nothing raised) and passes after, with the rest of tests/adapters/http1/test_messages.py.

--- a/nutmegtrail/adapters/http1/messages.py
+++ b/nutmegtrail/adapters/http1/messages.py
@@ -252,7 +252,11 @@
         status = self._parser.get_status_code()
         headers = tuple(self._headers)
         self._headers = []
-        if self.complete or self._fault or status < http.HTTPStatus.OK:
+        if self.complete or self._fault:
+            return
+        if status < http.HTTPStatus.CONTINUE:
+            self._fault = f'invalid status {status}'
+        if status < http.HTTPStatus.OK:
             return
         codings = tuple(
             text.strip().lower()
@@ -273,7 +277,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Take a part of the body."""
-        if not self.complete:
+        if self.head is not None and not self.complete:
             self._body += part
 
     def on_message_complete(self) -> None:
--- a/tests/adapters/http1/test_messages.py
+++ b/tests/adapters/http1/test_messages.py
@@ -147,6 +147,20 @@
         self.assertEqual(200, reader.head.status)
         self.assertTrue(reader.complete)
 
+    def test_status_without_class(self):
+        """A response whose status has no class is refused.
+
+        Its body used to be prepended to that of the next response.
+        """
+        for status in (b'000', b'099'):
+            faulty = b'HTTP/1.1 %b A\r\nContent-Length: 3\r\n\r\nabc' % status
+            reader = messages.ResponseReader()
+            self.assertRaises(
+                errors.ExchangeBroken, reader.feed, faulty + _CHUNKED
+            )
+            self.assertFalse(reader.complete)
+            self.assertEqual(b'', reader.take_body())
+
     def test_invalid_response(self):
         """Bytes that are not HTTP raise ExchangeBroken."""
         reader = messages.ResponseReader()
