Ignore absurd keep-alive timeouts of upstreams

A caller got a closed connection in place of a complete response if the upstream's Keep-Alive header carried a number of hundreds of digits. The conversion failed after the response had been read, and the connection to the upstream was not closed.

A timeout of more than nine digits now counts as none, so that the connection is closed after the response.

test_keep_alive_timeout_of_any_length failed before (OverflowError) and passes after, with the rest of tests/adapters/http1.

--- a/nutmegtrail/adapters/http1/client.py
+++ b/nutmegtrail/adapters/http1/client.py
@@ -19,7 +19,9 @@
 from nutmegtrail.adapters.http1 import errors
 from nutmegtrail.adapters.http1 import messages
 
-_KEEP_ALIVE_TIMEOUT: typing.Final = re.compile(rb'timeout\s*=\s*(\d+)')
+_KEEP_ALIVE_TIMEOUT: typing.Final = re.compile(
+    rb'timeout\s*=\s*(\d{1,9})(?!\d)'
+)
 _CONNECTION_ERRORS: typing.Final = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
--- a/tests/adapters/http1/test_exchange.py
+++ b/tests/adapters/http1/test_exchange.py
@@ -244,6 +244,21 @@
         truncated = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello'
         self.assertEqual(['broken'], self._fetch((truncated, True))[0])
 
+    def test_keep_alive_timeout_of_any_length(self):
+        """A connection with an absurd keep-alive timeout is not reused.
+
+        The number used to fail a complete response: Python converts no text
+        of over 4,300 digits, and no number over 1e308 to a float.
+        """
+        for digits in (400, 5_000):
+            complete = (
+                b'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=%b\r\n'
+                b'Content-Length: 5\r\n\r\nhello' % (b'9' * digits)
+            )
+            outcomes, opened = self._fetch((complete, False), (complete, True))
+            self.assertEqual([b'hello', b'hello'], outcomes)
+            self.assertEqual(2, opened)
+
     def test_closed_idle_connection_is_not_reused(self):
         """An idle connection that the upstream closed is replaced."""
         complete = (
