Limit what an upstream sends without any body

An upstream that sent an endless head, endless interim responses, chunk extensions or trailers was read until the call's deadline.

The reader now counts the bytes since the last part of the body and raises ExchangeBroken above 64 KiB, whereupon the client closes the connection. Trailers are no longer kept. A body in small chunks is not limited.

test_endless_head and test_endless_framing failed before, with up to 64 MiB fed; after, each case ends within the limit, under 1 MiB of traced memory and 1 s of processor time. tests/adapters/http1 passes.

--- a/nutmegtrail/adapters/http1/const.py
+++ b/nutmegtrail/adapters/http1/const.py
@@ -5,6 +5,10 @@
 RECEIVE_BYTES: typing.Final = 65_536
 LISTEN_BACKLOG: typing.Final = 1_024
 
+# Of interim responses, status line, headers, chunk sizes, chunk extensions and
+# trailers without any part of the body between them. The parser has no limit.
+RESPONSE_FRAMING_LIMIT_BYTES: typing.Final = 65_536
+
 # Further pipelined requests wait in the socket buffer.
 PIPELINED_REQUESTS_LIMIT: typing.Final = 4
 
--- a/nutmegtrail/adapters/http1/messages.py
+++ b/nutmegtrail/adapters/http1/messages.py
@@ -196,6 +196,7 @@
         self.ends_with_connection = False
         self._may_keep_alive = False
         self._fault = ''
+        self._framing_bytes = 0
         self._body = bytearray()
         self._headers: list[tuple[bytes, bytes]] = []
         self._parser = httptools.HttpResponseParser(self)
@@ -205,6 +206,7 @@
         if self.complete:
             self.has_surplus = True
             return
+        body_bytes = len(self._body)
         try:
             self._parser.feed_data(received)
         except (
@@ -220,6 +222,9 @@
             raise errors.ExchangeBroken(
                 f'invalid HTTP/1.1 response: {self._fault}'
             )
+        self._count_framing(
+            len(received), has_body=len(self._body) > body_bytes
+        )
 
     def take_body(self) -> bytes:
         """Return the body received since the last call."""
@@ -244,8 +249,9 @@
             self.has_surplus = True
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Take a header."""
-        self._headers.append((name.lower(), text))
+        """Take a header; ignore trailers."""
+        if self.head is None:
+            self._headers.append((name.lower(), text))
 
     def on_headers_complete(self) -> None:
         """Handle the head; ignore interim responses."""
@@ -287,3 +293,18 @@
         self.complete = True
         # The parser discards the HTTP version when this callback returns.
         self._may_keep_alive = self._parser.should_keep_alive()
+
+    def _count_framing(self, received_bytes: int, *, has_body: bool) -> None:
+        """Count received bytes since the last part of the body.
+
+        Raises ExchangeBroken above the limit.
+        """
+        if has_body or self.complete:
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += received_bytes
+        if self._framing_bytes > const.RESPONSE_FRAMING_LIMIT_BYTES:
+            raise errors.ExchangeBroken(
+                'invalid HTTP/1.1 response: '
+                f'over {const.RESPONSE_FRAMING_LIMIT_BYTES} bytes without a body'
+            )
--- a/tests/adapters/http1/test_messages.py
+++ b/tests/adapters/http1/test_messages.py
@@ -1,13 +1,20 @@
 """Tests of the parsing of HTTP/1.1 messages."""
 
+import time
+import tracemalloc
+
 import hypothesis
 import hypothesis.strategies as strategies
 import testtools
 
+from nutmegtrail.adapters.http1 import const
 from nutmegtrail.adapters.http1 import errors
 from nutmegtrail.adapters.http1 import messages
 
 _LIMITS = messages.SizeLimits(200, 50)
+_ENDLESS_BYTES = 67_108_864
+_MEMORY_BYTES = 1_048_576
+_PROCESSOR_SECONDS = 1
 _POST = b'POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello'
 _CHUNKED = (
     b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -167,6 +174,90 @@
         self.assertRaises(errors.ExchangeBroken, reader.feed, b'\x00\x01\r\n')
 
 
+class EndlessResponseTest(testtools.TestCase):
+    """Bytes without end that are no response.
+
+    They used to be kept, or read again with each part, until the call's
+    deadline.
+    """
+
+    def _feed_endlessly(self, head, unit):
+        """Feed up to 64 MiB; return the bytes fed, the peak memory, seconds."""
+        reader = _read(head)
+        part = (unit * (const.RECEIVE_BYTES // len(unit) + 1))[
+            : const.RECEIVE_BYTES // len(unit) * len(unit)
+        ]
+        fed = 0
+        started_at = time.process_time()
+        tracemalloc.start()
+        try:
+            while fed < _ENDLESS_BYTES:
+                reader.feed(part)
+                fed += len(part)
+        except errors.ExchangeBroken:
+            self.assertFalse(reader.finish())
+        finally:
+            peak = tracemalloc.get_traced_memory()[1]
+            tracemalloc.stop()
+        return fed, peak, time.process_time() - started_at
+
+    def test_endless_head(self):
+        """A head is refused once it exceeds its limit."""
+        start = b'HTTP/1.1 200 OK\r\n'
+        for head, unit in (
+            (b'HTTP/1.1 200 ', b'a'),
+            (start + b'X: ', b'a'),
+            (start + b'X', b'a'),
+            (start, b'X-A: 1\r\n'),
+            (b'', b'\r\n'),
+            (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+            (b'', b'HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n'),
+        ):
+            fed, peak, seconds = self._feed_endlessly(head, unit)
+            self.assertTrue(fed <= const.RESPONSE_FRAMING_LIMIT_BYTES, unit)
+            self.assertTrue(peak < _MEMORY_BYTES, (unit, peak))
+            self.assertTrue(seconds < _PROCESSOR_SECONDS, (unit, seconds))
+
+    def test_endless_framing(self):
+        """Chunk sizes, extensions and trailers are limited."""
+        start = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        for head, unit in (
+            (start, b'0'),
+            (start + b'5;', b'a'),
+            (start + b'5;a="', b'a'),
+            (start + b'5\r\nhello\r\n5;', b'a'),
+            (start + b'0\r\n', b'X-A: 1\r\n'),
+            (start + b'0\r\nX: ', b'a'),
+        ):
+            fed, peak, seconds = self._feed_endlessly(head, unit)
+            self.assertTrue(fed <= const.RESPONSE_FRAMING_LIMIT_BYTES, head)
+            self.assertTrue(peak < _MEMORY_BYTES, (head, peak))
+            self.assertTrue(seconds < _PROCESSOR_SECONDS, (head, seconds))
+
+    def test_small_chunks(self):
+        """A long body in chunks of a byte is read, however it is split."""
+        head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        sent = b'1;a=b\r\nx\r\n' * const.RESPONSE_FRAMING_LIMIT_BYTES
+        for size in (7, 1_000, const.RECEIVE_BYTES):
+            reader = _read(head)
+            for start in range(0, len(sent), size):
+                reader.feed(sent[start : start + size])
+            reader.feed(messages.LAST_CHUNK)
+            self.assertTrue(reader.complete)
+            self.assertEqual(
+                const.RESPONSE_FRAMING_LIMIT_BYTES, len(reader.take_body())
+            )
+
+    def test_head_of_usual_size(self):
+        """A head of 16 KiB is read, also after interim responses."""
+        interim = b'HTTP/1.1 103 A\r\nLink: a\r\n\r\n' * 9
+        head = b'HTTP/1.1 200 OK\r\nX-A: %b\r\nContent-Length: 0\r\n\r\n'
+        reader = messages.ResponseReader()
+        for byte in interim + head % (b'a' * 16_384):
+            reader.feed(bytes((byte,)))
+        self.assertTrue(reader.complete)
+
+
 class HeadersTest(testtools.TestCase):
     """Hop-by-hop headers are not forwarded."""
 
