Limit the size of an event and split in linear time

An upstream that sent an event without an end was read until the call's deadline, all of it kept. The splitter joined and searched its whole buffer at each part, so that the processor time grew with the square of the event's size and the other requests of the process waited.

The splitter now appends to one buffer, searches each byte once and raises ExchangeBroken once an event exceeds 256 KiB. Spaces after the last event count as a partial event, empty lines do not.

--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -3,6 +3,8 @@
 import typing
 
 RESPONSE_BYTES_LIMIT: typing.Final = 8_388_608
+# An event is held back until it is complete.
+EVENT_LIMIT_BYTES: typing.Final = 262_144
 
 # The platform guarantees that registrations which expired during a store
 # outage are written again within two seconds of its recovery.
--- a/nutmegtrail/gateway/events.py
+++ b/nutmegtrail/gateway/events.py
@@ -1,9 +1,14 @@
 """Splitting of event streams and removal of duplicate events."""
 
+import re
 import typing
 
+from nutmegtrail.adapters.http1 import errors
+from nutmegtrail.gateway import const
+
 _ID_FIELD: typing.Final = b'id:'
-_EVENT_END: typing.Final = b'\n\n'
+_EVENT_END: typing.Final = re.compile(rb'\n\n')
+_EVENT_END_BYTES: typing.Final = 2
 
 
 class Position(typing.NamedTuple):
@@ -28,18 +33,36 @@
 
     def __init__(self) -> None:
         """Initialize the splitter with an empty buffer."""
-        self._received = b''
+        self._received = bytearray()
 
     @property
     def has_partial_event(self) -> bool:
         """Return whether the buffer holds an incomplete event."""
-        return bool(self._received.strip())
+        return bool(self._received.strip(b'\r\n'))
 
     def feed(self, received: bytes) -> tuple[bytes, ...]:
-        """Return the events that are complete now, with their terminators."""
-        parts = (self._received + received).split(_EVENT_END)
-        self._received = parts.pop()
-        return tuple(part + _EVENT_END for part in parts)
+        """Return the events that are complete now, with their terminators.
+
+        Raises ExchangeBroken if an event exceeds the limit.
+        """
+        search_from = max(len(self._received) - _EVENT_END_BYTES + 1, 0)
+        self._received += received
+        ends = [
+            match.end()
+            for match in _EVENT_END.finditer(self._received, search_from)
+        ]
+        starts = [0, *ends]
+        complete_events = tuple(
+            bytes(self._received[start:end]) for start, end in zip(starts, ends)
+        )
+        del self._received[: starts[-1]]
+        if max(map(len, (self._received, *complete_events))) > (
+            const.EVENT_LIMIT_BYTES
+        ):
+            raise errors.ExchangeBroken(
+                f'event exceeds {const.EVENT_LIMIT_BYTES} bytes'
+            )
+        return complete_events
 
 
 def event_id(event: bytes) -> int | None:
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -1,11 +1,20 @@
 """Tests that events are forwarded complete, in order and once."""
 
+import time
+import tracemalloc
+
 import hypothesis
 import hypothesis.strategies as strategies
 import testtools
 
+from nutmegtrail.adapters.http1 import errors
+from nutmegtrail.gateway import const
 from nutmegtrail.gateway import events
 
+_ENDLESS_BYTES = 67_108_864
+_MEMORY_BYTES = 1_048_576
+_PROCESSOR_SECONDS = 4
+
 
 def _event(number):
     """Return an event with a number."""
@@ -40,6 +49,74 @@
         self.assertEqual((_event(1),), splitter.feed(_event(1) + b'id: 2\nda'))
         self.assertTrue(splitter.has_partial_event)
 
+    def test_rest_of_stream(self):
+        """Text without its blank line is an incomplete event."""
+        cases = {
+            b'i': True,
+            b'id:2': True,
+            b'id: 2\ndata: x\n': True,
+            b' ': True,
+            b'\n': False,
+            b'\r\n': False,
+        }
+        for rest, is_partial in cases.items():
+            splitter = events.Splitter()
+            splitter.feed(_event(1) + rest)
+            self.assertEqual(is_partial, splitter.has_partial_event, rest)
+
+    def test_endless_event(self):
+        """An event is refused once it exceeds its limit.
+
+        It used to be kept and searched again with each part of it.
+        """
+        for size in (1_000, 65_536):
+            part = b'x' * size
+            splitter = events.Splitter()
+            fed = 0
+            tracemalloc.start()
+            try:
+                while fed < _ENDLESS_BYTES:
+                    splitter.feed(part)
+                    fed += size
+            except errors.ExchangeBroken:
+                self.assertTrue(splitter.has_partial_event)
+            finally:
+                peak = tracemalloc.get_traced_memory()[1]
+                tracemalloc.stop()
+            self.assertTrue(fed <= const.EVENT_LIMIT_BYTES, fed)
+            self.assertTrue(peak < _MEMORY_BYTES, peak)
+
+    def test_long_event_in_small_parts(self):
+        """The time to split a long event grows with its length only."""
+        event = b'id: 1\ndata: %b\n\n' % (b'\n:' * 100_000)
+        splitter = events.Splitter()
+        started_at = time.process_time()
+        received = []
+        for _ in range(3):
+            for start in range(0, len(event), 2):
+                received.extend(splitter.feed(event[start : start + 2]))
+        seconds = time.process_time() - started_at
+        self.assertEqual([event, event, event], received)
+        self.assertTrue(seconds < _PROCESSOR_SECONDS, seconds)
+
+    def test_event_over_limit(self):
+        """The limit holds however an event is split."""
+        longest = b':%b\n\n' % (b'x' * (const.EVENT_LIMIT_BYTES - 3))
+        for size in (1_000, 65_536, len(longest) + 1):
+            for event in (longest, b':' + longest):
+                splitter = events.Splitter()
+                received = []
+                try:
+                    for start in range(0, len(event), size):
+                        received.extend(
+                            splitter.feed(event[start : start + size])
+                        )
+                except errors.ExchangeBroken:
+                    received.append('refused')
+                is_refused = len(event) > const.EVENT_LIMIT_BYTES
+                expected = 'refused' if is_refused else event
+                self.assertEqual([expected], received)
+
     def test_resumed_stream_repeats_events(self):
         """Events that the caller already has are dropped."""
         repeated = (_event(3), _event(4), _event(5))
