Read event identifiers of any length

A caller's stream was broken off without a retry if an event had an identifier of over 4,300 digits: Python refuses to convert it, and the ValueError ended the handling of the request.

An identifier that exceeds 64 bits now counts as none.

test_endless_identifier failed before and passes after.

--- a/nutmegtrail/gateway/events.py
+++ b/nutmegtrail/gateway/events.py
@@ -7,6 +7,8 @@
 from nutmegtrail.gateway import const
 
 _ID_FIELD: typing.Final = b'id:'
+# Longer ones exceed 64 bits.
+_ID_DIGITS_LIMIT: typing.Final = 18
 _EVENT_END: typing.Final = re.compile(rb'\n\n')
 _EVENT_END_BYTES: typing.Final = 2
 
@@ -70,7 +72,8 @@
     for line in event.split(b'\n'):
         if line.startswith(_ID_FIELD):
             text = line[len(_ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= _ID_DIGITS_LIMIT
+            return int(text) if is_number else None
     return None
 
 
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -117,6 +117,16 @@
                 expected = 'refused' if is_refused else event
                 self.assertEqual([expected], received)
 
+    def test_endless_identifier(self):
+        """An identifier with too many digits is none.
+
+        Its conversion used to fail the request: Python converts no text of
+        over 4,300 digits.
+        """
+        for digits in (20, 5_000):
+            event = b'id: %b\n\n' % (b'9' * digits)
+            self.assertIsNone(events.event_id(event))
+
     def test_resumed_stream_repeats_events(self):
         """Events that the caller already has are dropped."""
         repeated = (_event(3), _event(4), _event(5))
