Split events whose lines end with carriage returns

A stream with such lines, which the format of event streams allows, was held back as one event without an end and then broken off.

An event now ends at an empty line with or without a carriage return.

test_carriage_returns failed before and passes after, at each size of the parts; tests/gateway/test_events.py passes.

--- a/nutmegtrail/gateway/events.py
+++ b/nutmegtrail/gateway/events.py
@@ -9,8 +9,9 @@
 _ID_FIELD: typing.Final = b'id:'
 # Longer ones exceed 64 bits.
 _ID_DIGITS_LIMIT: typing.Final = 18
-_EVENT_END: typing.Final = re.compile(rb'\n\n')
-_EVENT_END_BYTES: typing.Final = 2
+# An empty line; lines end with or without a carriage return.
+_EVENT_END: typing.Final = re.compile(rb'\n\r?\n')
+_EVENT_END_BYTES: typing.Final = 3
 
 
 class Position(typing.NamedTuple):
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -64,6 +64,25 @@
             splitter.feed(_event(1) + rest)
             self.assertEqual(is_partial, splitter.has_partial_event, rest)
 
+    def test_carriage_returns(self):
+        """Lines may end with a carriage return and a line feed.
+
+        Such events used to be held back, and their stream to be broken off.
+        """
+        sent = [
+            _event(number).replace(b'\n', b'\r\n') for number in range(1, 4)
+        ]
+        for size in range(1, 2 * len(sent[0])):
+            joined = b''.join(sent)
+            splitter = events.Splitter()
+            received = []
+            for start in range(0, len(joined), size):
+                received.extend(splitter.feed(joined[start : start + size]))
+            self.assertEqual(sent, received)
+            self.assertFalse(splitter.has_partial_event)
+        new_events = events.select_new_events(events.Position(1), tuple(sent))
+        self.assertEqual(sent[1] + sent[2], new_events.payload)
+
     def test_endless_event(self):
         """An event is refused once it exceeds its limit.
 
