Test upstreams that send without end through a gateway

An engine that sends as fast as it can an endless head, endless interim responses, chunk sizes, extensions, trailers, an endless body or event, and probes of such an engine: the request is repeated elsewhere or gets 502 or 504, the connection is closed at once, and the engine gets rid of less than 32 MiB (the limits and what the socket buffers take). One that sends a head byte by byte is given up at the deadline.

--- a/tests/platform/test_upstream_framing.py
+++ b/tests/platform/test_upstream_framing.py
@@ -5,12 +5,16 @@
 import io
 import socket
 import struct
+import time
+import tracemalloc
 
 import anyio
 import anyio.abc
 import testtools
 
 from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.platform import json_client
+from tests import loopback
 from tests.platform import entries
 from tests.platform import stand_in
 
@@ -20,6 +24,36 @@
 # Lets the gateway read what was sent before a reset discards it.
 _BEFORE_END_SECONDS = 0.05
 _LINGER = struct.pack('ii', 1, 0)
+_HEAD = (
+    b'X-Nutmegtrail-Request-Id: %b\r\nX-Nutmegtrail-Response-Seal: s\r\n'
+    b'Keep-Alive: timeout=9\r\n'
+)
+_PART_BYTES = 65_536
+_ENDLESS_HEADS = (
+    (b'', b'\x00'),
+    (b'', b'\r\n'),
+    (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+    (b'HTTP/1.1 200 ', b'a'),
+    (b'HTTP/1.1 200 OK\r\nHEADX: ', b'a'),
+    (b'HTTP/1.1 200 OK\r\nHEAD', b'X-A: 1\r\n'),
+)
+_CHUNKED = b'HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n'
+_CLOSED = b'HTTP/1.1 200 OK\r\nHEAD\r\n'
+_ENDLESS_FRAMING = (
+    (_CHUNKED, b'0'),
+    (_CHUNKED + b'5;', b'a'),
+    (_CHUNKED + b'0\r\n', b'X-A: 1\r\n'),
+)
+_ENDLESS_BODIES = (
+    (_CLOSED, b'a'),
+    (_CHUNKED, b'1000\r\n%b\r\n' % (b'a' * 4_096)),
+    (_CHUNKED + b'ffffffffff\r\n', b'a'),
+)
+# Includes what the buffers of both sockets take.
+_ENDLESS_SENT_BYTES = 33_554_432
+_ENDLESS_MEMORY_BYTES = 50_331_648
+_ENDLESS_SECONDS = 6
+_PROBE_SECONDS = 0.3
 _PLAIN = b'booked'
 _STREAM = b''.join(b'id: %d\ndata: x\n\n' % number for number in range(1, 6))
 _EVENT_BYTES = len(_STREAM) // 5
@@ -32,7 +66,8 @@
     """Answers that the engines of a deployment give in turn.
 
     `requests` has the requests that engines read, `connections` the number of
-    requests and probes on each connection.
+    requests and probes on each connection. `running` counts the answers that
+    have not ended.
     """
 
     def __init__(self, answers):
@@ -40,6 +75,7 @@
         self.answers = list(answers)
         self.requests = []
         self.connections = []
+        self.running = 0
 
     async def answer(self, stream, request):
         """Give the next answer; return whether the connection stays open."""
@@ -47,7 +83,10 @@
         request_id = messages.find_header(
             request.headers, b'x-nutmegtrail-request-id'
         )
-        return await self.answers.pop(0)(stream, request_id)
+        self.running += 1
+        is_open = await self.answers.pop(0)(stream, request_id)
+        self.running -= 1
+        return is_open
 
 
 class _RawEngine(stand_in.Engine):
@@ -106,12 +145,8 @@
     """Return an answer without a length that ends in a given way."""
 
     async def _send(stream, request_id):
-        head = (
-            b'%b\r\nX-Nutmegtrail-Request-Id: %b\r\n'
-            b'X-Nutmegtrail-Response-Seal: s\r\n'
-            b'Keep-Alive: timeout=9\r\n%b\r\n'
-        )
-        await stream.send(head % (status, request_id, headers) + body)
+        start = b'%b\r\n%b%b\r\n' % (status, _HEAD % request_id, headers)
+        await stream.send(start + body)
         if ending == 'keep':
             return True
         await anyio.sleep(_BEFORE_END_SECONDS)
@@ -127,6 +162,28 @@
     return _send
 
 
+def _endless(start, unit, sent, pause_seconds=0):
+    """Return an answer that goes on until the connection is closed.
+
+    Appends the number of its bytes to `sent`.
+    """
+
+    async def _send(stream, request_id):
+        await stream.send(start.replace(b'HEAD', _HEAD % request_id))
+        part = unit if pause_seconds else unit * (_PART_BYTES // len(unit))
+        count = 0
+        try:
+            while True:
+                await stream.send(part)
+                count += len(part)
+                await anyio.sleep(pause_seconds)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            sent.append(count)
+        return False
+
+    return _send
+
+
 def _framed(body, ending='keep'):
     """Return an answer with a content length."""
     length = b'Content-Length: %d\r\n' % len(body)
@@ -209,6 +266,9 @@
             for number in range(count):
                 with anyio.fail_after(_WAIT_SECONDS):
                     replies.append(await _ask(deployment, path, number))
+                    # The gateway closes connections that it gives up.
+                    while site.running:
+                        await anyio.sleep(0.01)
 
         entries.run(
             _scenario, 2, 1, functools.partial(_RawEngine, site, service)
@@ -332,6 +392,123 @@
         self.assertEqual(b'%d' % events if events else b'', resumed_after)
 
 
+class EndlessTest(_FramingTest):
+    """Upstreams that send without end until their connection is closed."""
+
+    def _check_repeated(self, path, start, unit, expected):
+        """Check that a request is given up and repeated elsewhere."""
+        sent = []
+        started_at = time.monotonic()
+        tracemalloc.start()
+        try:
+            _, reply = self._ask(
+                path, _endless(start, unit, sent), _answer(expected)
+            )
+            peak = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        seconds = time.monotonic() - started_at
+        details = (start, unit, sent, peak, seconds)
+        self.assertEqual((200, expected), (reply.status, reply.body), details)
+        self.assertEqual(1, len(sent), details)
+        self.assertTrue(sent[0] < _ENDLESS_SENT_BYTES, details)
+        self.assertTrue(peak < _ENDLESS_MEMORY_BYTES, details)
+        self.assertTrue(seconds < _ENDLESS_SECONDS, details)
+
+    def test_plain(self):
+        """Reading stops at a limit, and the request is repeated."""
+        cases = _ENDLESS_HEADS + _ENDLESS_FRAMING + _ENDLESS_BODIES
+        for start, unit in cases:
+            self._check_repeated(_PLAIN_PATH, start, unit, _PLAIN)
+
+    def test_stream(self):
+        """Reading stops at a limit, and the stream is repeated."""
+        cases = _ENDLESS_HEADS + _ENDLESS_FRAMING + _ENDLESS_BODIES
+        for start, unit in cases:
+            self._check_repeated(_STREAM_PATH, start, unit, _STREAM)
+
+    def test_unsafe(self):
+        """A request that may not run twice gets 502."""
+        for start, unit in (
+            _ENDLESS_HEADS[-1],
+            _ENDLESS_FRAMING[-1],
+            _ENDLESS_BODIES[0],
+        ):
+            sent = []
+            site, reply = self._ask(_UNSAFE_PATH, _endless(start, unit, sent))
+            self.assertEqual((502, b''), (reply.status, reply.body))
+            self.assertEqual(1, len(site.requests))
+            self.assertTrue(sent[0] < _ENDLESS_SENT_BYTES, sent)
+
+    def test_small_chunks(self):
+        """An endless body that is slow to parse is given up in time."""
+        sent = []
+        started_at = time.monotonic()
+        answer = _endless(_CHUNKED, b'5\r\nhello\r\n', sent)
+        _, reply = self._ask(_UNSAFE_PATH, answer)
+        self.assertIn(reply.status, (502, 504))
+        self.assertEqual(b'', reply.body)
+        self.assertTrue(time.monotonic() - started_at < _ENDLESS_SECONDS)
+        self.assertTrue(sent[0] < _ENDLESS_SENT_BYTES, sent)
+
+    def test_slow(self):
+        """A head that comes byte by byte is given up at the deadline."""
+        sent = []
+        start, unit = _ENDLESS_HEADS[3]
+        started_at = time.monotonic()
+        answer = _endless(start, unit, sent, pause_seconds=0.02)
+        _, reply = self._ask(_UNSAFE_PATH, answer)
+        self.assertEqual((504, b''), (reply.status, reply.body))
+        self.assertTrue(time.monotonic() - started_at < _ENDLESS_SECONDS)
+        self.assertEqual(1, len(sent))
+
+
+class EndlessProbeTest(testtools.TestCase):
+    """Probes and calls of JSON APIs that get bytes without end."""
+
+    def _call(self, start, unit):
+        """Send a call; return the response, the bytes sent, the seconds."""
+
+        async def _main():
+            sent = []
+
+            async def _serve(stream):
+                async with stream:
+                    await stream.receive()
+                    await _endless(start, unit, sent)(stream, b'r1')
+
+            address = loopback.free_address()
+            listener = await anyio.create_tcp_listener(
+                local_host=address.ip, local_port=address.port
+            )
+            json = json_client.JsonClient()
+            started_at = anyio.current_time()
+            with anyio.fail_after(_WAIT_SECONDS):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(listener.serve, _serve)
+                    response = await json.send(
+                        address, b'GET', b'/', (), b'', _PROBE_SECONDS
+                    )
+                    seconds = anyio.current_time() - started_at
+                    while not sent:
+                        await anyio.sleep(0.01)
+                    tasks.cancel_scope.cancel()
+            return response, sent[0], seconds
+
+        return anyio.run(_main)
+
+    def test_endless(self):
+        """A call ends without a response, within its time and a limit."""
+        cases = _ENDLESS_HEADS + _ENDLESS_FRAMING + _ENDLESS_BODIES
+        for start, unit in cases:
+            response, sent, seconds = self._call(start, unit)
+            self.assertIsInstance(response, json_client.NoResponse)
+            self.assertTrue(sent < _ENDLESS_SENT_BYTES, (start, unit, sent))
+            self.assertTrue(
+                seconds < _PROBE_SECONDS + 1, (start, unit, seconds)
+            )
+
+
 class ReuseTest(_FramingTest):
     """Connections of responses that end with them."""
 
