--- a/nutmegtrail/adapters/http1/messages.py
+++ b/nutmegtrail/adapters/http1/messages.py
@@ -11,6 +11,11 @@
 
 Headers: typing.TypeAlias = tuple[tuple[bytes, bytes], ...]
 LAST_CHUNK: typing.Final = b'0\r\n\r\n'
+_CHUNKED: typing.Final = (b'chunked',)
+# Upstreams may use no other coding, because requests have no TE header.
+_SUPPORTED_TRANSFER_CODINGS: typing.Final = frozenset(
+    ((), (b'identity',), _CHUNKED),
+)
 
 
 class Request(typing.NamedTuple):
@@ -214,6 +219,8 @@
         self.has_surplus = False
         self.ends_with_connection = False
         self._may_keep_alive = False
+        self._fault = ''
+        self._framing_bytes = 0
         self._body = bytearray()
         self._headers: list[tuple[bytes, bytes]] = []
         self._parser = httptools.HttpResponseParser(self)
@@ -223,6 +230,7 @@
         if self.complete:
             self.has_surplus = True
             return
+        body_bytes = len(self._body)
         try:
             self._parser.feed_data(received)
         except (
@@ -231,9 +239,16 @@
         ) as error:
             if not self.complete:
                 raise errors.ExchangeBroken(
-                    f'invalid HTTP/1.1 response: {error}',
+                    f'invalid HTTP/1.1 response: {self._fault or error}',
                 ) from error
             self.has_surplus = True
+        if self._fault:
+            raise errors.ExchangeBroken(
+                f'invalid HTTP/1.1 response: {self._fault}'
+            )
+        self._count_framing(
+            len(received), has_body=len(self._body) > body_bytes
+        )
 
     def take_body(self) -> bytes:
         """Return the body received since the last call."""
@@ -258,20 +273,32 @@
             self.has_surplus = True
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Take a header."""
-        self._headers.append((name.lower(), text))
+        """Take a header; ignore trailers."""
+        if self.head is None:
+            self._headers.append((name.lower(), text))
 
     def on_headers_complete(self) -> None:
         """Handle the head; ignore interim responses."""
         status = self._parser.get_status_code()
         headers = tuple(self._headers)
         self._headers = []
-        if self.complete or status < http.HTTPStatus.OK:
+        if self.complete or self._fault:
+            return
+        if status < http.HTTPStatus.CONTINUE:
+            self._fault = f'invalid status {status}'
+        if status < http.HTTPStatus.OK:
+            return
+        codings = tuple(
+            text.strip().lower()
+            for name, text in headers
+            if name == b'transfer-encoding'
+        )
+        if codings not in _SUPPORTED_TRANSFER_CODINGS:
+            self._fault = f'unsupported transfer codings {codings}'
             return
         self.head = Head(status, headers)
-        has_length = any(
-            name in {b'content-length', b'transfer-encoding'}
-            for name, _ in headers
+        has_length = codings == _CHUNKED or any(
+            name == b'content-length' for name, _ in headers
         )
         self.ends_with_connection = not has_length and status not in {
             http.HTTPStatus.NO_CONTENT,
@@ -280,7 +307,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Take a part of the body."""
-        if not self.complete:
+        if self.head is not None and not self.complete:
             self._body += part
 
     def on_message_complete(self) -> None:
@@ -290,3 +317,18 @@
         self.complete = True
         # The parser discards the HTTP version when this callback returns.
         self._may_keep_alive = self._parser.should_keep_alive()
+
+    def _count_framing(self, received_bytes: int, *, has_body: bool) -> None:
+        """Count received bytes since the last part of the body.
+
+        Raises ExchangeBroken above the limit.
+        """
+        if has_body or self.complete:
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += received_bytes
+        if self._framing_bytes > const.RESPONSE_FRAMING_LIMIT_BYTES:
+            raise errors.ExchangeBroken(
+                'invalid HTTP/1.1 response: '
+                f'over {const.RESPONSE_FRAMING_LIMIT_BYTES} bytes without a body'
+            )
