Keep upstreams that announce their leaving out of the fleet

An upstream that leaves may still be registered as ready: its registration comes late, the store is out of touch, or it comes back from an earlier copy. The fleet knew of no leaving but the registered one, and only while the incarnation stayed registered.

The new event AnnouncedLeaving takes the incarnation out of use at once. An earlier start under the same identifier has ended, so it gets no requests either; a later one and one without a start time do. The memory ends some time after the registration is gone, in which an outage of the store does not count.

--- a/nutmegtrail/gateway/fleet.py
+++ b/nutmegtrail/gateway/fleet.py
@@ -7,6 +7,10 @@
 A store that comes back from an earlier copy may show registrations that were
 withdrawn since. Leaving upstreams stay so, and removed ones are deferred until
 the registrations of those that do not live have expired.
+
+An upstream may also announce in a response that it leaves. That is remembered
+after its registration is removed, because the same incarnation may register
+again.
 """
 
 import functools
@@ -28,13 +32,28 @@
 ]
 
 
+class Announcement(typing.NamedTuple):
+    """Latest incarnation of an upstream that announced that it leaves.
+
+    `noticed_at_seconds` is the time of the announcement or of the removal of
+    the registration, whichever is later.
+    """
+
+    started_at_ms: int
+    noticed_at_seconds: float
+
+
+AnnouncementsById: typing.TypeAlias = pyrsistent.typing.PMap[str, Announcement]
+
+
 class Fleet(typing.NamedTuple):
     """Registered upstreams and those whose registration an outage removed.
 
     `is_known` is set once the registrations were read. `grace_until_seconds` is the end of the grace period after the last outage.
     `removed_at_by_incarnation` has the times at which incarnations were
     removed. `deferred_by_id` has the removed upstreams that an earlier copy
-    shows until `deferred_until_seconds`.
+    shows until `deferred_until_seconds`. `announcements_by_id` has the
+    upstreams that announced that they leave.
     """
 
     upstreams_by_id: UpstreamsById = pyrsistent.pmap()
@@ -45,6 +64,7 @@
     removed_at_by_incarnation: RemovedAtByIncarnation = pyrsistent.pmap()
     deferred_by_id: UpstreamsById = pyrsistent.pmap()
     deferred_until_seconds: float = float('-inf')
+    announcements_by_id: AnnouncementsById = pyrsistent.pmap()
 
 
 class SnapshotReceived(typing.NamedTuple):
@@ -65,6 +85,13 @@
     upstream_id: str
 
 
+class AnnouncedLeaving(typing.NamedTuple):
+    """An incarnation of an upstream responded that it leaves."""
+
+    upstream_id: str
+    started_at_ms: int
+
+
 class StoreLost(typing.NamedTuple):
     """The store stopped responding."""
 
@@ -85,6 +112,7 @@
     SnapshotReceived
     | Registered
     | Removed
+    | AnnouncedLeaving
     | StoreLost
     | StoreRecovered
     | StoreRestored
@@ -163,6 +191,35 @@
     return _remove(fleet, upstream, now_seconds)
 
 
+@decide.register
+def _announced_leaving(
+    event: AnnouncedLeaving, fleet: Fleet, now_seconds: float
+) -> Fleet:
+    """Give the incarnation no new requests, whatever its registration says."""
+    upstream_id = event.upstream_id
+    known = fleet.announcements_by_id.get(upstream_id)
+    is_new = known is None or known.started_at_ms < event.started_at_ms
+    # Without a start time, a later registration may be another incarnation.
+    if event.started_at_ms and is_new:
+        announcement = Announcement(event.started_at_ms, now_seconds)
+        fleet = fleet._replace(
+            announcements_by_id=fleet.announcements_by_id.set(
+                upstream_id, announcement
+            ),
+        )
+    upstream = fleet.upstreams_by_id.get(upstream_id)
+    if upstream is None or upstream.leaving:
+        return fleet
+    is_same = upstream.started_at_ms == event.started_at_ms
+    if not is_same and not _has_announced_leaving(fleet, upstream):
+        return fleet
+    return fleet._replace(
+        upstreams_by_id=fleet.upstreams_by_id.set(
+            upstream_id, upstream._replace(leaving=True)
+        ),
+    )
+
+
 @decide.register
 def _store_lost(event: StoreLost, fleet: Fleet, now_seconds: float) -> Fleet:
     """Keep the upstreams and record the outage."""
@@ -178,9 +235,14 @@
     """Start the grace period in which upstreams register again."""
     if not fleet.is_store_unavailable:
         return fleet
+    noticed_again = {
+        upstream_id: announcement._replace(noticed_at_seconds=now_seconds)
+        for upstream_id, announcement in fleet.announcements_by_id.items()
+    }
     return fleet._replace(
         is_store_unavailable=False,
         grace_until_seconds=now_seconds + const.REREGISTRATION_WINDOW_SECONDS,
+        announcements_by_id=pyrsistent.pmap(noticed_again),
     )
 
 
@@ -210,11 +272,17 @@
             upstream = fleet.upstreams_by_id[upstream_id]
             fleet = _remove(fleet, upstream, now_seconds)
     if fleet.deferred_by_id and now_seconds >= fleet.deferred_until_seconds:
+        alive = {
+            upstream_id: _keep_leaving(fleet, upstream)
+            for upstream_id, upstream in fleet.deferred_by_id.items()
+        }
         fleet = fleet._replace(
-            upstreams_by_id=fleet.upstreams_by_id.update(fleet.deferred_by_id),
+            upstreams_by_id=fleet.upstreams_by_id.update(alive),
             deferred_by_id=pyrsistent.pmap(),
         )
-    return _forget_removed(fleet, now_seconds)
+    return _forget_announcements(
+        _forget_removed(fleet, now_seconds), now_seconds
+    )
 
 
 def registered_upstreams(
@@ -257,7 +325,15 @@
 ) -> Fleet:
     """Return the fleet without the upstream, whose removal it remembers."""
     upstream_id = upstream.upstream_id
+    announcements = fleet.announcements_by_id
+    announcement = announcements.get(upstream_id)
+    if announcement is not None:
+        announcements = announcements.set(
+            upstream_id,
+            announcement._replace(noticed_at_seconds=now_seconds),
+        )
     return fleet._replace(
+        announcements_by_id=announcements,
         upstreams_by_id=fleet.upstreams_by_id.discard(upstream_id),
         missing_until_by_id=fleet.missing_until_by_id.discard(upstream_id),
         removed_at_by_incarnation=fleet.removed_at_by_incarnation.set(
@@ -276,6 +352,27 @@
     return fleet._replace(removed_at_by_incarnation=removals)
 
 
+def _forget_announcements(fleet: Fleet, now_seconds: float) -> Fleet:
+    """Return the fleet without announcements that no registration can need.
+
+    While the store is unavailable, registrations may change without notice.
+    """
+    if fleet.is_store_unavailable or not fleet.announcements_by_id:
+        return fleet
+    oldest = now_seconds - const.REMOVAL_MEMORY_SECONDS
+    announcements = fleet.announcements_by_id
+    needed_ids = {
+        upstream_id
+        for upstream_id, upstream in fleet.upstreams_by_id.items()
+        if _has_announced_leaving(fleet, upstream)
+    }
+    for upstream_id, announcement in fleet.announcements_by_id.items():
+        is_old = announcement.noticed_at_seconds < oldest
+        if is_old and upstream_id not in needed_ids:
+            announcements = announcements.remove(upstream_id)
+    return fleet._replace(announcements_by_id=announcements)
+
+
 def _incarnation_of(upstream: models.Upstream) -> Incarnation:
     """Return the key of one incarnation of an upstream."""
     return upstream.upstream_id, upstream.started_at_ms
@@ -291,7 +388,20 @@
 
 def _keep_leaving(fleet: Fleet, upstream: models.Upstream) -> models.Upstream:
     """Return the upstream as leaving if this incarnation was leaving."""
+    if _has_announced_leaving(fleet, upstream):
+        return upstream._replace(leaving=True)
     known = fleet.upstreams_by_id.get(upstream.upstream_id)
     if known is None or _incarnation_of(known) != _incarnation_of(upstream):
         return upstream
     return upstream._replace(leaving=upstream.leaving or known.leaving)
+
+
+def _has_announced_leaving(fleet: Fleet, upstream: models.Upstream) -> bool:
+    """Return whether this incarnation or a later one announced its leaving.
+
+    The registration of an earlier one is outdated.
+    """
+    announcement = fleet.announcements_by_id.get(upstream.upstream_id)
+    if announcement is None or not upstream.started_at_ms:
+        return False
+    return upstream.started_at_ms <= announcement.started_at_ms
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -143,3 +143,135 @@
             fleet.Fleet(), (0, _BOTH), (1, fleet.Removed('u1')), (2, _BOTH)
         )
         self.assertEqual({'u1', 'u2'}, _usable_ids(updated))
+
+    def test_announced_leaving_overrides_the_registration(self):
+        """An upstream that says it leaves gets no work, though it is ready.
+
+        Its registration may be written late, or never tell.
+        """
+        updated = _decide(
+            fleet.Fleet(),
+            (0, _BOTH),
+            (1, fleet.AnnouncedLeaving('u1', 1)),
+        )
+        self.assertEqual({'u2'}, _usable_ids(updated))
+        self.assertEqual(2, len(fleet.registered_upstreams(updated, 'drafts')))
+        written_later = (
+            _BOTH,
+            fleet.Registered(samples.upstream('u1', slots=9)),
+            fleet.StoreRestored(),
+            _BOTH,
+        )
+        for now, event in enumerate(written_later, start=2):
+            updated = _decide(updated, (now, event))
+            self.assertEqual({'u2'}, _usable_ids(updated), event)
+
+    def test_announced_leaving_survives_a_removal(self):
+        """The same incarnation gets no work after it registers again."""
+        announced = _decide(
+            fleet.Fleet(),
+            (0, _BOTH),
+            (1, fleet.AnnouncedLeaving('u1', 1)),
+        )
+        again = fleet.Registered(samples.upstream('u1'))
+        removed = (2, fleet.Removed('u1'))
+        outage = ((2, fleet.StoreLost()), (900, fleet.TimeElapsed()))
+        cases = (
+            (removed, (3, again)),
+            (removed, (3, _BOTH)),
+            (removed, (100, fleet.TimeElapsed()), (101, again)),
+            (*outage, (901, fleet.StoreRecovered()), (901, again)),
+            (
+                *outage,
+                (901, fleet.StoreRecovered()),
+                (901, fleet.SnapshotReceived(())),
+                (902, fleet.TimeElapsed()),
+                (903, again),
+            ),
+            (
+                removed,
+                (3, fleet.StoreLost()),
+                (900, fleet.TimeElapsed()),
+                (901, fleet.StoreRecovered()),
+                (901, fleet.TimeElapsed()),
+                (902, again),
+            ),
+            (
+                removed,
+                (3, fleet.StoreRestored()),
+                (3, _BOTH),
+                (10, fleet.TimeElapsed()),
+            ),
+        )
+        for timed_events in cases:
+            updated = _decide(announced, *timed_events)
+            self.assertNotIn('u1', _usable_ids(updated), timed_events)
+
+    def test_announced_leaving_of_an_unregistered_upstream(self):
+        """An upstream may answer after its registration has gone."""
+        updated = _decide(
+            fleet.Fleet(),
+            (0, _BOTH),
+            (1, fleet.Removed('u1')),
+            (2, fleet.AnnouncedLeaving('u1', 1)),
+            (3, fleet.Registered(samples.upstream('u1'))),
+        )
+        self.assertEqual({'u2'}, _usable_ids(updated))
+
+    def test_announced_leaving_ends_with_the_incarnation(self):
+        """A later start under the same identifier gets work.
+
+        So does one that does not tell its start. An earlier start, which an
+        old copy of the store shows, has ended.
+        """
+        for started_at_ms, is_usable in ((9, True), (0, True), (4, False)):
+            restarted = fleet.Registered(
+                samples.upstream('u1', started_at_ms=started_at_ms)
+            )
+            updated = _decide(
+                fleet.Fleet(),
+                (0, fleet.Registered(samples.upstream('u1', started_at_ms=5))),
+                (1, fleet.AnnouncedLeaving('u1', 5)),
+                (2, restarted),
+            )
+            self.assertEqual(is_usable, 'u1' in _usable_ids(updated))
+            late_answer = (3, fleet.AnnouncedLeaving('u1', 5))
+            updated = _decide(updated, late_answer)
+            self.assertEqual(is_usable, 'u1' in _usable_ids(updated))
+
+    def test_announced_leaving_without_a_start_time(self):
+        """It holds until the registration ends: another start may follow."""
+        upstream = samples.upstream('u1', started_at_ms=0)
+        updated = _decide(
+            fleet.Fleet(),
+            (0, fleet.Registered(upstream)),
+            (1, fleet.AnnouncedLeaving('u1', 0)),
+            (2, fleet.Registered(upstream._replace(slots=9))),
+        )
+        self.assertEqual(set(), _usable_ids(updated))
+        updated = _decide(
+            updated, (3, fleet.Removed('u1')), (4, fleet.Registered(upstream))
+        )
+        self.assertEqual({'u1'}, _usable_ids(updated))
+
+    def test_announcements_are_forgotten(self):
+        """Announcements of upstreams that are gone take no memory for long."""
+        updated = fleet.Fleet()
+        for number in range(500):
+            upstream = samples.upstream(f'u{number}')
+            updated = _decide(
+                updated,
+                (number, fleet.Registered(upstream)),
+                (number, fleet.AnnouncedLeaving(upstream.upstream_id, 1)),
+                (number, fleet.Removed(upstream.upstream_id)),
+                (number, fleet.TimeElapsed()),
+            )
+        self.assertTrue(len(updated.announcements_by_id) < 130)
+        registered = _decide(
+            fleet.Fleet(),
+            (0, _BOTH),
+            (1, fleet.AnnouncedLeaving('u1', 1)),
+            (1_000, fleet.TimeElapsed()),
+            (1_001, _BOTH),
+        )
+        self.assertEqual({'u2'}, _usable_ids(registered))
