Stop new requests to an upstream once a response says it leaves

Callers' requests went on reaching an engine that had said Server-Leaving in its responses, until its registration said so too: with the store away, never.

The header translator reads the header in every response head of the expected engine, whatever its status. A response to another request and a 421, which another engine gives, say nothing. The health recorder passes it on before any further step, and the dispatcher takes the incarnation out of the fleet at once. Requests that run there go on, and the header goes on to the callers.

A queued request may have been assigned in the same turn of the event loop, so acquire checks the upstream once more when its task resumes, gives the slot back and queues again.

--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -9,6 +9,7 @@
 from nutmegtrail.gateway import request_counts
 from nutmegtrail.gateway import request_queue
 from nutmegtrail.gateway import selection
+from nutmegtrail.observability import logs
 
 
 class _PendingRequest:
@@ -48,7 +49,22 @@
         service: str,
         queued: request_queue.QueuedRequest,
     ) -> selection.Candidate | None:
-        """Wait for an upstream and count it as used; None if refused."""
+        """Wait for an upstream and count it as used; None if refused.
+
+        An upstream that became unusable before this task resumed is replaced.
+        """
+        while True:
+            candidate = await self._wait_for_candidate(service, queued)
+            if candidate is None or self._is_usable(candidate.upstream):
+                return candidate
+            self.release(candidate.upstream, queued.request_id)
+
+    async def _wait_for_candidate(
+        self,
+        service: str,
+        queued: request_queue.QueuedRequest,
+    ) -> selection.Candidate | None:
+        """Queue a request until it is assigned to an upstream or refused."""
         pending = _PendingRequest()
         self._pending_by_id[queued.request_id] = pending
         queue = self._queues_by_service.get(
@@ -71,6 +87,26 @@
         )
         self.dispatch(upstream.service)
 
+    def record_leaving(self, upstream: models.Upstream) -> None:
+        """Record that an upstream announced in a response that it leaves."""
+        updated = fleet.decide(
+            fleet.AnnouncedLeaving(
+                upstream.upstream_id, upstream.started_at_ms
+            ),
+            self.known_upstreams,
+            anyio.current_time(),
+        )
+        if updated is self.known_upstreams:
+            return
+        logs.decision(
+            'upstream:announced-leaving',
+            upstream=upstream.upstream_id,
+            service=upstream.service,
+            started_at_ms=upstream.started_at_ms,
+        )
+        self.known_upstreams = updated
+        self.dispatch(upstream.service)
+
     def record_response_time(self, service: str, seconds: float) -> None:
         """Record the seconds from dispatch to the response or first event."""
         average = self._expected_seconds_by_service.get(service, seconds)
@@ -138,6 +174,10 @@
             )
         )
 
+    def _is_usable(self, upstream: models.Upstream) -> bool:
+        """Return whether an upstream accepts new requests."""
+        return fleet.is_usable(self.known_upstreams, upstream)
+
     def _shed_load(
         self,
         service: str,
--- a/nutmegtrail/gateway/fleet.py
+++ b/nutmegtrail/gateway/fleet.py
@@ -301,11 +301,25 @@
     return tuple(
         upstream
         for upstream in registered_upstreams(fleet, service)
-        if not upstream.leaving
-        and (upstream.membership is None or upstream.membership.is_open)
+        if _accepts_requests(upstream)
     )
 
 
+def is_usable(fleet: Fleet, upstream: models.Upstream) -> bool:
+    """Return whether this incarnation still accepts new requests."""
+    current = fleet.upstreams_by_id.get(upstream.upstream_id)
+    if current is None or _incarnation_of(current) != _incarnation_of(upstream):
+        return False
+    return _accepts_requests(current)
+
+
+def _accepts_requests(upstream: models.Upstream) -> bool:
+    """Return whether a registered upstream accepts new requests."""
+    if upstream.leaving:
+        return False
+    return upstream.membership is None or upstream.membership.is_open
+
+
 def _keep_missing(fleet: Fleet, upstream: models.Upstream) -> Fleet:
     """Keep an unregistered upstream until the end of the grace period."""
     return fleet._replace(
--- a/nutmegtrail/gateway/health_recorder.py
+++ b/nutmegtrail/gateway/health_recorder.py
@@ -17,6 +17,15 @@
         """Initialize the recorder for a dispatcher."""
         self._dispatcher = dispatcher
 
+    def record_response(
+        self,
+        upstream: models.Upstream,
+        classification: models.ResponseClassification,
+    ) -> None:
+        """Record what a response head tells about its upstream."""
+        if classification.is_leaving:
+            self._dispatcher.record_leaving(upstream)
+
     def record_outcome(
         self,
         upstream: models.Upstream,
--- a/nutmegtrail/gateway/models.py
+++ b/nutmegtrail/gateway/models.py
@@ -188,11 +188,13 @@
     """Classification of an upstream's response head.
 
     `faulty_upstream_id` names the engine that keeps its rank group from
-    working, or is empty.
+    working, or is empty. `is_leaving` is set if the upstream that the request
+    was sent to announces that it leaves.
     """
 
     response_kind: ResponseKind
     faulty_upstream_id: str
+    is_leaving: bool = False
 
 
 class ForwardingMetadata(typing.NamedTuple):
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -235,6 +235,7 @@
         classification = self._header_translator.classify_response(
             response.head, job.caller.request_id
         )
+        self._health_recorder.record_response(upstream, classification)
         if classification.response_kind is not models.ResponseKind.SUCCESS:
             return await self._read_failure(
                 job, upstream, response, classification
--- a/nutmegtrail/platform/headers.py
+++ b/nutmegtrail/platform/headers.py
@@ -80,10 +80,13 @@
         head: messages.Head,
         request_id: str,
     ) -> models.ResponseClassification:
-        """Return the response kind and the faulty upstream named in a head."""
+        """Return what a head tells about the request and its upstream."""
         faulty = head.header(const.FAULTY_UPSTREAM_HEADER).decode('latin-1')
+        is_own = _is_from_expected_upstream(head, request_id)
         return models.ResponseClassification(
-            _response_kind(head, request_id), faulty
+            _response_kind(head, request_id),
+            faulty,
+            is_leaving=is_own and announces_leaving(head.headers),
         )
 
     def refusal_headers(
@@ -101,6 +104,23 @@
         return (*headers, (b'retry-after', seconds))
 
 
+def announces_leaving(headers: messages.Headers) -> bool:
+    """Return whether the headers of a response tell that its engine leaves."""
+    announced = messages.find_header(headers, const.LEAVING_HEADER).strip()
+    return announced not in {b'', b'0'}
+
+
+def _is_from_expected_upstream(head: messages.Head, request_id: str) -> bool:
+    """Return whether the upstream that a request was sent to responded to it.
+
+    Any other engine at its address responds with 421.
+    """
+    if head.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+        return False
+    echoed = head.header(const.REQUEST_ID_HEADER).decode('latin-1')
+    return not echoed or echoed == request_id
+
+
 def _response_kind(head: messages.Head, request_id: str) -> models.ResponseKind:
     """Return the response kind, from the status and the headers.
 
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -43,6 +43,15 @@
 
         anyio.run(_main)
 
+    def _register(self, upstream):
+        """Apply the registration of an upstream as the listener does."""
+        self.dispatcher.known_upstreams = fleet.decide(
+            fleet.Registered(upstream),
+            self.dispatcher.known_upstreams,
+            anyio.current_time(),
+        )
+        self.dispatcher.dispatch_all()
+
     async def _acquire(self, name, excluded_ids=()):
         """Record the candidate that a request was assigned to."""
         self.outcomes[name] = await self.dispatcher.acquire(
@@ -92,6 +101,65 @@
 
         self._run(_scenario)
 
+    def test_upstream_that_leaves_is_not_assigned(self):
+        """A queued request waits for another upstream than one that leaves."""
+
+        async def _scenario(tasks):
+            for name in ('r1', 'r2', 'r3'):
+                tasks.start_soon(self._acquire, name)
+            await anyio.wait_all_tasks_blocked()
+            leaving = self.outcomes['r1'].upstream
+            self.dispatcher.record_leaving(leaving)
+            self.dispatcher.release(leaving, 'r1')
+            await anyio.wait_all_tasks_blocked()
+            self.assertNotIn('r3', self.outcomes)
+            self._register(samples.upstream('u2'))
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual('u2', self.outcomes['r3'].upstream.upstream_id)
+
+        self._run(_scenario)
+
+    def test_upstream_that_leaves_after_it_was_assigned(self):
+        """A request whose task has not run since gets another upstream.
+
+        Its slot is free again.
+        """
+
+        async def _scenario(tasks):
+            for name in ('r1', 'r2', 'r3'):
+                tasks.start_soon(self._acquire, name)
+            await anyio.wait_all_tasks_blocked()
+            self._register(samples.upstream('u2', leaving=True))
+            leaving = self.outcomes['r1'].upstream
+            self.dispatcher.release(leaving, 'r1')
+            self.dispatcher.record_leaving(leaving)
+            self._register(samples.upstream('u2', started_at_ms=9))
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual('u2', self.outcomes['r3'].upstream.upstream_id)
+            in_flight_by_id = dict(self.dispatcher.counts.local_by_id)
+            self.assertEqual(
+                {'u1': 1, 'u2': 1},
+                {
+                    name: count
+                    for name, count in in_flight_by_id.items()
+                    if count
+                },
+            )
+
+        self._run(_scenario)
+
+    def test_leaving_is_recorded_once(self):
+        """Each further response of an upstream that leaves changes nothing."""
+
+        async def _scenario(_):
+            upstream = samples.upstream('u1')
+            self.dispatcher.record_leaving(upstream)
+            known_upstreams = self.dispatcher.known_upstreams
+            self.dispatcher.record_leaving(upstream)
+            self.assertIs(known_upstreams, self.dispatcher.known_upstreams)
+
+        self._run(_scenario)
+
     def test_refused_over_the_limit(self):
         """Pattern `burst`: requests over the queue limit are refused at once."""
 
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -15,6 +15,8 @@
 _JSON_HEADERS = ((b'content-type', b'application/json'),)
 # Exceeds the time after which a gateway resumes a stream on another engine.
 _STREAM_PAUSE_SECONDS = 1.3
+_SLOW_SECONDS = 0.4
+_PACE_SECONDS = 0.2
 _LEASE_CHECK_INTERVAL_SECONDS = 0.05
 # Exceeds the timeout of every client.
 _NO_RESPONSE_SECONDS = 9
@@ -228,7 +230,8 @@
     """Engine with scripted responses.
 
     `scripts` lists the methods that handle the next requests, one name per
-    request. All requests after them are handled by `whole`.
+    request. All requests after them are handled by `whole`. All responses
+    have the `added_headers`.
     """
 
     def __init__(self, name, service, group=None):
@@ -240,6 +243,7 @@
         self.address = loopback.free_address()
         self.scripts = []
         self.requests = []
+        self.added_headers = ()
         self.on_interruption = None
 
     def registration(self, **changes):
@@ -257,7 +261,8 @@
         request = exchange.request
         if request.target == b'/api/report':
             report = b'{"born":%d}' % self.started_at_ms
-            await exchange.respond(200, (_KEEP_ALIVE_HEADER,), report)
+            headers = (_KEEP_ALIVE_HEADER, *self.added_headers)
+            await exchange.respond(200, headers, report)
             return
         self.requests.append(request)
         script = self.scripts.pop(0) if self.scripts else 'whole'
@@ -269,6 +274,7 @@
             (b'x-nutmegtrail-request-id', request_id),
             (b'x-nutmegtrail-response-seal', self.name.encode()),
             _KEEP_ALIVE_HEADER,
+            *self.added_headers,
         )
         await getattr(self, script)(exchange, headers)
 
@@ -306,8 +312,25 @@
 
     async def not_run(self, exchange, _):
         """Reject the request without executing it."""
-        not_executed = ((b'x-nutmegtrail-not-executed', b'1'),)
-        await exchange.respond(503, not_executed, b'')
+        not_executed = (b'x-nutmegtrail-not-executed', b'1')
+        await exchange.respond(503, (not_executed, *self.added_headers), b'')
+
+    async def misdirected(self, exchange, _):
+        """Reject the request because it expects another engine."""
+        await exchange.respond(421, self.added_headers, b'')
+
+    async def slow(self, exchange, headers):
+        """Send a complete response late."""
+        await anyio.sleep(_SLOW_SECONDS)
+        await self.whole(exchange, headers)
+
+    async def paced(self, exchange, headers):
+        """Send all events with a short pause before each further one."""
+        await self._events(exchange, headers, 1)
+        for number in range(2, 6):
+            await anyio.sleep(_PACE_SECONDS)
+            await exchange.write(b'id: %d\ndata: x\n\n' % number)
+        await exchange.finish()
 
     async def failed(self, exchange, headers):
         """Execute the request and respond with 500."""
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -104,6 +104,35 @@
                 (status, sent_headers),
             )
 
+    def test_leaving_upstream(self):
+        """Every response of the expected engine tells that it leaves.
+
+        One to another request, or by another engine, says nothing about it.
+        """
+        leaving = (b'server-leaving', b'1')
+        other = (b'x-nutmegtrail-request-id', b'r2')
+        not_run = (b'x-nutmegtrail-not-executed', b'1')
+        cases = (
+            (True, 200, (*_SEALED_HEADERS, leaving)),
+            (True, 500, (*_SEALED_HEADERS, leaving)),
+            (True, 503, (not_run, leaving)),
+            (True, 503, (leaving,)),
+            (True, 429, (*_SEALED_HEADERS, not_run, leaving)),
+            (False, 200, _SEALED_HEADERS),
+            (False, 200, (*_SEALED_HEADERS, (b'server-leaving', b'0'))),
+            (False, 200, (*_SEALED_HEADERS, (b'server-leaving', b''))),
+            (False, 421, (leaving,)),
+            (False, 421, (*_SEALED_HEADERS, not_run, leaving)),
+            (False, 200, (other, _SEALED_HEADERS[1], leaving)),
+            (False, 503, (other, not_run, leaving)),
+        )
+        for is_leaving, status, sent_headers in cases:
+            head = messages.Head(status, sent_headers)
+            classification = _TRANSLATOR.classify_response(head, 'r1')
+            self.assertIs(
+                is_leaving, classification.is_leaving, (status, sent_headers)
+            )
+
     def test_refusal_headers(self):
         """A refusal carries the request ID and the retry delay."""
         self.assertEqual(
