Read from the control API too that an engine leaves

Reports, orders and crash probes are answered by engines as well, and what these answers said of the engine's leaving was dropped: a request whose response was lost could be followed by others to the engine that left.

The control client reports each upstream whose own response carries the header to a callback, which the composition root connects to the dispatcher. A 421 and the report of a later start say nothing about the registered incarnation.

--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -56,7 +56,9 @@
         dispatching.Dispatcher(configured.process.failure_domain),
         metrics.Metrics(),
     )
-    engines = platform_engines.EngineControlClient()
+    engines = platform_engines.EngineControlClient(
+        shared.dispatcher.record_leaving
+    )
     protection = _create_crash_protection(configured, shared, engines)
     request_handler = _create_request_handler(
         configured,
--- a/nutmegtrail/platform/engines.py
+++ b/nutmegtrail/platform/engines.py
@@ -11,6 +11,7 @@
 from nutmegtrail.gateway import models
 from nutmegtrail.observability import logs
 from nutmegtrail.platform import const
+from nutmegtrail.platform import headers
 from nutmegtrail.platform import json_client
 from nutmegtrail.ports import rank_control
 from nutmegtrail.ports import upstream_probe
@@ -23,9 +24,16 @@
 class EngineControlClient:
     """Implements `ports.rank_control` and `ports.upstream_probe`."""
 
-    def __init__(self) -> None:
-        """Initialize the client without opening connections."""
+    def __init__(
+        self, on_leaving: typing.Callable[[models.Upstream], None]
+    ) -> None:
+        """Initialize the client without opening connections.
+
+        `on_leaving` is called with each upstream that announces that it
+        leaves.
+        """
         self._client = json_client.JsonClient()
+        self._on_leaving = on_leaving
 
     async def close(self) -> None:
         """Close all connections."""
@@ -49,6 +57,7 @@
             const.ENGINE_READ_TIMEOUT_SECONDS,
             needs_new_connection=True,
         )
+        self._record_leaving(upstream, response)
         if isinstance(response, json_client.NoResponse):
             if response.is_refused:
                 return upstream_probe.Condition.ENDED
@@ -111,6 +120,7 @@
             orjson.dumps(body),
             timeout_seconds,
         )
+        self._record_leaving(upstream, response)
         if isinstance(response, json_client.NoResponse):
             return rank_control.OrderOutcome.UNANSWERED
         if response.status in {http.HTTPStatus.OK, http.HTTPStatus.ACCEPTED}:
@@ -134,6 +144,7 @@
             b'',
             const.ENGINE_READ_TIMEOUT_SECONDS,
         )
+        self._record_leaving(upstream, response)
         try:
             return decode(_decode_body(response))
         except _DECODE_ERRORS as error:
@@ -145,6 +156,20 @@
             )
             return None
 
+    def _record_leaving(
+        self,
+        upstream: models.Upstream,
+        response: json_client.Response | json_client.NoResponse,
+    ) -> None:
+        """Report an upstream whose own response says that it leaves."""
+        if isinstance(response, json_client.NoResponse):
+            return
+        if response.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+            return
+        is_leaving = headers.announces_leaving(response.headers)
+        if is_leaving and not _has_restarted(response, upstream):
+            self._on_leaving(upstream)
+
 
 def _expected_upstream_header(upstream: models.Upstream) -> tuple[bytes, bytes]:
     """Return the header that makes any other engine reject the request."""
--- a/tests/platform/test_engine_condition.py
+++ b/tests/platform/test_engine_condition.py
@@ -3,6 +3,7 @@
 import anyio
 import testtools
 
+from nutmegtrail.expert_map import switch
 from nutmegtrail.platform import engines
 from nutmegtrail.ports import upstream_probe
 from tests import loopback
@@ -10,12 +11,14 @@
 
 _RUNNING = upstream_probe.Condition.RUNNING
 _ENDED = upstream_probe.Condition.ENDED
-_HEAD = b'HTTP/1.1 %b\r\nkeep-alive: timeout=9\r\ncontent-length: %d\r\n\r\n%b'
+_HEAD = (
+    b'HTTP/1.1 %b\r\nkeep-alive: timeout=9\r\n%bcontent-length: %d\r\n\r\n%b'
+)
 
 
-def _response(status, body):
-    """Return an encoded response."""
-    return _HEAD % (status, len(body), body)
+def _response(status, body, added_line=b''):
+    """Return an encoded response, with a header line if one is added."""
+    return _HEAD % (status, added_line, len(body), body)
 
 
 class EngineConditionTest(testtools.TestCase):
@@ -41,7 +44,8 @@
                 'i-1', address=self.address, started_at_ms=5
             )
             self.accepting = anyio.CancelScope()
-            self.client = engines.EngineControlClient()
+            self.leaving = []
+            self.client = engines.EngineControlClient(self.leaving.append)
             self.listener = await anyio.create_tcp_listener(
                 local_host=self.address.ip, local_port=self.address.port
             )
@@ -73,6 +77,39 @@
 
             self._run(_scenario, _response(status, body))
 
+    def test_leaving_engine(self):
+        """Every answer of the control API tells that its engine leaves.
+
+        One of another engine or of a later start says nothing about it.
+        """
+        cases = (
+            (b'200 OK', b'{"born":5}', True),
+            (b'200 OK', b'{}', True),
+            (b'404 Not Found', b'', True),
+            (b'409 Conflict', b'', True),
+            (b'503 Unavailable', b'', True),
+            (b'421 Misdirected', b'', False),
+            (b'200 OK', b'{"born":6}', False),
+        )
+        order = switch.Order(switch.Operation.RELEASE, 1)
+        calls = (
+            lambda: self.client.condition(self.upstream),
+            lambda: self.client.report(self.upstream),
+            lambda: self.client.choices(self.upstream),
+            lambda: self.client.held_experts(self.upstream),
+            lambda: self.client.order(self.upstream, order, 1),
+        )
+        for status, body, is_leaving in cases:
+            for call in calls:
+
+                async def _scenario(call=call, is_leaving=is_leaving):
+                    await call()
+                    expected = [self.upstream] if is_leaving else []
+                    self.assertEqual(expected, self.leaving, (status, body))
+
+                response = _response(status, body, b'server-leaving: 1\r\n')
+                self._run(_scenario, response)
+
     def test_no_response(self):
         """A broken response does not tell whether the process runs."""
 
--- a/tests/platform/test_hostile_input.py
+++ b/tests/platform/test_hostile_input.py
@@ -86,6 +86,10 @@
     return bytes(changed)
 
 
+def _ignore(_):
+    """Ignore that an engine leaves."""
+
+
 class HttpTest(testtools.TestCase):
     """Framing of requests and responses."""
 
@@ -236,7 +240,7 @@
     @hypothesis.given(_JSON)
     def test_engine_responses(self, value):
         """An engine response is decoded or None is returned."""
-        control = engines.EngineControlClient()
+        control = engines.EngineControlClient(_ignore)
         control._client = _FixedResponseClient(value)
         upstream = gateway_samples.upstream('u1')
 
--- a/tests/platform/test_upstream_signals.py
+++ b/tests/platform/test_upstream_signals.py
@@ -253,6 +253,18 @@
 
         self._run(_scenario, engine_count=1)
 
+    def test_report_after_a_lost_response(self):
+        """The report that is read after a lost response counts as well."""
+
+        async def _scenario(deployment):
+            leaving = deployment.engines[0]
+            leaving.added_headers = (_LEAVING,)
+            leaving.scripts = ['lost']
+            await self._assert_served(deployment, 8, 'r')
+            self.assertEqual(1, len(leaving.requests))
+
+        self._run(_scenario)
+
     def test_answers_that_say_nothing(self):
         """An answer to another request or by another engine is ignored."""
 
