Send an upstream nothing for as long as its 503 says

An engine that turns a request away with 503 may state with Retry-After for how long it wants no requests. Entries went on sending them, and callers waited in the queue of a service whose engines would not take any in time.

The header translator reads the seconds from each 503 of the expected engine, whether or not it says that the request was not run; an invalid value is logged and ignored. The end of the hold-off is kept beside the passive health, by incarnation: a later response may prolong it, nothing shortens it, and a later start is not bound. Selection leaves such upstreams out, while their requests still count as load of their rank group. As with leaving upstreams, a request that was assigned in the same turn is queued again. Reports, orders and crash probes are not requests and stay as they were.

A queued request that no upstream of its service accepts in its time is refused at once, with the earliest end of the hold-offs as Retry-After within the usual bounds. It is 503 only if the request has certainly not run, as before.

--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -39,6 +39,9 @@
 MAX_EJECTION_SECONDS: typing.Final = 4.0
 FAILURES_TO_EJECT: typing.Final = 2
 
+# Hold-offs that are remembered; those that end first are forgotten first.
+HOLD_OFFS_LIMIT: typing.Final = 4_096
+
 # Failed connection attempts, each to another upstream, before a request is
 # given up.
 CONNECT_ATTEMPTS_LIMIT: typing.Final = 4
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -55,7 +55,7 @@
         """
         while True:
             candidate = await self._wait_for_candidate(service, queued)
-            if candidate is None or self._is_usable(candidate.upstream):
+            if candidate is None or self._is_available(candidate.upstream):
                 return candidate
             self.release(candidate.upstream, queued.request_id)
 
@@ -107,6 +107,29 @@
         self.known_upstreams = updated
         self.dispatch(upstream.service)
 
+    def record_hold_off(
+        self, upstream: models.Upstream, seconds: float
+    ) -> None:
+        """Record that an upstream wants no further requests for some time."""
+        self.upstream_health = health.record_hold_off(
+            self.upstream_health,
+            upstream.incarnation,
+            seconds,
+            anyio.current_time(),
+        )
+        self.dispatch(upstream.service)
+
+    def held_off_seconds(self, service: str) -> float:
+        """Return the time until the first upstream accepts requests.
+
+        It is 0 if an upstream of the service accepts them now.
+        """
+        available_from = selection.available_from_by_id(
+            self._selection_context(), service
+        ).values()
+        now = anyio.current_time()
+        return max(min(available_from, default=now) - now, 0)
+
     def record_response_time(self, service: str, seconds: float) -> None:
         """Record the seconds from dispatch to the response or first event."""
         average = self._expected_seconds_by_service.get(service, seconds)
@@ -174,9 +197,11 @@
             )
         )
 
-    def _is_usable(self, upstream: models.Upstream) -> bool:
+    def _is_available(self, upstream: models.Upstream) -> bool:
         """Return whether an upstream accepts new requests."""
-        return fleet.is_usable(self.known_upstreams, upstream)
+        return selection.is_available(
+            self._selection_context(), upstream, anyio.current_time()
+        )
 
     def _shed_load(
         self,
@@ -191,7 +216,12 @@
                 self.known_upstreams, service
             )
         )
-        result = request_queue.shed_load(queue, slots // self.entries, now)
+        result = request_queue.shed_load(
+            queue,
+            slots // self.entries,
+            now,
+            selection.available_from_by_id(self._selection_context(), service),
+        )
         for request_id in result.refused_ids:
             self._pending_by_id.pop(request_id).decided.set()
         return result.queue
--- a/nutmegtrail/gateway/fleet.py
+++ b/nutmegtrail/gateway/fleet.py
@@ -24,11 +24,8 @@
 
 UpstreamsById: typing.TypeAlias = pyrsistent.typing.PMap[str, models.Upstream]
 DeadlinesById: typing.TypeAlias = pyrsistent.typing.PMap[str, float]
-
-
-Incarnation: typing.TypeAlias = tuple[str, int]
 RemovedAtByIncarnation: typing.TypeAlias = pyrsistent.typing.PMap[
-    Incarnation, float
+    models.Incarnation, float
 ]
 
 
@@ -308,7 +305,7 @@
 def is_usable(fleet: Fleet, upstream: models.Upstream) -> bool:
     """Return whether this incarnation still accepts new requests."""
     current = fleet.upstreams_by_id.get(upstream.upstream_id)
-    if current is None or _incarnation_of(current) != _incarnation_of(upstream):
+    if current is None or current.incarnation != upstream.incarnation:
         return False
     return _accepts_requests(current)
 
@@ -351,7 +348,7 @@
         upstreams_by_id=fleet.upstreams_by_id.discard(upstream_id),
         missing_until_by_id=fleet.missing_until_by_id.discard(upstream_id),
         removed_at_by_incarnation=fleet.removed_at_by_incarnation.set(
-            _incarnation_of(upstream), now_seconds
+            upstream.incarnation, now_seconds
         ),
     )
 
@@ -387,16 +384,11 @@
     return fleet._replace(announcements_by_id=announcements)
 
 
-def _incarnation_of(upstream: models.Upstream) -> Incarnation:
-    """Return the key of one incarnation of an upstream."""
-    return upstream.upstream_id, upstream.started_at_ms
-
-
 def _was_removed(fleet: Fleet, upstream: models.Upstream) -> bool:
     """Return whether an incarnation was removed and has not come back."""
     return (
         upstream.upstream_id not in fleet.upstreams_by_id
-        and _incarnation_of(upstream) in fleet.removed_at_by_incarnation
+        and upstream.incarnation in fleet.removed_at_by_incarnation
     )
 
 
@@ -405,7 +397,7 @@
     if _has_announced_leaving(fleet, upstream):
         return upstream._replace(leaving=True)
     known = fleet.upstreams_by_id.get(upstream.upstream_id)
-    if known is None or _incarnation_of(known) != _incarnation_of(upstream):
+    if known is None or known.incarnation != upstream.incarnation:
         return upstream
     return upstream._replace(leaving=upstream.leaving or known.leaving)
 
--- a/nutmegtrail/gateway/health.py
+++ b/nutmegtrail/gateway/health.py
@@ -1,16 +1,21 @@
-"""Passive health checks: outlier ejection, latency and pause ratio.
+"""Passive health checks: ejection, hold-offs, latency and pause ratio.
+
+An upstream that turns a request away may ask to hold off, which is to send it
+nothing for some time.
 
 Upstreams of one rank group run in lock-step and share latency and pause
 ratio. The pause ratio is the pause between a stream's events divided by the
 longest pause that its route allows.
 """
 
+import heapq
 import typing
 
 import pyrsistent
 import pyrsistent.typing
 
 from nutmegtrail.gateway import const
+from nutmegtrail.gateway import models
 
 
 class FailureRecord(typing.NamedTuple):
@@ -44,12 +49,21 @@
 PauseRatiosByGroup: typing.TypeAlias = pyrsistent.typing.PMap[str, PauseRatio]
 
 
+HeldUntilByIncarnation: typing.TypeAlias = pyrsistent.typing.PMap[
+    models.Incarnation, float
+]
+
+
 class Health(typing.NamedTuple):
-    """Failures by upstream or rank group, the rest by group."""
+    """Failures by upstream or rank group, the rest by group.
+
+    `held_until_by_incarnation` has the ends of the hold-offs of upstreams.
+    """
 
     failure_records_by_id: FailureRecordsById = pyrsistent.pmap()
     latencies_by_group: LatenciesByGroup = pyrsistent.pmap()
     pause_ratios_by_group: PauseRatiosByGroup = pyrsistent.pmap()
+    held_until_by_incarnation: HeldUntilByIncarnation = pyrsistent.pmap()
 
 
 def moving_average(previous: float, sample: float, weight: float) -> float:
@@ -99,6 +113,37 @@
     return now_seconds < record.ejected_until_seconds
 
 
+def record_hold_off(
+    health: Health,
+    incarnation: models.Incarnation,
+    seconds: float,
+    now_seconds: float,
+) -> Health:
+    """Return the health with a hold-off from now on; none is shortened."""
+    held_until_by_incarnation = {
+        held: until
+        for held, until in health.held_until_by_incarnation.items()
+        if until > now_seconds
+    }
+    held_until_by_incarnation[incarnation] = max(
+        held_until(health, incarnation), now_seconds + seconds
+    )
+    for first_to_end in heapq.nsmallest(
+        len(held_until_by_incarnation) - const.HOLD_OFFS_LIMIT,
+        held_until_by_incarnation,
+        key=held_until_by_incarnation.__getitem__,
+    ):
+        held_until_by_incarnation.pop(first_to_end)
+    return health._replace(
+        held_until_by_incarnation=pyrsistent.pmap(held_until_by_incarnation),
+    )
+
+
+def held_until(health: Health, incarnation: models.Incarnation) -> float:
+    """Return the end of an upstream's last hold-off, -inf without any."""
+    return health.held_until_by_incarnation.get(incarnation, float('-inf'))
+
+
 def record_latency(
     health: Health,
     group: str,
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -105,9 +105,17 @@
         )
 
 
-def retry_after_seconds(remaining_seconds: float) -> float:
-    """Return the seconds after which a refused caller should retry."""
-    delay_seconds = remaining_seconds * const.RETRY_AFTER_RATIO
+def retry_after_seconds(
+    remaining_seconds: float, held_off_seconds: float = 0
+) -> float:
+    """Return the seconds after which a refused caller should retry.
+
+    `held_off_seconds` is the time until the first upstream accepts requests,
+    0 if one does.
+    """
+    delay_seconds = (
+        held_off_seconds or remaining_seconds * const.RETRY_AFTER_RATIO
+    )
     bounded_seconds = max(delay_seconds, const.MIN_RETRY_AFTER_SECONDS)
     return min(bounded_seconds, const.MAX_RETRY_AFTER_SECONDS)
 
--- a/nutmegtrail/gateway/models.py
+++ b/nutmegtrail/gateway/models.py
@@ -126,6 +126,10 @@
     is_open: bool
 
 
+# Identifier and start time.
+Incarnation: typing.TypeAlias = tuple[str, int]
+
+
 class Upstream(typing.NamedTuple):
     """Registration of one incarnation of an upstream.
 
@@ -143,6 +147,11 @@
     started_at_ms: int
     membership: Membership | None
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return the key of this incarnation of the upstream."""
+        return self.upstream_id, self.started_at_ms
+
     @property
     def group_name(self) -> str:
         """Return the rank group, or the upstream's ID if it has none.
@@ -189,12 +198,14 @@
 
     `faulty_upstream_id` names the engine that keeps its rank group from
     working, or is empty. `is_leaving` is set if the upstream that the request
-    was sent to announces that it leaves.
+    was sent to announces that it leaves. `hold_off_seconds` is for how long
+    that upstream wants no further requests, 0 if it does not say.
     """
 
     response_kind: ResponseKind
     faulty_upstream_id: str
     is_leaving: bool = False
+    hold_off_seconds: float = 0
 
 
 class ForwardingMetadata(typing.NamedTuple):
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -235,7 +235,7 @@
         classification = self._header_translator.classify_response(
             response.head, job.caller.request_id
         )
-        self._health_recorder.record_response(upstream, classification)
+        self._health_recorder.record_response(job, upstream, classification)
         if classification.response_kind is not models.ResponseKind.SUCCESS:
             return await self._read_failure(
                 job, upstream, response, classification
@@ -415,7 +415,10 @@
                 job.exchange,
                 job.caller,
                 'no free upstream',
-                jobs.retry_after_seconds(job.remaining_seconds),
+                jobs.retry_after_seconds(
+                    job.remaining_seconds,
+                    self._dispatcher.held_off_seconds(job.service),
+                ),
             )
             return
         status = http.HTTPStatus.BAD_GATEWAY
--- a/nutmegtrail/gateway/request_queue.py
+++ b/nutmegtrail/gateway/request_queue.py
@@ -8,9 +8,14 @@
 
 import typing
 
+import pyrsistent
+
 from nutmegtrail.gateway import const
 
 
+_NO_TIMES: typing.Final[typing.Mapping[str, float]] = pyrsistent.pmap()
+
+
 class QueuedRequest(typing.NamedTuple):
     """Request in the queue.
 
@@ -102,15 +107,25 @@
 
 
 def shed_load(
-    queue: RequestQueue, slots: int, now_seconds: float
+    queue: RequestQueue,
+    slots: int,
+    now_seconds: float,
+    available_from_by_id: typing.Mapping[str, float] = _NO_TIMES,
 ) -> ShedResult:
-    """Refuse requests that are too late or exceed the queue limit."""
+    """Refuse requests that are too late or exceed the queue limit.
+
+    `available_from_by_id` has the times from which upstreams accept requests.
+    A request is too late if no upstream accepts it in time.
+    """
+    first_available = min(available_from_by_id.values(), default=now_seconds)
     limit = max(int(slots * const.MAX_QUEUED_PER_SLOT), 1)
     ordered = in_service_order(queue, now_seconds)
     viable = [
         request
         for request in ordered
         if now_seconds < request.latest_start_seconds
+        and _first_available(request, available_from_by_id, first_available)
+        < request.latest_start_seconds
     ]
     kept_ids = {request.request_id for request in viable[:limit]}
     refused_ids = tuple(
@@ -121,3 +136,24 @@
     for request_id in refused_ids:
         queue = remove(queue, request_id)
     return ShedResult(queue, refused_ids)
+
+
+def _first_available(
+    request: QueuedRequest,
+    available_from_by_id: typing.Mapping[str, float],
+    first_available_seconds: float,
+) -> float:
+    """Return when the first upstream accepts a request.
+
+    A request that excludes all upstreams waits for one that is new.
+    """
+    if not request.excluded_ids:
+        return first_available_seconds
+    return min(
+        (
+            available_from
+            for upstream_id, available_from in available_from_by_id.items()
+            if upstream_id not in request.excluded_ids
+        ),
+        default=float('-inf'),
+    )
--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -68,7 +68,10 @@
     service: str,
     now_seconds: float,
 ) -> tuple[Candidate, ...]:
-    """Return the usable upstreams of a service that are not ejected."""
+    """Return the usable upstreams of a service that are not ejected.
+
+    Those that hold requests off are left out too, but count in their group.
+    """
     counts_by_id = request_counts.total_counts(context.counts)
     upstreams = tuple(
         upstream
@@ -92,9 +95,38 @@
             *states_by_group[upstream.group_name],
         )
         for upstream in upstreams
+        if not _is_held_off(context.upstream_health, upstream, now_seconds)
     )
 
 
+def is_available(
+    context: SelectionContext,
+    upstream: models.Upstream,
+    now_seconds: float,
+) -> bool:
+    """Return whether this incarnation accepts new requests now."""
+    return fleet.is_usable(
+        context.known_upstreams, upstream
+    ) and not _is_held_off(context.upstream_health, upstream, now_seconds)
+
+
+def available_from_by_id(
+    context: SelectionContext, service: str
+) -> dict[str, float]:
+    """Return the ends of the last hold-offs of a service's usable upstreams.
+
+    It is empty while no upstream of any service holds requests off.
+    """
+    if not context.upstream_health.held_until_by_incarnation:
+        return {}
+    return {
+        upstream.upstream_id: health.held_until(
+            context.upstream_health, upstream.incarnation
+        )
+        for upstream in fleet.usable_upstreams(context.known_upstreams, service)
+    }
+
+
 def loads_by_group(context: SelectionContext) -> dict[str, int]:
     """Return the requests in flight by group."""
     counts_by_id = request_counts.total_counts(context.counts)
@@ -231,3 +263,14 @@
         return True
     group = upstream.group_name
     return health.is_ejected(upstream_health, group, now_seconds)
+
+
+def _is_held_off(
+    upstream_health: health.Health,
+    upstream: models.Upstream,
+    now_seconds: float,
+) -> bool:
+    """Return whether an upstream currently wants no requests."""
+    return now_seconds < health.held_until(
+        upstream_health, upstream.incarnation
+    )
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -43,6 +43,7 @@
 SEAL_HEADER: typing.Final = b'x-nutmegtrail-response-seal'
 FAULTY_UPSTREAM_HEADER: typing.Final = b'at-server'
 LEAVING_HEADER: typing.Final = b'server-leaving'
+RETRY_AFTER_HEADER: typing.Final = b'retry-after'
 LAST_EVENT_HEADER: typing.Final = b'last-event-id'
 
 DRAINING_STATE: typing.Final = 'draining'
--- a/nutmegtrail/platform/headers.py
+++ b/nutmegtrail/platform/headers.py
@@ -1,14 +1,19 @@
 """Translation of HTTP headers between clients and upstreams."""
 
 import http
+import math
+import re
 import typing
 
 from nutmegtrail import const as shared_const
 from nutmegtrail.adapters.http1 import messages
 from nutmegtrail.gateway import errors
 from nutmegtrail.gateway import models
+from nutmegtrail.observability import logs
 from nutmegtrail.platform import const
 
+_SECONDS: typing.Final = re.compile(rb'[0-9]+(\.[0-9]*)?|\.[0-9]+')
+_LOGGED_BYTES: typing.Final = 64
 _NOT_FORWARDED: typing.Final = frozenset(
     (
         const.API_KEY_HEADER,
@@ -82,11 +87,14 @@
     ) -> models.ResponseClassification:
         """Return what a head tells about the request and its upstream."""
         faulty = head.header(const.FAULTY_UPSTREAM_HEADER).decode('latin-1')
-        is_own = _is_from_expected_upstream(head, request_id)
+        kind = _response_kind(head, request_id)
+        if not _is_from_expected_upstream(head, request_id):
+            return models.ResponseClassification(kind, faulty)
         return models.ResponseClassification(
-            _response_kind(head, request_id),
+            kind,
             faulty,
-            is_leaving=is_own and announces_leaving(head.headers),
+            announces_leaving(head.headers),
+            _hold_off_seconds(head, request_id),
         )
 
     def refusal_headers(
@@ -101,7 +109,7 @@
         if retry_after_seconds is None:
             return headers
         seconds = f'{retry_after_seconds:.3f}'.encode()
-        return (*headers, (b'retry-after', seconds))
+        return (*headers, (const.RETRY_AFTER_HEADER, seconds))
 
 
 def announces_leaving(headers: messages.Headers) -> bool:
@@ -121,6 +129,26 @@
     return not echoed or echoed == request_id
 
 
+def _hold_off_seconds(head: messages.Head, request_id: str) -> float:
+    """Return for how long an upstream wants no requests, 0 if not stated."""
+    if head.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+        return 0
+    text = head.header(const.RETRY_AFTER_HEADER).strip()
+    if not text:
+        return 0
+    seconds = math.inf
+    if _SECONDS.fullmatch(text):
+        seconds = float(text)
+    if math.isfinite(seconds):
+        return seconds
+    logs.decision(
+        'response:malformed-retry-after',
+        request_id=request_id,
+        text=text[:_LOGGED_BYTES].decode('latin-1'),
+    )
+    return 0
+
+
 def _response_kind(head: messages.Head, request_id: str) -> models.ResponseKind:
     """Return the response kind, from the status and the headers.
 
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -160,6 +160,75 @@
 
         self._run(_scenario)
 
+    def test_hold_off_refuses_hopeless_requests(self):
+        """A queued request is refused at once if all upstreams hold off longer.
+
+        So is one that comes later.
+        """
+
+        async def _scenario(tasks):
+            for name in ('r1', 'r2', 'r3'):
+                tasks.start_soon(self._acquire, name)
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual(0, self.dispatcher.held_off_seconds('drafts'))
+            self.dispatcher.record_hold_off(samples.upstream('u1'), 5)
+            tasks.start_soon(self._acquire, 'r4')
+            await anyio.wait_all_tasks_blocked()
+            self.assertIsNone(self.outcomes['r3'])
+            self.assertIsNone(self.outcomes['r4'])
+            seconds = self.dispatcher.held_off_seconds('drafts')
+            self.assertTrue(4 < seconds <= 5, seconds)
+            self._register(samples.upstream('u2'))
+            self.assertEqual(0, self.dispatcher.held_off_seconds('drafts'))
+            await self._acquire('r5')
+            self.assertEqual('u2', self.outcomes['r5'].upstream.upstream_id)
+
+        self._run(_scenario)
+
+    def test_requests_wait_for_the_end_of_a_hold_off(self):
+        """A request that can start after the hold-off waits for its end."""
+
+        async def _scenario(tasks):
+            self.dispatcher.record_hold_off(samples.upstream('u1'), 0.2)
+            tasks.start_soon(self._acquire, 'r1')
+            await anyio.wait_all_tasks_blocked()
+            self.dispatcher.dispatch_all()
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual({}, self.outcomes)
+            await anyio.sleep(0.21)
+            self.dispatcher.dispatch_all()
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual('u1', self.outcomes['r1'].upstream.upstream_id)
+
+        self._run(_scenario)
+
+    def test_hold_off_after_a_request_was_assigned(self):
+        """A request whose task has not run since is not sent."""
+
+        async def _scenario(tasks):
+            for name in ('r1', 'r2', 'r3'):
+                tasks.start_soon(self._acquire, name)
+            await anyio.wait_all_tasks_blocked()
+            upstream = self.outcomes['r1'].upstream
+            self.dispatcher.release(upstream, 'r1')
+            self.dispatcher.record_hold_off(upstream, 5)
+            await anyio.wait_all_tasks_blocked()
+            self.assertIsNone(self.outcomes['r3'])
+            self.assertEqual(1, self.dispatcher.counts.local_by_id['u1'])
+
+        self._run(_scenario)
+
+    def test_hold_off_of_an_earlier_incarnation(self):
+        """A later start under the same identifier is not bound."""
+
+        async def _scenario(_):
+            self.dispatcher.record_hold_off(samples.upstream('u1'), 5)
+            self._register(samples.upstream('u1', started_at_ms=2))
+            await self._acquire('r1')
+            self.assertEqual(2, self.outcomes['r1'].upstream.started_at_ms)
+
+        self._run(_scenario)
+
     def test_refused_over_the_limit(self):
         """Pattern `burst`: requests over the queue limit are refused at once."""
 
--- a/tests/gateway/test_health.py
+++ b/tests/gateway/test_health.py
@@ -93,3 +93,47 @@
         )
         self.assertIsNone(health.capacity(upstream_health, 'g0', 5))
         self.assertIsNone(health.capacity(upstream_health, 'g1', 0))
+
+    def test_hold_off_ends(self):
+        """An upstream that wants no requests gets them after that time."""
+        upstream_health = health.record_hold_off(
+            health.Health(), ('u1', 1), 2.5, 10
+        )
+        self.assertEqual(12.5, health.held_until(upstream_health, ('u1', 1)))
+        for other in (('u2', 1), ('u1', 2)):
+            self.assertEqual(
+                float('-inf'), health.held_until(upstream_health, other)
+            )
+
+    def test_hold_off_is_never_shortened(self):
+        """A later response may prolong a hold-off; a success does not end it.
+
+        Each response states the time from its own arrival on.
+        """
+        incarnation = ('u1', 1)
+        upstream_health = health.record_hold_off(
+            health.Health(), incarnation, 5, 0
+        )
+        for seconds, now, expected in ((1, 1, 5), (4.5, 1, 5.5), (0.1, 2, 5.5)):
+            upstream_health = health.record_hold_off(
+                upstream_health, incarnation, seconds, now
+            )
+            upstream_health = health.record_success(upstream_health, 'u1')
+            self.assertEqual(
+                expected, health.held_until(upstream_health, incarnation)
+            )
+
+    def test_hold_offs_are_bounded(self):
+        """Ended hold-offs are forgotten, then those that end first."""
+        upstream_health = health.Health()
+        for number in range(const.HOLD_OFFS_LIMIT + 50):
+            upstream_health = health.record_hold_off(
+                upstream_health, (f'u{number}', 1), 9_999, number
+            )
+        held_until = upstream_health.held_until_by_incarnation
+        self.assertEqual(const.HOLD_OFFS_LIMIT, len(held_until))
+        self.assertNotIn(('u0', 1), held_until)
+        upstream_health = health.record_hold_off(
+            upstream_health, ('u1', 1), 1, 99_999
+        )
+        self.assertEqual(1, len(upstream_health.held_until_by_incarnation))
--- /dev/null
+++ b/tests/gateway/test_health_recorder.py
@@ -0,0 +1,57 @@
+"""Tests of what response heads tell about their upstreams."""
+
+import types
+
+import anyio
+import eliot
+import testtools
+
+from nutmegtrail.gateway import dispatcher
+from nutmegtrail.gateway import health
+from nutmegtrail.gateway import health_recorder
+from nutmegtrail.gateway import models
+from tests.gateway import samples
+
+_JOB = types.SimpleNamespace(caller=types.SimpleNamespace(request_id='r1'))
+
+
+class HealthRecorderTest(testtools.TestCase):
+    """Recorder of one dispatcher."""
+
+    def _record(self, upstream, **signals):
+        """Record a response; return the log lines and the health."""
+        log_lines = []
+        eliot.add_destinations(log_lines.append)
+        self.addCleanup(eliot.remove_destination, log_lines.append)
+        dispatching = dispatcher.Dispatcher('kandla-a')
+        recorder = health_recorder.HealthRecorder(dispatching)
+        classification = models.ResponseClassification(
+            models.ResponseKind.NOT_RUN, '', **signals
+        )
+
+        async def _main():
+            recorder.record_response(_JOB, upstream, classification)
+
+        anyio.run(_main)
+        return log_lines, dispatching.upstream_health
+
+    def test_hold_off_of_a_rank(self):
+        """A hold-off is logged once and binds the rank, not its group."""
+        rank = samples.member('m1', 0)
+        log_lines, upstream_health = self._record(rank, hold_off_seconds=2.5)
+        logged = [
+            (line['message_type'], line['upstream'], line['seconds'])
+            for line in log_lines
+            if line['request_id'] == 'r1'
+        ]
+        self.assertEqual([('upstream:holds-off', 'm1', 2.5)], logged)
+        self.assertEqual(
+            [rank.incarnation], list(upstream_health.held_until_by_incarnation)
+        )
+        self.assertFalse(health.is_ejected(upstream_health, 'g0', 0))
+
+    def test_response_without_signals(self):
+        """Other responses change and log nothing."""
+        log_lines, upstream_health = self._record(samples.upstream('u1'))
+        self.assertEqual([], log_lines)
+        self.assertEqual(health.Health(), upstream_health)
--- a/tests/gateway/test_request_queue.py
+++ b/tests/gateway/test_request_queue.py
@@ -67,3 +67,33 @@
         queue = _queue(_request('gone', latest_start=0.5), _request('kept'))
         result = request_queue.shed_load(queue, slots=9, now_seconds=0.6)
         self.assertEqual(('gone',), result.refused_ids)
+
+    def test_hopeless_requests_are_refused_at_once(self):
+        """A request is refused if no upstream is available in its time.
+
+        One that may go to an upstream which is available sooner stays.
+        """
+        queue = _queue(
+            _request('soon', latest_start=1),
+            _request('later', latest_start=3),
+            _request('excluding', latest_start=3)._replace(
+                excluded_ids=frozenset(('u1',))
+            ),
+            _request('excluding all', latest_start=3)._replace(
+                excluded_ids=frozenset(('u1', 'u2'))
+            ),
+        )
+        cases = (
+            ({}, ()),
+            ({'u1': float('-inf'), 'u2': 9}, ('excluding',)),
+            ({'u1': 1, 'u2': 9}, ('soon', 'excluding')),
+            ({'u1': 2.9, 'u2': 2.9}, ('soon',)),
+            ({'u1': 3, 'u2': 9}, ('soon', 'later', 'excluding')),
+        )
+        for available_from_by_id, refused_ids in cases:
+            result = request_queue.shed_load(queue, 9, 0, available_from_by_id)
+            self.assertEqual(
+                set(refused_ids),
+                set(result.refused_ids),
+                available_from_by_id,
+            )
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -100,6 +100,50 @@
         upstream_health = health.record_failure(health.Health(), 'g0', 0, 1)
         self.assertIsNone(_choose(ranks, _counts(), upstream_health))
 
+    def test_held_off_upstream(self):
+        """An upstream that wants no requests gets none, but its group does.
+
+        Its requests still count as load of the group.
+        """
+        ranks = (samples.member('m1', 0), samples.member('m2', 1))
+        held_off = health.record_hold_off(health.Health(), ('m1', 1), 1, 0)
+        self.assertEqual('m2', _choose(ranks, _counts(m2=1), held_off))
+        full = health.record_pause_ratio(held_off, 'g0', 2.0, 2, 0)
+        self.assertIsNone(_choose(ranks, _counts(m1=2), full))
+
+    def test_end_and_incarnation_of_a_hold_off(self):
+        """Requests resume at the end, and at once for a later start."""
+        upstream = samples.upstream('u1', started_at_ms=5)
+        cases = (
+            (('u1', 5), 1, None),
+            (('u1', 5), 0, 'u1'),
+            (('u1', 4), 1, 'u1'),
+        )
+        for incarnation, seconds, expected in cases:
+            upstream_health = health.record_hold_off(
+                health.Health(), incarnation, seconds, 0
+            )
+            self.assertEqual(
+                expected, _choose((upstream,), _counts(), upstream_health)
+            )
+
+    def test_available_from(self):
+        """Usable upstreams are available from the end of their hold-offs."""
+        upstreams = (*_TWO_UPSTREAMS, samples.upstream('u3', leaving=True))
+        known_upstreams = fleet.decide(
+            fleet.SnapshotReceived(upstreams), fleet.Fleet(), 0
+        )
+        upstream_health = health.record_hold_off(
+            health.Health(), ('u1', 1), 3, 0
+        )
+        context = selection.SelectionContext(
+            known_upstreams, upstream_health, _counts()
+        )
+        self.assertEqual(
+            {'u1': 3, 'u2': float('-inf')},
+            selection.available_from_by_id(context, 'drafts'),
+        )
+
     def test_burst_at_many_entries(self):
         """After a restart all callers connect to all entries at once.
 
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -315,6 +315,15 @@
         not_executed = (b'x-nutmegtrail-not-executed', b'1')
         await exchange.respond(503, (not_executed, *self.added_headers), b'')
 
+    async def unavailable(self, exchange, headers):
+        """Respond with 503 without telling whether the request ran."""
+        await exchange.respond(503, headers, b'')
+
+    async def slow_not_run(self, exchange, headers):
+        """Reject the request late without executing it."""
+        await anyio.sleep(_SLOW_SECONDS)
+        await self.not_run(exchange, headers)
+
     async def misdirected(self, exchange, _):
         """Reject the request because it expects another engine."""
         await exchange.respond(421, self.added_headers, b'')
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -133,6 +133,43 @@
                 is_leaving, classification.is_leaving, (status, sent_headers)
             )
 
+    def test_hold_off(self):
+        """A 503 of the expected engine tells for how long to send nothing.
+
+        Invalid values, other statuses and responses to other requests do not.
+        """
+        other = (b'x-nutmegtrail-request-id', b'r2')
+        not_run = (b'x-nutmegtrail-not-executed', b'1')
+        cases = (
+            (2.0, 503, (not_run,), b'2'),
+            (0.25, 503, (not_run,), b'0.25'),
+            (1.5, 503, _SEALED_HEADERS, b' 1.5 '),
+            (3.0, 503, (), b'3'),
+            (0.0, 503, (not_run,), b'0'),
+            (0.0, 503, (not_run,), b''),
+            (0.0, 503, (not_run,), b'-1'),
+            (0.0, 503, (not_run,), b'nan'),
+            (0.0, 503, (not_run,), b'inf'),
+            (0.0, 503, (not_run,), b'1e3'),
+            (0.0, 503, (not_run,), b'1_0'),
+            (0.0, 503, (not_run,), b'9' * 400),
+            (0.0, 503, (not_run,), b'\xb2'),
+            (0.0, 503, (not_run,), b'Wed, 21 Oct 2026 07:28:00 GMT'),
+            (0.0, 503, (other, not_run), b'2'),
+            (0.0, 421, (not_run,), b'2'),
+            (0.0, 429, (not_run,), b'2'),
+            (0.0, 500, _SEALED_HEADERS, b'2'),
+            (0.0, 200, _SEALED_HEADERS, b'2'),
+        )
+        for seconds, status, sent_headers, text in cases:
+            head = messages.Head(
+                status, (*sent_headers, (b'retry-after', text))
+            )
+            classification = _TRANSLATOR.classify_response(head, 'r1')
+            self.assertEqual(
+                seconds, classification.hold_off_seconds, (status, text)
+            )
+
     def test_refusal_headers(self):
         """A refusal carries the request ID and the retry delay."""
         self.assertEqual(
--- a/tests/platform/test_upstream_signals.py
+++ b/tests/platform/test_upstream_signals.py
@@ -7,6 +7,8 @@
 from tests.platform import stand_in
 
 _LEAVING = (b'server-leaving', b'1')
+# Longer than any request can wait.
+_LONG = (b'retry-after', b'30')
 _STREAM = b''.join(b'id: %d\ndata: x\n\n' % number for number in range(1, 6))
 _READ_PATH = b'/long/read/2f'
 _STREAM_PATH = b'/long/prefix/2f'
@@ -280,3 +282,186 @@
             self.assertEqual(4, len(engine.requests))
 
         self._run(_scenario, engine_count=1)
+
+
+class HoldOffTest(_SignalsTest):
+    """Engines that turn a request away and want no other one for a while."""
+
+    def test_every_unavailable_response_counts(self):
+        """One 503 ends the new requests to its engine, run or not run.
+
+        The same header of the other responses means nothing.
+        """
+        for script in ('not_run', 'unavailable'):
+
+            async def _scenario(deployment, script=script):
+                held_off, other = deployment.engines
+                for engine in deployment.engines:
+                    engine.added_headers = (_LONG,)
+                held_off.scripts = [script]
+                responses = await self._send(deployment, 12, 'r')
+                self.assertEqual({200}, set(_statuses(responses)), script)
+                self.assertEqual(1, len(held_off.requests), script)
+                self.assertEqual(12, len(other.requests), script)
+
+            self._run(_scenario)
+
+    def test_end(self):
+        """Requests wait for the end if that is in their time."""
+
+        async def _scenario(deployment):
+            engine = deployment.engines[0]
+            engine.added_headers = ((b'retry-after', b'0.6'),)
+            engine.scripts = ['not_run']
+            began_at = anyio.current_time()
+            await self._send(deployment, 1, 'first')
+            self.assertEqual(1, len(engine.requests))
+            await self._assert_served(deployment, 3, 'r')
+            self.assertTrue(anyio.current_time() - began_at >= 0.6)
+            self.assertEqual(4, len(engine.requests))
+
+        self._run(_scenario, engine_count=1)
+
+    def test_hopeless_requests(self):
+        """Requests are refused at once if no engine is available in time.
+
+        They are to return when the first one is.
+        """
+
+        async def _scenario(deployment):
+            for engine in deployment.engines:
+                engine.added_headers = (_LONG,)
+                engine.scripts = ['not_run']
+            await self._send(deployment, 1, 'both')
+            began_at = anyio.current_time()
+            responses = await self._send(deployment, 6, 'r')
+            self.assertTrue(anyio.current_time() - began_at < 0.6)
+            for response in responses:
+                self.assertEqual(503, response.status)
+                self.assertEqual(b'2.000', response.headers[b'retry-after'])
+            for engine in deployment.engines:
+                self.assertEqual(1, len(engine.requests))
+
+        self._run(_scenario)
+
+    def test_earliest_end_is_told(self):
+        """Callers return when the first engine wants requests again."""
+
+        async def _scenario(deployment):
+            first, second = deployment.engines
+            first.added_headers = (_LONG,)
+            second.added_headers = ((b'retry-after', b'1.5'),)
+            for engine in deployment.engines:
+                engine.scripts = ['not_run']
+            responses = await self._send(deployment, 2, 'r')
+            seconds = float(responses[1].headers[b'retry-after'])
+            self.assertTrue(1 < seconds < 1.5, seconds)
+            await anyio.sleep(seconds)
+            await self._assert_served(deployment, 3, 'again')
+            self.assertEqual(1, len(first.requests))
+
+        self._run(_scenario)
+
+    def test_queued_requests(self):
+        """A request that waits for the engine is refused at once."""
+
+        async def _scenario(deployment):
+            engine = deployment.engines[0]
+            engine.added_headers = (_LONG,)
+            engine.scripts = ['slow_not_run']
+            deployment.store.put(engine.key, engine.registration(slots=1))
+            await anyio.sleep(_WATCH_SECONDS)
+            for name in ('running', 'queued'):
+                deployment.send_later(
+                    deployment.entries[0], b'x', name, path=_READ_PATH
+                )
+            # Less than the time until which the queued request may start.
+            await anyio.sleep(0.7)
+            responses = deployment.response_by_id.values()
+            self.assertEqual([503, 503], _statuses(responses))
+            self.assertEqual(1, len(engine.requests))
+
+        self._run(_scenario, engine_count=1)
+
+    def test_request_that_may_have_run(self):
+        """It is not refused as not run, since it may have run."""
+
+        async def _scenario(deployment):
+            for engine in deployment.engines:
+                engine.added_headers = (_LONG,)
+                engine.scripts = ['unavailable']
+            responses = await self._send(deployment, 1, 'r')
+            self.assertEqual([502], _statuses(responses))
+
+        self._run(_scenario)
+
+    def test_success_of_an_earlier_request(self):
+        """A success that arrives later does not end the hold-off."""
+
+        async def _scenario(deployment):
+            engine = deployment.engines[0]
+            engine.scripts = ['slow', 'not_run']
+            engine.added_headers = (_LONG,)
+            deployment.send_later(
+                deployment.entries[0], b'x', 'earlier', path=_READ_PATH
+            )
+            await anyio.sleep(0.1)
+            await self._send(deployment, 1, 'turned-away')
+            await anyio.sleep(0.5)
+            self.assertEqual(200, deployment.response_by_id['earlier'].status)
+            responses = await self._send(deployment, 2, 'later')
+            self.assertEqual([503, 503], _statuses(responses))
+            self.assertEqual(2, len(engine.requests))
+
+        self._run(_scenario, engine_count=1)
+
+    def test_entries_are_independent(self):
+        """An engine may want requests of one entry and none of another."""
+
+        async def _scenario(deployment):
+            held_off = deployment.engines[0]
+            held_off.added_headers = (_LONG,)
+            held_off.scripts = ['not_run']
+            await self._assert_served(deployment, 6, 'e0')
+            self.assertEqual(1, len(held_off.requests))
+            await self._assert_served(deployment, 1, 'e1', entry_index=1)
+            self.assertEqual(2, len(held_off.requests))
+
+        self._run(_scenario, entry_count=2)
+
+    def test_restart_under_the_same_identifier(self):
+        """A later start gets requests at once."""
+
+        async def _scenario(deployment):
+            engine = deployment.engines[0]
+            engine.added_headers = (_LONG,)
+            engine.scripts = ['not_run']
+            responses = await self._send(deployment, 2, 'before')
+            self.assertEqual([503, 503], _statuses(responses))
+            engine.restart()
+            await anyio.sleep(_WATCH_SECONDS)
+            await self._assert_served(deployment, 3, 'after')
+            self.assertEqual(4, len(engine.requests))
+
+        self._run(_scenario, engine_count=1)
+
+    def test_store_away(self):
+        """The hold-off lasts through an outage of the store."""
+
+        async def _scenario(deployment):
+            store = deployment.store
+            held_off = deployment.engines[0]
+            store.is_unavailable = True
+            await anyio.sleep(_WATCH_SECONDS)
+            held_off.added_headers = (_LONG,)
+            held_off.scripts = ['not_run']
+            await self._assert_served(deployment, 6, 'away')
+            store.remove(held_off.key)
+            store.is_unavailable = False
+            await anyio.sleep(_WATCH_SECONDS)
+            store.put(held_off.key, held_off.registration())
+            await anyio.sleep(_WATCH_SECONDS)
+            await self._assert_served(deployment, 6, 'back')
+            self.assertEqual(1, len(held_off.requests))
+
+        self._run(_scenario)
