Keep a running attempt if all other upstreams hold off

A caller whose response was late, or whose stream paused, got 502 or a cut stream although its upstream was about to go on: the attempt was given up for a retry, and the only other upstreams held requests off, so that the retry was refused at once.

Whether a running attempt may be given up now depends on upstreams that accept requests at that moment. Requests that wait in the queue still count those whose hold-off ends in time.

--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -197,6 +197,23 @@
             )
         )
 
+    def has_available_upstreams(
+        self, service: str, excluded_ids: frozenset[str]
+    ) -> bool:
+        """Return whether an upstream that is not excluded accepts requests now.
+
+        Unlike usable upstreams, those that hold requests off do not count.
+        """
+        context = self._selection_context()
+        now = anyio.current_time()
+        return any(
+            upstream.upstream_id not in excluded_ids
+            and selection.is_available(context, upstream, now)
+            for upstream in fleet.usable_upstreams(
+                self.known_upstreams, service
+            )
+        )
+
     def _is_available(self, upstream: models.Upstream) -> bool:
         """Return whether an upstream accepts new requests."""
         return selection.is_available(
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -351,7 +351,7 @@
         )
         return (
             isinstance(decision.action, attempts.Repeat)
-            and self._dispatcher.has_upstreams(
+            and self._dispatcher.has_available_upstreams(
                 job.service,
                 decision.delivery.excluded_ids,
             )
--- a/tests/platform/test_upstream_signals.py
+++ b/tests/platform/test_upstream_signals.py
@@ -395,6 +395,41 @@
 
         self._run(_scenario)
 
+    def test_slow_response_while_all_others_hold_off(self):
+        """A late response is awaited, since no other engine would take over.
+
+        Guards against responses that were abandoned for a retry which was
+        then refused.
+        """
+
+        async def _scenario(deployment):
+            held_off, other = deployment.engines
+            held_off.added_headers = (_LONG,)
+            held_off.scripts = ['not_run']
+            await self._assert_served(deployment, 1, 'first')
+            other.scripts = ['slow']
+            await self._assert_served(deployment, 1, 'late')
+
+        self._run(_scenario)
+
+    def test_paused_stream_while_all_others_hold_off(self):
+        """A paused stream goes on, since no other engine would resume it.
+
+        Guards against streams that were cut for a retry which was then refused.
+        """
+
+        async def _scenario(deployment):
+            held_off, other = deployment.engines
+            held_off.added_headers = (_LONG,)
+            held_off.scripts = ['not_run']
+            changes = {'path': _STREAM_PATH}
+            await self._assert_served(deployment, 1, 'first', **changes)
+            other.scripts = ['pausing']
+            responses = await self._send(deployment, 1, 'paused', **changes)
+            self.assertEqual(_STREAM, responses[0].body)
+
+        self._run(_scenario, create_engine=_create_drafts_engine)
+
     def test_success_of_an_earlier_request(self):
         """A success that arrives later does not end the hold-off."""
 
