--- a/nutmegtrail/gateway/health.py
+++ b/nutmegtrail/gateway/health.py
@@ -47,8 +47,6 @@
 ]
 LatenciesByGroup: typing.TypeAlias = pyrsistent.typing.PMap[str, Latency]
 PauseRatiosByGroup: typing.TypeAlias = pyrsistent.typing.PMap[str, PauseRatio]
-
-
 HeldUntilByIncarnation: typing.TypeAlias = pyrsistent.typing.PMap[
     models.Incarnation, float
 ]
--- a/nutmegtrail/gateway/request_queue.py
+++ b/nutmegtrail/gateway/request_queue.py
@@ -12,7 +12,6 @@
 
 from nutmegtrail.gateway import const
 
-
 _NO_TIMES: typing.Final[typing.Mapping[str, float]] = pyrsistent.pmap()
 
 
