Drop earlier log lines in the tests of the health recorder

Run after other tests, test_hold_off_of_a_rank failed: the first destination of the log receives the lines that were written before it was added, and not all have the field that the test reads. The test now drops these lines before it records a response; what it checks is unchanged.

It failed after test_upstream_signals and passes after it, after test_dispatcher and alone.

--- a/tests/gateway/test_health_recorder.py
+++ b/tests/gateway/test_health_recorder.py
@@ -23,6 +23,8 @@
         log_lines = []
         eliot.add_destinations(log_lines.append)
         self.addCleanup(eliot.remove_destination, log_lines.append)
+        # The first destination gets the lines that were written before.
+        log_lines.clear()
         dispatching = dispatcher.Dispatcher('kandla-a')
         recorder = health_recorder.HealthRecorder(dispatching)
         classification = models.ResponseClassification(
