--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -199,6 +199,7 @@
         classification = self._header_translator.classify_response(
             opened.head, job.caller.request_id
         )
+        self._health_recorder.record_response(job, upstream, classification)
         kind = classification.response_kind
         if kind is models.ResponseKind.FOREIGN:
             return attempts.Broken(upstream.upstream_id, 'foreign response')
@@ -223,7 +224,7 @@
         decision = attempts.decide(silence, job.delivery)
         can_hedge = (
             isinstance(decision.action, attempts.Repeat)
-            and self._dispatcher.has_upstreams(
+            and self._dispatcher.has_available_upstreams(
                 job.service, decision.delivery.excluded_ids
             )
             and self._retry_budgets.spend_retry(job.service)
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -9,6 +9,7 @@
 from nutmegtrail.gateway import request_counts
 from nutmegtrail.gateway import request_queue
 from nutmegtrail.gateway import selection
+from nutmegtrail.observability import logs
 
 
 class _PendingRequest:
@@ -48,7 +49,22 @@
         service: str,
         queued: request_queue.QueuedRequest,
     ) -> selection.Candidate | None:
-        """Wait for an upstream and count it as used; None if refused."""
+        """Wait for an upstream and count it as used; None if refused.
+
+        An upstream that became unusable before this task resumed is replaced.
+        """
+        while True:
+            candidate = await self._wait_for_candidate(service, queued)
+            if candidate is None or self._is_available(candidate.upstream):
+                return candidate
+            self.release(candidate.upstream, queued.request_id)
+
+    async def _wait_for_candidate(
+        self,
+        service: str,
+        queued: request_queue.QueuedRequest,
+    ) -> selection.Candidate | None:
+        """Queue a request until it is assigned to an upstream or refused."""
         pending = _PendingRequest()
         self._pending_by_id[queued.request_id] = pending
         queue = self._queues_by_service.get(
@@ -71,6 +87,49 @@
         )
         self.dispatch(upstream.service)
 
+    def record_leaving(self, upstream: models.Upstream) -> None:
+        """Record that an upstream announced in a response that it leaves."""
+        updated = fleet.decide(
+            fleet.AnnouncedLeaving(
+                upstream.upstream_id, upstream.started_at_ms
+            ),
+            self.known_upstreams,
+            anyio.current_time(),
+        )
+        if updated is self.known_upstreams:
+            return
+        logs.decision(
+            'upstream:announced-leaving',
+            upstream=upstream.upstream_id,
+            service=upstream.service,
+            started_at_ms=upstream.started_at_ms,
+        )
+        self.known_upstreams = updated
+        self.dispatch(upstream.service)
+
+    def record_hold_off(
+        self, upstream: models.Upstream, seconds: float
+    ) -> None:
+        """Record that an upstream wants no further requests for some time."""
+        self.upstream_health = health.record_hold_off(
+            self.upstream_health,
+            upstream.incarnation,
+            seconds,
+            anyio.current_time(),
+        )
+        self.dispatch(upstream.service)
+
+    def held_off_seconds(self, service: str) -> float:
+        """Return the time until the first upstream accepts requests.
+
+        It is 0 if an upstream of the service accepts them now.
+        """
+        available_from = selection.available_from_by_id(
+            self._selection_context(), service
+        ).values()
+        now = anyio.current_time()
+        return max(min(available_from, default=now) - now, 0)
+
     def record_response_time(self, service: str, seconds: float) -> None:
         """Record the seconds from dispatch to the response or first event."""
         average = self._expected_seconds_by_service.get(service, seconds)
@@ -138,6 +197,29 @@
             )
         )
 
+    def has_available_upstreams(
+        self, service: str, excluded_ids: frozenset[str]
+    ) -> bool:
+        """Return whether an upstream that is not excluded accepts requests now.
+
+        Unlike usable upstreams, those that hold requests off do not count.
+        """
+        context = self._selection_context()
+        now = anyio.current_time()
+        return any(
+            upstream.upstream_id not in excluded_ids
+            and selection.is_available(context, upstream, now)
+            for upstream in fleet.usable_upstreams(
+                self.known_upstreams, service
+            )
+        )
+
+    def _is_available(self, upstream: models.Upstream) -> bool:
+        """Return whether an upstream accepts new requests."""
+        return selection.is_available(
+            self._selection_context(), upstream, anyio.current_time()
+        )
+
     def _shed_load(
         self,
         service: str,
@@ -151,7 +233,12 @@
                 self.known_upstreams, service
             )
         )
-        result = request_queue.shed_load(queue, slots // self.entries, now)
+        result = request_queue.shed_load(
+            queue,
+            slots // self.entries,
+            now,
+            selection.available_from_by_id(self._selection_context(), service),
+        )
         for request_id in result.refused_ids:
             self._pending_by_id.pop(request_id).decided.set()
         return result.queue
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -132,7 +132,10 @@
                 job.exchange,
                 job.caller,
                 'no free upstream',
-                jobs.retry_after_seconds(job.remaining_seconds),
+                jobs.retry_after_seconds(
+                    job.remaining_seconds,
+                    self._dispatcher.held_off_seconds(job.service),
+                ),
             )
             return
         status = http.HTTPStatus.BAD_GATEWAY
