--- /dev/null
+++ b/tests/gateway/test_attempt_runner.py
@@ -0,0 +1,204 @@
+"""Attempts at scripted upstreams, one beside the other if one is silent."""
+
+import itertools
+
+import testtools
+
+from nutmegtrail.gateway import attempts
+from nutmegtrail.gateway import models
+from tests.gateway import scripted_path
+
+_CUT = scripted_path.CUT
+_HANG = scripted_path.HANG
+_READ = models.RouteKind.IDEMPOTENT
+_event = scripted_path.event
+_WHOLE = _event(1, 2, 3, 4)
+# Silent after the first event, which arrives at 0.1 s.
+_DEAD = (0.1, 200, _event(1), _HANG)
+_RESUMED = (200, _event(2), 3.0, _event(3, 4))
+_SWEEP = tuple(number * 0.05 for number in range(1, 70))
+
+
+def _paused(until):
+    """Return the script of a stream that is silent up to a time."""
+    rest_at = until + 0.1
+    return (*_DEAD[:-1], until, _event(2, 3), rest_at, _event(4))
+
+
+def _events_of(path):
+    """Return the events that the caller received and whether it was all."""
+    lines = path.body().split(b'\r\n')
+    events = b''.join(line for line in lines if line.startswith(b'id:'))
+    return events, path.job.exchange.is_complete
+
+
+class _RunnerTest(testtools.TestCase):
+    """Helpers for all tests of the runner."""
+
+    def assert_released(self, path):
+        """Check that nothing is left of a request."""
+        self.assertEqual({}, path.in_flight())
+        self.assertEqual(0, path.client.open_count)
+        self.assertEqual(0, path.dispatcher.waiting_count)
+
+
+class StreamRaceTest(_RunnerTest):
+    """Streams whose upstream is silent for a while."""
+
+    def test_one_run_at_a_time(self):
+        """The caller gets each event once, whichever upstream is first."""
+        for silent_until, resumed_at in itertools.product(
+            (1.05, 1.1, 1.15, 1.2, 1.4, 2.5), (1.1, 1.15, 1.2, 1.4, 1.45)
+        ):
+            path = scripted_path.Path(
+                (_paused(silent_until),), ((resumed_at, *_RESUMED),)
+            )
+            self.assertIsNone(path.run())
+            self.assertEqual((_WHOLE, True), _events_of(path))
+            if silent_until > 1.1:
+                self.assertEqual([1, 2], path.client.called_ports)
+            self.assert_released(path)
+
+    def test_caller_leaves(self):
+        """Nothing is left, whenever the caller leaves."""
+        for leaves_at in _SWEEP:
+            path = scripted_path.Path(
+                (_DEAD,), ((1.4, 200, 1.8, *_RESUMED[1:]),)
+            )
+            path.run(until=leaves_at)
+            self.assert_released(path)
+
+    def test_caller_leaves_while_hedge_is_queued(self):
+        """A queued hedge ends with its request."""
+        for leaves_at in _SWEEP:
+            path = scripted_path.Path((_DEAD,), ())
+            path.dispatcher.counts = path.dispatcher.counts._replace(
+                local_by_id=path.dispatcher.counts.local_by_id.set('u2', 2)
+            )
+            path.run(until=leaves_at)
+            self.assertEqual({'u2': 2}, path.in_flight())
+            self.assertEqual(0, path.dispatcher.waiting_count)
+
+    def test_quarantine_during_race(self):
+        """A stream that has sent events goes on to its end."""
+        for quarantined_at in _SWEEP:
+            path = scripted_path.Path((_paused(1.5),), ((1.8, *_RESUMED),))
+            outcome = path.run((quarantined_at, path.quarantine_request))
+            if quarantined_at > 0.1:
+                self.assertIsNone(outcome)
+            self.assert_released(path)
+
+    def test_limits(self):
+        """No more upstreams than the route allows get a stream."""
+        for limit in (1, 2, 3):
+            path = scripted_path.Path(
+                (_DEAD,),
+                ((1.2, 503),),
+                ((1.3, 503),),
+                ((1.4, *_RESUMED),),
+                max_upstreams=limit,
+            )
+            path.run()
+            self.assertEqual(limit, len(path.client.called_ports))
+            self.assert_released(path)
+
+    def test_not_resumable(self):
+        """A silent stream that may run once is sent to no other upstream."""
+        path = scripted_path.Path((_paused(5.0),), (), resumable=False)
+        self.assertIsNone(path.run())
+        self.assertEqual((_WHOLE, True), _events_of(path))
+        self.assertEqual([1], path.client.called_ports)
+
+    def test_deadline_during_race(self):
+        """A race ends at the deadline, and nothing is left."""
+        path = scripted_path.Path(
+            (_DEAD,), ((200, _HANG),), timeout_seconds=3.0
+        )
+        self.assertEqual(attempts.GiveUp(attempts.Outcome.UNKNOWN), path.run())
+        self.assertEqual(3.0, path.ended_at)
+        self.assert_released(path)
+
+
+class ReadRaceTest(_RunnerTest):
+    """Reads whose upstream answers late."""
+
+    def test_one_answer(self):
+        """The caller gets one whole answer, whichever upstream is first."""
+        for first_at, second_at in itertools.product(
+            (0.3, 0.35, 0.4, 0.5, 0.8, 1.5), (0.4, 0.5, 0.8, 1.6)
+        ):
+            path = scripted_path.Path(
+                ((first_at, 200, b'answer'),),
+                ((second_at, 200, b'answer'),),
+                kind=_READ,
+            )
+            self.assertIsNone(path.run())
+            self.assertEqual(b'answer', path.body())
+            self.assertEqual(1, len(path.caller.sent))
+            self.assert_released(path)
+
+    def test_caller_leaves(self):
+        """Nothing is left, whenever the caller leaves."""
+        for leaves_at, is_suspect in itertools.product(_SWEEP, (False, True)):
+            path = scripted_path.Path(
+                ((0.5, _CUT),),
+                ((0.9, 503),),
+                ((1.8, 200, 2.5, b'answer'),),
+                kind=_READ,
+                max_upstreams=3,
+            )
+            actions = [(0, path.mark_suspect)] if is_suspect else []
+            path.run(*actions, until=leaves_at)
+            self.assert_released(path)
+
+    def test_quarantine_during_race(self):
+        """All attempts of a quarantined read end at once."""
+        for quarantined_at in (0.2, 0.35, 0.4, 0.6, 0.85, 1.0, 1.2):
+            path = scripted_path.Path(
+                ((3.0, 200, b'a'),),
+                ((3.0, 200, b'a'),),
+                ((3.0, 200, b'a'),),
+                kind=_READ,
+                max_upstreams=3,
+            )
+            outcome = path.run((quarantined_at, path.quarantine_request))
+            self.assertEqual(attempts.GiveUp(attempts.Outcome.UNKNOWN), outcome)
+            self.assertAlmostEqual(quarantined_at, path.ended_at)
+            self.assert_released(path)
+
+    def test_failure_is_passed_on(self):
+        """The failure of a late upstream is returned if a hedge has none."""
+        path = scripted_path.Path(
+            ((0.8, 500, b'f'),), ((0.5, 503),), kind=_READ
+        )
+        self.assertEqual(attempts.GiveUp(attempts.Outcome.PASS_ON), path.run())
+        self.assert_released(path)
+
+    def test_limits(self):
+        """No more upstreams than the route allows get a read."""
+        for limit in (1, 2, 3):
+            path = scripted_path.Path(
+                *[((_HANG, 200),) for _ in range(4)],
+                kind=_READ,
+                max_upstreams=limit,
+            )
+            path.run()
+            self.assertEqual(limit, len(path.client.called_ports))
+            self.assertEqual(8.0, path.ended_at)
+            self.assert_released(path)
+
+    def test_budget(self):
+        """Without retry budget a late read is not hedged."""
+        path = scripted_path.Path(
+            ((2.0, 200, b'answer'),), (), kind=_READ, base=0
+        )
+        self.assertIsNone(path.run())
+        self.assertEqual([1], path.client.called_ports)
+
+    def test_once(self):
+        """A request that may run once is never hedged."""
+        path = scripted_path.Path(
+            ((5.0, 200, b'answer'),), (), kind=models.RouteKind.ONCE
+        )
+        self.assertIsNone(path.run())
+        self.assertEqual([1], path.client.called_ports)
