Do not keep a successor waiting for the probe of its predecessor

Callers: the first event of a resumption came up to 0.3 s late, and if the caller left in that time, the place and the connection at the new upstream stayed taken for ever.

Cause: a stream that broke off while another upstream resumed it waited for the probe of the broken upstream if the request had been in flight at a crash. The successor was opened by then and nothing closed it on cancellation.

The upstream is probed in the background, so that nothing is awaited between the race and the forwarding of its result. The check for a quarantine moves to the guard, which knows the refusal.

Tests: test_suspect_whose_caller_leaves (a place was left) and test_events_are_not_delayed_by_a_probe (1.7 s instead of 1.4 s) failed before.

--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -86,7 +86,7 @@
 
     async def _acquire(self, job: jobs.Job) -> opened_response.Place:
         """Wait for an upstream; raise GivenUp if there is none."""
-        self._raise_if_quarantined(job)
+        self._crash_guard.raise_if_quarantined(job)
         excluded_ids = job.delivery.excluded_ids
         if not self._dispatcher.has_upstreams(job.service, excluded_ids):
             raise errors.GivenUp(_give_up(job))
@@ -101,7 +101,7 @@
         )
         try:
             # It may have been quarantined while it was queued.
-            self._raise_if_quarantined(job)
+            self._crash_guard.raise_if_quarantined(job)
         except errors.GivenUp:
             self._release(place)
             raise
@@ -257,7 +257,10 @@
         if isinstance(outcome, opened_response.Successor):
             successor = outcome.opened
             self._log.record_superseded(job, upstream, successor.upstream)
-            await self._record_failure(job, upstream, outcome.failure)
+            self._record_attempt(upstream, outcome.failure)
+            if _is_closed(outcome.failure):
+                # Its events have arrived and must not wait for a probe.
+                self._crash_guard.examine_later(upstream)
             return successor
         if outcome is None:
             self._record_success(job, upstream)
@@ -410,10 +413,16 @@
         self, job: jobs.Job, upstream: models.Upstream, event: attempts.Event
     ) -> None:
         """Record a failed attempt, and examine an upstream that closed."""
+        self._record_attempt(upstream, event)
+        if _is_closed(event):
+            await self._crash_guard.examine(job, upstream)
+
+    def _record_attempt(
+        self, upstream: models.Upstream, event: attempts.Event
+    ) -> None:
+        """Record that an attempt failed."""
         self._health_recorder.record_outcome(upstream, event)
         self._log.count_attempt(upstream, type(event).__name__)
-        if isinstance(event, attempts.Broken) and event.is_closed:
-            await self._crash_guard.examine(job, upstream)
 
     def _handle_failure(self, job: jobs.Job, event: attempts.Event) -> None:
         """Decide on another attempt; raise GivenUp if there is none."""
@@ -428,17 +437,16 @@
         ):
             raise errors.GivenUp(_give_up(job))
 
-    def _raise_if_quarantined(self, job: jobs.Job) -> None:
-        """Raise GivenUp if a request must not reach upstreams."""
-        refusal = self._crash_guard.refusal(job)
-        if refusal is not None:
-            raise errors.GivenUp(refusal)
-
     def _release(self, place: opened_response.Place) -> None:
         """Free the place of a request at an upstream."""
         self._dispatcher.release(place.upstream, place.queue_id)
 
 
+def _is_closed(event: attempts.Event) -> bool:
+    """Return whether an upstream closed the connection of an attempt."""
+    return isinstance(event, attempts.Broken) and event.is_closed
+
+
 def _superseded(upstream: models.Upstream) -> attempts.Broken:
     """Return the failure of an upstream that another one was faster than."""
     return attempts.Broken(upstream.upstream_id, 'superseded')
--- a/nutmegtrail/gateway/crash_guard.py
+++ b/nutmegtrail/gateway/crash_guard.py
@@ -8,6 +8,7 @@
 from nutmegtrail.gateway import attempts
 from nutmegtrail.gateway import crash_detector
 from nutmegtrail.gateway import crash_quarantine
+from nutmegtrail.gateway import errors
 from nutmegtrail.gateway import jobs
 from nutmegtrail.gateway import models
 
@@ -63,6 +64,12 @@
             return None
         return attempts.give_up(job.delivery, attempts.Outcome.QUARANTINED)
 
+    def raise_if_quarantined(self, job: jobs.Job) -> None:
+        """Raise GivenUp if a request must not reach upstreams."""
+        refusal = self.refusal(job)
+        if refusal is not None:
+            raise errors.GivenUp(refusal)
+
     @contextlib.contextmanager
     def watch(
         self, job: jobs.Job, upstream: models.Upstream
@@ -94,7 +101,11 @@
         if self.is_suspect(job):
             await self._detector.examine(upstream)
         else:
-            self._detector.examine_later(upstream)
+            self.examine_later(upstream)
+
+    def examine_later(self, upstream: models.Upstream) -> None:
+        """Find out in the background whether an upstream crashed."""
+        self._detector.examine_later(upstream)
 
     def _end(self, attempt: Attempt, upstream: models.Upstream) -> None:
         """Forget an attempt; without an answer, it was interrupted."""
--- a/tests/gateway/test_attempt_runner.py
+++ b/tests/gateway/test_attempt_runner.py
@@ -79,6 +79,26 @@
             self.assertEqual({'u2': 2}, path.in_flight())
             self.assertEqual(0, path.dispatcher.waiting_count)
 
+    def test_suspect_whose_caller_leaves(self):
+        """A successor is closed if the caller leaves during a probe.
+
+        Its place and connection stayed taken for ever.
+        """
+        for leaves_at in _SWEEP:
+            path = scripted_path.Path(
+                ((0.1, 200, _event(1), 1.2, _CUT),), ((1.4, *_RESUMED),)
+            )
+            path.run((0, path.mark_suspect), until=leaves_at)
+            self.assert_released(path)
+
+    def test_events_are_not_delayed_by_a_probe(self):
+        """The event of a successor is sent before its predecessor is probed."""
+        path = scripted_path.Path(
+            ((0.1, 200, _event(1), 1.2, _CUT),), ((1.4, *_RESUMED),)
+        )
+        path.run((0, path.mark_suspect))
+        self.assertEqual([0.1, 1.4, 3.0], path.event_times())
+
     def test_quarantine_during_race(self):
         """A stream that has sent events goes on to its end."""
         for quarantined_at in _SWEEP:
