Do not charge a silence to the upstream that ends it

Callers: new requests could be refused or queued at a sound rank group after it had resumed the streams of a silent one.

Cause: the pause before a resumption is measured from the last event of the earlier upstream since the attempts share one race. It was recorded as the latency and as the pause ratio of the new upstream: with a limit of 0.12 s a resumption after 1.3 s counts as the highest ratio, from which the group's capacity is computed.

The pause still counts as the caller's longest one, but an upstream's health only has pauses between its own events.

--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -386,9 +386,12 @@
             job.longest_pause_seconds = max(
                 job.longest_pause_seconds, pause_seconds
             )
-            self._health_recorder.record_pause(
-                job, opened.upstream, pause_seconds / event_count
-            )
+            # The pause before a resumption is not that of its upstream.
+            if opened.has_sent_events:
+                self._health_recorder.record_pause(
+                    job, opened.upstream, pause_seconds / event_count
+                )
+        opened.has_sent_events = True
         job.last_event_at_seconds = now
 
     def _hedge_delay(self, job: jobs.Job, upstream: models.Upstream) -> float:
--- a/nutmegtrail/gateway/opened_response.py
+++ b/nutmegtrail/gateway/opened_response.py
@@ -22,13 +22,17 @@
 
 
 class OpenedResponse:
-    """Connection to an upstream and its response; `close` releases both."""
+    """Connection to an upstream and its response; `close` releases both.
+
+    `has_sent_events` is set once events of it were sent to the caller.
+    """
 
     def __init__(
         self, place: Place, release: typing.Callable[[], None]
     ) -> None:
         """Initialize without a connection; `release` frees the place."""
         self.place = place
+        self.has_sent_events = False
         self._resources = contextlib.AsyncExitStack()
         self._resources.callback(release)
         self._response: client.Response | None = None
--- a/tests/gateway/test_attempt_runner.py
+++ b/tests/gateway/test_attempt_runner.py
@@ -5,6 +5,7 @@
 import testtools
 
 from nutmegtrail.gateway import attempts
+from nutmegtrail.gateway import health
 from nutmegtrail.gateway import models
 from tests.gateway import scripted_path
 
@@ -108,6 +109,19 @@
                 self.assertIsNone(outcome)
             self.assert_released(path)
 
+    def test_silence_is_not_charged_to_the_successor(self):
+        """The pause before a resumption is not that of the new upstream.
+
+        It made the capacity of a sound upstream look too small.
+        """
+        path = scripted_path.Path((_DEAD,), ((1.4, *_RESUMED),))
+        path.run(until=1.5)
+        self.assertEqual([0.1, 1.4], path.event_times())
+        self.assertAlmostEqual(1.3, path.job.longest_pause_seconds)
+        upstream_health = path.dispatcher.upstream_health
+        self.assertEqual(0, health.latency(upstream_health, 'u2', 1.5))
+        self.assertIsNone(health.capacity(upstream_health, 'u2', 1.5))
+
     def test_limits(self):
         """No more upstreams than the route allows get a stream."""
         for limit in (1, 2, 3):
