Let a hedge take over only with something to forward

Callers: a stream or a read was broken off although its late upstream went on: the other upstream had sent no more than the head of its response, and then was silent or broke off.

Cause: the race ended with the head of the hedge's response, and the other attempt was cancelled for it. Only streams that had sent events waited for a part of the body; those waited also if no other attempt was running, so that a silent resumption was no longer hedged.

A hedge of a stream takes over with the first part of its body, that of a read with the whole body. Other attempts do not wait, so that their silences are hedged.

Tests: test_hedge_before_first_event, test_hedge_that_breaks_off and test_silent_resumption failed before.

--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -70,10 +70,12 @@
         while opened is not None:
             opened = await self._forward(job, opened)
 
-    async def _open_next(self, job: jobs.Job) -> opened_response.OpenedResponse:
+    async def _open_next(
+        self, job: jobs.Job, *, is_hedge: bool = False
+    ) -> opened_response.OpenedResponse:
         """Return a successful response; raise GivenUp without one."""
         while True:
-            place = await self._acquire(job)
+            place = await self._acquire(job, is_hedge=is_hedge)
             try:
                 with anyio.fail_after(max(job.remaining_seconds, 0)):
                     return await self._open_hedged(job, place)
@@ -84,7 +86,9 @@
             except errors.AttemptFailed as error:
                 self._handle_failure(job, error.event)
 
-    async def _acquire(self, job: jobs.Job) -> opened_response.Place:
+    async def _acquire(
+        self, job: jobs.Job, *, is_hedge: bool
+    ) -> opened_response.Place:
         """Wait for an upstream; raise GivenUp if there is none."""
         self._crash_guard.raise_if_quarantined(job)
         excluded_ids = job.delivery.excluded_ids
@@ -97,7 +101,10 @@
             self._log.record_not_placed(job, queued, queued_at)
             raise errors.GivenUp(_give_up(job))
         place = opened_response.Place(
-            candidate.upstream, queued.request_id, anyio.current_time()
+            candidate.upstream,
+            queued.request_id,
+            anyio.current_time(),
+            is_hedge,
         )
         try:
             # It may have been quarantined while it was queued.
@@ -204,9 +211,9 @@
             return attempts.Broken(upstream.upstream_id, 'foreign response')
         self._crash_guard.record_response(upstream)
         if kind is models.ResponseKind.SUCCESS:
-            if job.delivery.has_sent_events:
-                # The response is used only once the stream goes on.
-                await opened.prefetch()
+            if opened.place.is_hedge:
+                # It takes over only with something to forward.
+                await opened.prefetch(job.route.kind)
             return None
         body = await opened.read(const.RESPONSE_BYTES_LIMIT)
         if kind is models.ResponseKind.FAILURE:
@@ -233,7 +240,7 @@
             return None
         job.delivery = decision.delivery
         try:
-            return await self._open_next(job)
+            return await self._open_next(job, is_hedge=True)
         except errors.GivenUp:
             return None
 
--- a/nutmegtrail/gateway/opened_response.py
+++ b/nutmegtrail/gateway/opened_response.py
@@ -9,16 +9,21 @@
 from nutmegtrail.adapters.http1 import errors as http_errors
 from nutmegtrail.adapters.http1 import messages
 from nutmegtrail.gateway import attempts
+from nutmegtrail.gateway import const
 from nutmegtrail.gateway import errors
 from nutmegtrail.gateway import models
 
 
 class Place(typing.NamedTuple):
-    """Upstream that was assigned to a request in the queue."""
+    """Upstream that was assigned to a request in the queue.
+
+    `is_hedge` is set if another upstream runs the request, too.
+    """
 
     upstream: models.Upstream
     queue_id: str
     assigned_at_seconds: float
+    is_hedge: bool
 
 
 class OpenedResponse:
@@ -37,6 +42,7 @@
         self._resources.callback(release)
         self._response: client.Response | None = None
         self._first_part: bytes | None = None
+        self._body: bytes | None = None
 
     @property
     def upstream(self) -> models.Upstream:
@@ -56,9 +62,12 @@
             http_client.open(call)
         )
 
-    async def prefetch(self) -> None:
-        """Receive the first part of the body."""
-        self._first_part = await self._received.receive()
+    async def prefetch(self, kind: models.RouteKind) -> None:
+        """Receive the first part of a stream, or a whole other response."""
+        if kind is models.RouteKind.STREAM:
+            self._first_part = await self._received.receive()
+        else:
+            self._body = await self.read(const.RESPONSE_BYTES_LIMIT)
 
     async def receive(self) -> bytes:
         """Return the next part of the body, b'' at its end."""
@@ -81,7 +90,9 @@
 
     async def read(self, limit: int) -> bytes:
         """Return the whole body; raise ExchangeBroken above the limit."""
-        return await self._received.read(limit)
+        if self._body is None:
+            return await self._received.read(limit)
+        return self._body
 
     async def close(self) -> None:
         """Close the connection unless it can be reused, and free the place."""
--- a/tests/gateway/test_attempt_runner.py
+++ b/tests/gateway/test_attempt_runner.py
@@ -122,6 +122,24 @@
         self.assertEqual(0, health.latency(upstream_health, 'u2', 1.5))
         self.assertIsNone(health.capacity(upstream_health, 'u2', 1.5))
 
+    def test_hedge_before_first_event(self):
+        """A head without events does not end a stream that may go on."""
+        path = scripted_path.Path(((0.1, 200, 1.6, _WHOLE),), ((200, _HANG),))
+        self.assertIsNone(path.run())
+        self.assertEqual((_WHOLE, True), _events_of(path))
+        self.assertEqual([1.6], path.event_times())
+
+    def test_silent_resumption(self):
+        """A silent upstream that resumes a stream is hedged too."""
+        path = scripted_path.Path(
+            ((0.1, 200, _event(1), 0.2, _CUT),),
+            ((0.3, 200, _HANG),),
+            ((200, _event(2, 3, 4)),),
+            max_upstreams=3,
+        )
+        path.run(until=3)
+        self.assertEqual((_WHOLE, True), _events_of(path))
+
     def test_limits(self):
         """No more upstreams than the route allows get a stream."""
         for limit in (1, 2, 3):
@@ -200,6 +218,16 @@
             self.assertAlmostEqual(quarantined_at, path.ended_at)
             self.assert_released(path)
 
+    def test_hedge_that_breaks_off(self):
+        """An answer that breaks off does not replace one that is due."""
+        path = scripted_path.Path(
+            ((0.8, 200, b'answer'),),
+            ((0.4, 200, b'ans', 0.5, _CUT),),
+            kind=_READ,
+        )
+        self.assertIsNone(path.run())
+        self.assertEqual(b'answer', path.body())
+
     def test_failure_is_passed_on(self):
         """The failure of a late upstream is returned if a hedge has none."""
         path = scripted_path.Path(
