Refuse a hedged read that no upstream has run

Callers: a read that all upstreams rejected was answered 502 without a time after which to retry it, if one of them had been silent first.

Cause: a silent upstream was recorded as one that may have run the request, and this was kept when it said later that it had not.

An upstream that is counted before its attempt ends may have run the request until it says otherwise. Attempts that are cancelled or break off still count as unknown.

Tests: test_rejected_everywhere failed before (unknown instead of not-run).

--- a/nutmegtrail/gateway/attempts.py
+++ b/nutmegtrail/gateway/attempts.py
@@ -15,7 +15,8 @@
     `unreachable` those that could not be connected to. `may_have_run` is set
     once an attempt fails without proof that the request did not run.
     `has_sent_events` is set once events were sent to the caller.
-    `counted_ids` has upstreams that were counted before their attempts ended.
+    `counted_ids` has upstreams that were counted before their attempts ended,
+    without those that proved not to have run the request.
     """
 
     route: models.Route
@@ -114,7 +115,12 @@
 @decide.register
 def _not_run(event: NotRun, delivery: Delivery) -> Decision:
     """Retry if the route allows another upstream."""
-    return _retry(_record_sent(delivery, event.upstream_id))
+    rejected = _record_sent(delivery, event.upstream_id)
+    return _retry(
+        rejected._replace(
+            counted_ids=delivery.counted_ids - {event.upstream_id}
+        )
+    )
 
 
 @decide.register
@@ -155,7 +161,11 @@
 
     The reason applies only if the request has certainly not run.
     """
-    is_unknown = delivery.may_have_run or delivery.has_sent_events
+    is_unknown = (
+        delivery.may_have_run
+        or delivery.has_sent_events
+        or bool(delivery.counted_ids)
+    )
     return GiveUp(Outcome.UNKNOWN if is_unknown else reason)
 
 
@@ -178,7 +188,6 @@
     """
     counted = _record_sent(delivery, upstream_id)
     return counted._replace(
-        may_have_run=True,
         counted_ids=delivery.counted_ids | {upstream_id},
     )
 
--- a/tests/gateway/test_attempt_runner.py
+++ b/tests/gateway/test_attempt_runner.py
@@ -228,6 +228,11 @@
         self.assertIsNone(path.run())
         self.assertEqual(b'answer', path.body())
 
+    def test_rejected_everywhere(self):
+        """A read that no upstream has run is refused, not failed."""
+        path = scripted_path.Path(((0.8, 503),), ((0.5, 503),), kind=_READ)
+        self.assertEqual(attempts.GiveUp(attempts.Outcome.NOT_RUN), path.run())
+
     def test_failure_is_passed_on(self):
         """The failure of a late upstream is returned if a hedge has none."""
         path = scripted_path.Path(
