Spend a retry only on a hedge that has a place

Callers: requests whose upstream failed could get no second attempt after silences during which all upstreams were full.

Cause: a hedge took a retry from the budget before it was queued. A stream that goes on meanwhile is hedged again at its next silence, so that one stream could take several without sending anything.

The budget is asked before the hedge is queued and spent once it has a place. A hedge that finds it exhausted then frees the place.

Tests: test_retries_without_upstream_are_not_spent failed before.

--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -66,16 +66,18 @@
     async def _answer(self, job: jobs.Job) -> None:
         """Forward the response of an upstream, and those that continue it."""
         opened: opened_response.OpenedResponse | None
-        opened = await self._open_next(job)
+        opened = await self._open_next(job, await self._acquire(job))
         while opened is not None:
             opened = await self._forward(job, opened)
 
     async def _open_next(
-        self, job: jobs.Job, *, is_hedge: bool = False
+        self, job: jobs.Job, place: opened_response.Place
     ) -> opened_response.OpenedResponse:
-        """Return a successful response; raise GivenUp without one."""
+        """Return a successful response; raise GivenUp without one.
+
+        The first attempt uses the given place.
+        """
         while True:
-            place = await self._acquire(job, is_hedge=is_hedge)
             try:
                 with anyio.fail_after(max(job.remaining_seconds, 0)):
                     return await self._open_hedged(job, place)
@@ -85,9 +87,10 @@
                 ) from None
             except errors.AttemptFailed as error:
                 self._handle_failure(job, error.event)
+            place = await self._acquire(job, is_hedge=place.is_hedge)
 
     async def _acquire(
-        self, job: jobs.Job, *, is_hedge: bool
+        self, job: jobs.Job, *, is_hedge: bool = False
     ) -> opened_response.Place:
         """Wait for an upstream; raise GivenUp if there is none."""
         self._crash_guard.raise_if_quarantined(job)
@@ -233,16 +236,21 @@
             and self._dispatcher.has_upstreams(
                 job.service, decision.delivery.excluded_ids
             )
-            and self._retry_budgets.spend_retry(job.service)
+            and self._retry_budgets.has_retry(job.service)
         )
         self._log.record_silence(job, upstream, is_hedged=can_hedge)
         if not can_hedge:
             return None
         job.delivery = decision.delivery
         try:
-            return await self._open_next(job, is_hedge=True)
+            place = await self._acquire(job, is_hedge=True)
+            # A hedge may wait for a place that it never gets.
+            if self._retry_budgets.spend_retry(job.service):
+                return await self._open_next(job, place)
+            self._release(place)
         except errors.GivenUp:
             return None
+        return None
 
     async def _forward(
         self, job: jobs.Job, opened: opened_response.OpenedResponse
@@ -274,7 +282,7 @@
             return None
         await self._record_failure(job, upstream, outcome)
         self._handle_failure(job, outcome)
-        return await self._open_next(job)
+        return await self._open_next(job, await self._acquire(job))
 
     async def _forward_in_time(
         self, job: jobs.Job, opened: opened_response.OpenedResponse
--- a/tests/gateway/test_attempt_runner.py
+++ b/tests/gateway/test_attempt_runner.py
@@ -129,6 +129,27 @@
         self.assertEqual((_WHOLE, True), _events_of(path))
         self.assertEqual([1.6], path.event_times())
 
+    def test_retries_without_upstream_are_not_spent(self):
+        """A hedge that is never sent leaves the retry budget as it was."""
+        path = scripted_path.Path(
+            (
+                (0.1, 200, _event(1), 1.5, _event(2), 3.0, _event(3), 4.5)
+                + (_event(4),),
+            ),
+            (),
+            base=1,
+        )
+        path.dispatcher.counts = path.dispatcher.counts._replace(
+            local_by_id=path.dispatcher.counts.local_by_id.set('u2', 2)
+        )
+        seen = []
+        outcome = path.run(
+            (4.0, lambda: seen.append(path.budgets.has_retry('drafts')))
+        )
+        self.assertIsNone(outcome)
+        self.assertEqual([1], path.client.called_ports)
+        self.assertEqual([True], seen)
+
     def test_silent_resumption(self):
         """A silent upstream that resumes a stream is hedged too."""
         path = scripted_path.Path(
