Hedge a silent stream again if there was no upstream

Callers: a stream whose upstream stays silent was cut at its deadline although another upstream came, or retry budget was free again, in time.

Cause: a silent stream was hedged once, a second after its last event.

A hedge without a result runs again after the same interval, until either upstream sends something. A failure between two hedges is raised at once.

Tests: test_upstream_that_comes_during_a_silence and test_hedge_again failed before (the latter for want of the interval).

--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -353,7 +353,8 @@
         upstream = opened.upstream
         self._health_recorder.eject_silent(upstream)
         race = hedging.Race[bytes, opened_response.OpenedResponse](
-            functools.partial(self._open_hedge, job, upstream)
+            functools.partial(self._open_hedge, job, upstream),
+            interval_seconds=const.STREAM_IDLE_TIMEOUT_SECONDS,
         )
         received = await race.run(opened.receive_or_fail)
         if isinstance(received, opened_response.OpenedResponse):
--- a/nutmegtrail/gateway/hedging.py
+++ b/nutmegtrail/gateway/hedging.py
@@ -26,18 +26,21 @@
     """Runs an operation and, after a delay, a hedge beside it.
 
     The first result is returned and the other operation cancelled. Neither the
-    delay nor a hedge without a result ends the first operation. If that fails
-    while the hedge runs, the hedge decides.
+    delay nor a hedge without a result ends the first operation; the hedge then
+    runs again after the interval. If the first operation fails while the hedge
+    runs, the hedge decides.
     """
 
     def __init__(
         self,
         hedge: typing.Callable[[], typing.Awaitable[_Hedge | None]],
         delay_seconds: float = 0,
+        interval_seconds: float = math.inf,
     ) -> None:
         """Initialize a race whose operations have not started."""
         self._hedge = hedge
         self._delay_seconds = delay_seconds
+        self._interval_seconds = interval_seconds
         self._is_hedged = False
         self._hedge_scope = anyio.CancelScope()
         self._primary_scope = anyio.CancelScope()
@@ -52,6 +55,11 @@
             return self._primary_error.event
         return None
 
+    @property
+    def _needs_hedge(self) -> bool:
+        """Return whether neither operation has ended the race."""
+        return self._hedge_result is None and self._primary_error is None
+
     async def run(
         self, primary: typing.Callable[[], typing.Awaitable[_Primary]]
     ) -> _Primary | _Hedge:
@@ -92,11 +100,13 @@
     async def _run_hedge(self) -> None:
         """Run the hedge after the delay; its result ends the first one."""
         with self._hedge_scope:
-            if self._delay_seconds == math.inf:
-                return
-            await anyio.sleep(self._delay_seconds)
-            self._is_hedged = True
-            self._hedge_result = await self._hedge()
+            delay_seconds = self._delay_seconds
+            while self._needs_hedge and delay_seconds < math.inf:
+                await anyio.sleep(delay_seconds)
+                self._is_hedged = True
+                self._hedge_result = await self._hedge()
+                self._is_hedged = False
+                delay_seconds = self._interval_seconds
         if self._hedge_result is not None:
             self._primary_scope.cancel()
 
--- a/tests/gateway/test_attempt_runner.py
+++ b/tests/gateway/test_attempt_runner.py
@@ -129,6 +129,14 @@
         self.assertEqual((_WHOLE, True), _events_of(path))
         self.assertEqual([1.6], path.event_times())
 
+    def test_upstream_that_comes_during_a_silence(self):
+        """A silent stream is resumed as soon as another upstream is there."""
+        path = scripted_path.Path((_DEAD,), ((1.4, *_RESUMED),))
+        first, second = path.upstreams
+        path.register(first)
+        path.run((1.3, lambda: path.register(first, second)))
+        self.assertEqual((_WHOLE, True), _events_of(path))
+
     def test_retries_without_upstream_are_not_spent(self):
         """A hedge that is never sent leaves the retry budget as it was."""
         path = scripted_path.Path(
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -77,6 +77,40 @@
         )
         self.assertEqual([], self.cancelled)
 
+    def test_hedge_again(self):
+        """A hedge without a result runs again after the interval.
+
+        A failure meanwhile is raised at once.
+        """
+        for fails_at, hedge_count in ((1.5, 1), (2.1, 1), (2.9, 2), (3.3, 2)):
+            self.assertEqual(
+                (fails_at, hedge_count), self._hedge_again(fails_at)
+            )
+
+    def _hedge_again(self, fails_at):
+        """Fail with hedges that take 0.2 s, every second after the first.
+
+        Return when that was known and the number of hedges.
+        """
+        started = []
+
+        async def _hedge():
+            started.append(anyio.current_time())
+            await anyio.sleep(0.2)
+
+        async def _fail():
+            await anyio.sleep(fails_at)
+            raise errors.AttemptFailed(_FAILURE)
+
+        async def _main():
+            race = hedging.Race(_hedge, 1, interval_seconds=1)
+            try:
+                await race.run(_fail)
+            except errors.AttemptFailed:
+                return round(anyio.current_time(), 2), len(started)
+
+        return simulated_time.run(_main)
+
     def test_failure_before_hedge(self):
         """A failure within the delay is raised at once."""
         self.assertRaises(
