Free the place of a broken stream while its hedge goes on

Callers: up to two seconds longer, an upstream that had broken a stream off looked as loaded as before and got fewer requests.

Cause: the place and the connection were released only once the hedge had a result.

The response is closed as soon as it is broken; closing it again does nothing.

Tests: test_broken_stream_frees_its_place failed before.

--- a/nutmegtrail/gateway/opened_response.py
+++ b/nutmegtrail/gateway/opened_response.py
@@ -78,10 +78,12 @@
         return part
 
     async def receive_or_fail(self) -> bytes:
-        """Return the next part; raise AttemptFailed if it is broken."""
+        """Return the next part; close and raise AttemptFailed if broken."""
         try:
             return await self.receive()
         except http_errors.ExchangeBroken as error:
+            # A hedge may go on for a while.
+            await self.close()
             raise errors.AttemptFailed(
                 attempts.Broken(
                     self.upstream.upstream_id, str(error), is_closed=True
--- a/tests/gateway/test_attempt_runner.py
+++ b/tests/gateway/test_attempt_runner.py
@@ -169,6 +169,15 @@
         path.run(until=3)
         self.assertEqual((_WHOLE, True), _events_of(path))
 
+    def test_broken_stream_frees_its_place(self):
+        """A broken attempt does not keep its place while a hedge waits."""
+        path = scripted_path.Path(
+            ((0.1, 200, _event(1), 1.2, _CUT),), ((1.9, *_RESUMED),)
+        )
+        seen = []
+        path.run((1.5, lambda: seen.append(path.in_flight())))
+        self.assertEqual([{'u2': 1}], seen)
+
     def test_limits(self):
         """No more upstreams than the route allows get a stream."""
         for limit in (1, 2, 3):
