Count a hedge whose response is not used

Upstreams: a request could be sent to more upstreams than its route allows, and twice to the same one.

Cause: an attempt was counted when it failed or was cancelled. A hedge that was done in the moment in which the other attempt won was neither: its response was closed, or its failure forgotten, and the upstream could be chosen again.

A hedge counts as sent as soon as its attempt has an outcome, unless it could not connect.

Tests: test_both_at_once failed before.

--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -165,6 +165,11 @@
         if watched.is_cancelled:
             await opened.close()
             raise errors.GivenUp(attempts.GiveUp(attempts.Outcome.UNKNOWN))
+        if place.is_hedge and not isinstance(event, attempts.NotConnected):
+            # It is cancelled if the other attempt wins at the same time.
+            job.delivery = attempts.count_running(
+                job.delivery, place.upstream.upstream_id
+            )
         if event is not None:
             await opened.close()
             await self._record_failure(job, place.upstream, event)
--- a/tests/gateway/test_attempt_runner.py
+++ b/tests/gateway/test_attempt_runner.py
@@ -192,6 +192,20 @@
             self.assertEqual(limit, len(path.client.called_ports))
             self.assert_released(path)
 
+    def test_both_at_once(self):
+        """An upstream whose response is not used counts towards the limit.
+
+        It got the request once more when the other one broke off.
+        """
+        for tie_at in (1.2, 1.4, 1.9):
+            path = scripted_path.Path(
+                ((0.1, 200, _event(1), tie_at, _event(2), 2.5, _CUT),),
+                ((tie_at, 200, _event(2), _HANG), (200, _event(3, 4))),
+            )
+            path.run()
+            self.assertEqual([1, 2], path.client.called_ports)
+            self.assert_released(path)
+
     def test_not_resumable(self):
         """A silent stream that may run once is sent to no other upstream."""
         path = scripted_path.Path((_paused(5.0),), (), resumable=False)
