--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -66,14 +66,18 @@
     async def _answer(self, job: jobs.Job) -> None:
         """Forward the response of an upstream, and those that continue it."""
         opened: opened_response.OpenedResponse | None
-        opened = await self._open_next(job)
+        opened = await self._open_next(job, await self._acquire(job))
         while opened is not None:
             opened = await self._forward(job, opened)
 
-    async def _open_next(self, job: jobs.Job) -> opened_response.OpenedResponse:
-        """Return a successful response; raise GivenUp without one."""
+    async def _open_next(
+        self, job: jobs.Job, place: opened_response.Place
+    ) -> opened_response.OpenedResponse:
+        """Return a successful response; raise GivenUp without one.
+
+        The first attempt uses the given place.
+        """
         while True:
-            place = await self._acquire(job)
             try:
                 with anyio.fail_after(max(job.remaining_seconds, 0)):
                     return await self._open_hedged(job, place)
@@ -83,10 +87,13 @@
                 ) from None
             except errors.AttemptFailed as error:
                 self._handle_failure(job, error.event)
+            place = await self._acquire(job, is_hedge=place.is_hedge)
 
-    async def _acquire(self, job: jobs.Job) -> opened_response.Place:
+    async def _acquire(
+        self, job: jobs.Job, *, is_hedge: bool = False
+    ) -> opened_response.Place:
         """Wait for an upstream; raise GivenUp if there is none."""
-        self._raise_if_quarantined(job)
+        self._crash_guard.raise_if_quarantined(job)
         excluded_ids = job.delivery.excluded_ids
         if not self._dispatcher.has_upstreams(job.service, excluded_ids):
             raise errors.GivenUp(_give_up(job))
@@ -97,11 +104,14 @@
             self._log.record_not_placed(job, queued, queued_at)
             raise errors.GivenUp(_give_up(job))
         place = opened_response.Place(
-            candidate.upstream, queued.request_id, anyio.current_time()
+            candidate.upstream,
+            queued.request_id,
+            anyio.current_time(),
+            is_hedge,
         )
         try:
             # It may have been quarantined while it was queued.
-            self._raise_if_quarantined(job)
+            self._crash_guard.raise_if_quarantined(job)
         except errors.GivenUp:
             self._release(place)
             raise
@@ -155,6 +165,11 @@
         if watched.is_cancelled:
             await opened.close()
             raise errors.GivenUp(attempts.GiveUp(attempts.Outcome.UNKNOWN))
+        if place.is_hedge and not isinstance(event, attempts.NotConnected):
+            # It is cancelled if the other attempt wins at the same time.
+            job.delivery = attempts.count_running(
+                job.delivery, place.upstream.upstream_id
+            )
         if event is not None:
             await opened.close()
             await self._record_failure(job, place.upstream, event)
@@ -205,9 +220,9 @@
             return attempts.Broken(upstream.upstream_id, 'foreign response')
         self._crash_guard.record_response(upstream)
         if kind is models.ResponseKind.SUCCESS:
-            if job.delivery.has_sent_events:
-                # The response is used only once the stream goes on.
-                await opened.prefetch()
+            if opened.place.is_hedge:
+                # It takes over only with something to forward.
+                await opened.prefetch(job.route.kind)
             return None
         body = await opened.read(const.RESPONSE_BYTES_LIMIT)
         if kind is models.ResponseKind.FAILURE:
@@ -227,16 +242,21 @@
             and self._dispatcher.has_available_upstreams(
                 job.service, decision.delivery.excluded_ids
             )
-            and self._retry_budgets.spend_retry(job.service)
+            and self._retry_budgets.has_retry(job.service)
         )
         self._log.record_silence(job, upstream, is_hedged=can_hedge)
         if not can_hedge:
             return None
         job.delivery = decision.delivery
         try:
-            return await self._open_next(job)
+            place = await self._acquire(job, is_hedge=True)
+            # A hedge may wait for a place that it never gets.
+            if self._retry_budgets.spend_retry(job.service):
+                return await self._open_next(job, place)
+            self._release(place)
         except errors.GivenUp:
             return None
+        return None
 
     async def _forward(
         self, job: jobs.Job, opened: opened_response.OpenedResponse
@@ -259,14 +279,17 @@
         if isinstance(outcome, opened_response.Successor):
             successor = outcome.opened
             self._log.record_superseded(job, upstream, successor.upstream)
-            await self._record_failure(job, upstream, outcome.failure)
+            self._record_attempt(upstream, outcome.failure)
+            if _is_closed(outcome.failure):
+                # Its events have arrived and must not wait for a probe.
+                self._crash_guard.examine_later(upstream)
             return successor
         if outcome is None:
             self._record_success(job, upstream)
             return None
         await self._record_failure(job, upstream, outcome)
         self._handle_failure(job, outcome)
-        return await self._open_next(job)
+        return await self._open_next(job, await self._acquire(job))
 
     async def _forward_in_time(
         self, job: jobs.Job, opened: opened_response.OpenedResponse
@@ -337,7 +360,8 @@
         upstream = opened.upstream
         self._health_recorder.eject_silent(upstream)
         race = hedging.Race[bytes, opened_response.OpenedResponse](
-            functools.partial(self._open_hedge, job, upstream)
+            functools.partial(self._open_hedge, job, upstream),
+            interval_seconds=const.STREAM_IDLE_TIMEOUT_SECONDS,
         )
         received = await race.run(opened.receive_or_fail)
         if isinstance(received, opened_response.OpenedResponse):
@@ -385,9 +409,12 @@
             job.longest_pause_seconds = max(
                 job.longest_pause_seconds, pause_seconds
             )
-            self._health_recorder.record_pause(
-                job, opened.upstream, pause_seconds / event_count
-            )
+            # The pause before a resumption is not that of its upstream.
+            if opened.has_sent_events:
+                self._health_recorder.record_pause(
+                    job, opened.upstream, pause_seconds / event_count
+                )
+        opened.has_sent_events = True
         job.last_event_at_seconds = now
         self._crash_guard.record_events(job)
 
@@ -413,10 +440,16 @@
         self, job: jobs.Job, upstream: models.Upstream, event: attempts.Event
     ) -> None:
         """Record a failed attempt, and examine an upstream that closed."""
+        self._record_attempt(upstream, event)
+        if _is_closed(event):
+            await self._crash_guard.examine(job, upstream)
+
+    def _record_attempt(
+        self, upstream: models.Upstream, event: attempts.Event
+    ) -> None:
+        """Record that an attempt failed."""
         self._health_recorder.record_outcome(upstream, event)
         self._log.count_attempt(upstream, type(event).__name__)
-        if isinstance(event, attempts.Broken) and event.is_closed:
-            await self._crash_guard.examine(job, upstream)
 
     def _handle_failure(self, job: jobs.Job, event: attempts.Event) -> None:
         """Decide on another attempt; raise GivenUp if there is none."""
@@ -431,17 +464,16 @@
         ):
             raise errors.GivenUp(_give_up(job))
 
-    def _raise_if_quarantined(self, job: jobs.Job) -> None:
-        """Raise GivenUp if a request must not reach upstreams."""
-        refusal = self._crash_guard.refusal(job)
-        if refusal is not None:
-            raise errors.GivenUp(refusal)
-
     def _release(self, place: opened_response.Place) -> None:
         """Free the place of a request at an upstream."""
         self._dispatcher.release(place.upstream, place.queue_id)
 
 
+def _is_closed(event: attempts.Event) -> bool:
+    """Return whether an upstream closed the connection of an attempt."""
+    return isinstance(event, attempts.Broken) and event.is_closed
+
+
 def _superseded(upstream: models.Upstream) -> attempts.Broken:
     """Return the failure of an upstream that another one was faster than."""
     return attempts.Broken(upstream.upstream_id, 'superseded')
