Treat reports that cannot be decoded as unreadable

A report of deeply nested brackets, or with a number beyond all floats, raised an error that the control client did not expect, which ended the task that probed the upstream. Both count as unreadable now.

--- a/nutmegtrail/platform/engines.py
+++ b/nutmegtrail/platform/engines.py
@@ -17,7 +17,13 @@
 from nutmegtrail.ports import upstream_probe
 
 _Decoded = typing.TypeVar('_Decoded')
-_DECODE_ERRORS: typing.Final = (KeyError, TypeError, ValueError)
+_DECODE_ERRORS: typing.Final = (
+    KeyError,
+    TypeError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+)
 _REPORT_ERRORS: typing.Final = (AttributeError, *_DECODE_ERRORS)
 
 
--- a/tests/platform/test_engine_condition.py
+++ b/tests/platform/test_engine_condition.py
@@ -64,6 +64,8 @@
             (b'200 OK', b'{}', _RUNNING),
             (b'200 OK', b'[]', _RUNNING),
             (b'200 OK', b'{"born":"x"}', _RUNNING),
+            (b'200 OK', b'{"born":1e999}', _RUNNING),
+            (b'200 OK', b'[' * 100_000, _RUNNING),
             (b'404 Not Found', b'', _RUNNING),
             (b'503 Unavailable', b'', _RUNNING),
             (b'200 OK', b'{"born":6}', _ENDED),
