--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -54,6 +54,13 @@
             _TRANSLATOR.read_request(_request()),
         )
 
+    def test_absurd_event_number(self):
+        """A number that no event has is ignored; it failed the request."""
+        for text in (b'9' * 5_000, b'-1', b'x', b'1.5'):
+            sent = (*_CLIENT_HEADERS[:-2], (b'last-event-id', text))
+            caller = _TRANSLATOR.read_request(_request(sent))
+            self.assertIsNone(caller.last_event, text[:9])
+
     def test_shared_prompt_parts(self):
         """All parts of a prompt but the last may be shared."""
         for listed, expected in (
