Keep resumed streams out of the limit of the queue

Callers: new requests were refused beside a silence, since resumptions that wait go first and filled the limit of the queue. They keep their place before new requests and count no longer against the limit.

Test: test_resumed_streams_go_first, which failed before in its part on the limit.

--- a/nutmegtrail/gateway/request_queue.py
+++ b/nutmegtrail/gateway/request_queue.py
@@ -117,6 +117,8 @@
 ) -> ShedResult:
     """Refuse requests that are too late or exceed the queue limit.
 
+    Streams that are resumed do not count against the limit.
+
     `available_from_by_id` has the times from which upstreams accept requests.
     A request is too late if no upstream accepts it in time.
     """
@@ -130,7 +132,13 @@
         and _first_available(request, available_from_by_id, first_available)
         < request.latest_start_seconds
     ]
-    kept_ids = {request.request_id for request in viable[:limit]}
+    kept_ids = {
+        request.request_id
+        for number, request in enumerate(
+            sorted(viable, key=lambda request: request.is_resumed)
+        )
+        if request.is_resumed or number < limit
+    }
     refused_ids = tuple(
         request.request_id
         for request in ordered
--- a/tests/gateway/test_request_queue.py
+++ b/tests/gateway/test_request_queue.py
@@ -52,6 +52,10 @@
         resumed = _request('resumed', latest_start=9)._replace(is_resumed=True)
         queue = _queue(_request('urgent', priority=0), resumed)
         self.assertEqual(['resumed', 'urgent'], _order(queue, 3))
+        later = _request('later', latest_start=9)
+        queue = request_queue.enqueue(queue, later)
+        result = request_queue.shed_load(queue, 1, 1.3)
+        self.assertEqual(('later',), result.refused_ids)
         result = request_queue.shed_load(queue, 1, 3)
         self.assertEqual(('urgent',), result.refused_ids)
 
