Take a stream without a complete event for silent

Callers: a stream whose upstream sent a byte of an unfinished event now and then was never resumed, and cut at its deadline.

Cause: the wait for the next part began anew with each byte. It ends with a complete event now, also beside a hedge; bytes that arrived are kept.

Test: test_event_that_drips, which failed before.

--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -328,42 +328,44 @@
     ) -> attempts.Event | opened_response.Successor | None:
         """Forward events as they arrive; return a failure or a successor."""
         upstream_id = opened.upstream.upstream_id
-        splitter = events.Splitter()
         while True:
-            part = await self._receive_part(job, opened)
-            if isinstance(part, opened_response.Successor):
-                return part
-            complete_events = splitter.feed(part)
-            new_events = events.select_new_events(job.position, complete_events)
+            received = await self._receive_events(job, opened)
+            if isinstance(received, opened_response.Successor):
+                return received
+            new_events = events.select_new_events(
+                job.position, received.complete
+            )
             if new_events.payload:
-                self._record_pause(job, opened, len(complete_events))
+                self._record_pause(job, opened, len(received.complete))
                 await self._forward_events(job, opened.head, new_events)
             if new_events.has_gap:
                 return attempts.Broken(upstream_id, 'missing event')
-            if not part:
+            if received.is_end:
                 break
-        if splitter.has_partial_event or not job.delivery.has_sent_events:
+        if opened.has_partial_event or not job.delivery.has_sent_events:
             return attempts.Broken(upstream_id, 'incomplete stream')
         await job.exchange.finish()
         return None
 
-    async def _receive_part(
+    async def _receive_events(
         self, job: jobs.Job, opened: opened_response.OpenedResponse
-    ) -> bytes | opened_response.Successor:
-        """Return the next part of a stream, or the response that resumes it.
+    ) -> opened_response.ReceivedEvents | opened_response.Successor:
+        """Return the next events of a stream, or the response that resumes it.
 
-        A silent upstream may go on at any time: its stream is resumed
+        An upstream without a complete event is silent. A silent upstream may go on at any time: its stream is resumed
         elsewhere only once the other upstream sends events.
         """
         with anyio.move_on_after(const.STREAM_IDLE_TIMEOUT_SECONDS):
-            return await opened.receive_or_fail()
+            return await opened.receive_events()
         upstream = opened.upstream
         self._health_recorder.eject_silent(upstream)
-        race = hedging.Race[bytes, opened_response.OpenedResponse](
+        race = hedging.Race[
+            opened_response.ReceivedEvents, opened_response.OpenedResponse
+        ](
             functools.partial(self._open_hedge, job, upstream),
             interval_seconds=const.STREAM_IDLE_TIMEOUT_SECONDS,
         )
-        received = await race.run(opened.receive_or_fail)
+        received = await race.run(opened.receive_events)
         if isinstance(received, opened_response.OpenedResponse):
             failure = race.failure or _superseded(upstream)
             return opened_response.Successor(received, failure)
--- a/nutmegtrail/gateway/opened_response.py
+++ b/nutmegtrail/gateway/opened_response.py
@@ -11,6 +11,7 @@
 from nutmegtrail.gateway import attempts
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import errors
+from nutmegtrail.gateway import events
 from nutmegtrail.gateway import models
 
 
@@ -26,6 +27,13 @@
     is_hedge: bool
 
 
+class ReceivedEvents(typing.NamedTuple):
+    """Complete events of a stream; `is_end` is set if none follow."""
+
+    complete: tuple[bytes, ...]
+    is_end: bool
+
+
 class OpenedResponse:
     """Connection to an upstream and its response; `close` releases both.
 
@@ -43,12 +51,18 @@
         self._response: client.Response | None = None
         self._first_part: bytes | None = None
         self._body: bytes | None = None
+        self._splitter = events.Splitter()
 
     @property
     def upstream(self) -> models.Upstream:
         """Return the upstream that responds."""
         return self.place.upstream
 
+    @property
+    def has_partial_event(self) -> bool:
+        """Return whether a part of an event has arrived without its end."""
+        return self._splitter.has_partial_event
+
     @property
     def head(self) -> messages.Head:
         """Return the head of the response."""
@@ -69,18 +83,18 @@
         else:
             self._body = await self.read(const.RESPONSE_BYTES_LIMIT)
 
-    async def receive(self) -> bytes:
-        """Return the next part of the body, b'' at its end."""
-        part = self._first_part
-        if part is None:
-            return await self._received.receive()
-        self._first_part = None
-        return part
+    async def receive_events(self) -> ReceivedEvents:
+        """Return the next complete events of a stream, or its end.
 
-    async def receive_or_fail(self) -> bytes:
-        """Return the next part; close and raise AttemptFailed if broken."""
+        Closes the response and raises AttemptFailed if it is broken. Events
+        that have arrived are kept if the call is cancelled.
+        """
         try:
-            return await self.receive()
+            while True:
+                part = await self._receive()
+                complete_events = self._splitter.feed(part)
+                if complete_events or not part:
+                    return ReceivedEvents(complete_events, is_end=not part)
         except http_errors.ExchangeBroken as error:
             # A hedge may go on for a while.
             await self.close()
@@ -101,6 +115,14 @@
         with anyio.CancelScope(shield=True):
             await self._resources.aclose()
 
+    async def _receive(self) -> bytes:
+        """Return the next part of the body, b'' at its end."""
+        part = self._first_part
+        if part is None:
+            return await self._received.receive()
+        self._first_part = None
+        return part
+
     @property
     def _received(self) -> client.Response:
         """Return the response, which `connect` has received."""
--- a/tests/gateway/scripted_path.py
+++ b/tests/gateway/scripted_path.py
@@ -17,6 +17,7 @@
 from nutmegtrail.gateway import fleet
 from nutmegtrail.gateway import jobs
 from nutmegtrail.gateway import models
+from nutmegtrail.gateway import part_quarantine
 from nutmegtrail.gateway import retry_budget
 from nutmegtrail.gateway import retry_budgets
 from nutmegtrail.observability import metrics
@@ -156,8 +157,14 @@
         self.register(*self.upstreams)
         self.metrics = metrics.Metrics()
         self.quarantine = crash_quarantine.CrashQuarantine(None, self.metrics)
+        parts = part_quarantine.PartQuarantine(None, self.metrics)
         detector = crash_detector.CrashDetector(
-            _Probe(), self.dispatcher, self.quarantine, self.metrics, 1.2
+            _Probe(),
+            self.dispatcher,
+            self.quarantine,
+            parts,
+            self.metrics,
+            1.2,
         )
         self.budgets = retry_budgets.RetryBudgets(
             retry_budget.Allowance(60, 0, base * 2),
@@ -168,7 +175,7 @@
             _Headers(),
             self.dispatcher,
             self.budgets,
-            crash_guard.CrashGuard(detector, self.quarantine),
+            crash_guard.CrashGuard(detector, self.quarantine, parts),
             self.metrics,
         )
         self.client = Client(
@@ -183,7 +190,7 @@
         request = messages.Request(b'POST', b'/a/b', (), b'', keep_alive=True)
         caller = models.CallerRequest(name, 'example', '/a/b', 'k', None, None)
         return jobs.Job(
-            server.Exchange(request, self.caller, 0),
+            server.Exchange(request, self.caller, 0, bool),
             caller,
             self.route,
             models.Account('agency', 3),
--- a/tests/gateway/test_attempt_runner.py
+++ b/tests/gateway/test_attempt_runner.py
@@ -109,6 +109,22 @@
                 self.assertIsNone(outcome)
             self.assert_released(path)
 
+    def test_event_that_drips(self):
+        """An upstream that never completes an event is silent.
+
+        Each byte began the wait anew, so that the stream was not resumed.
+        """
+        drips = [
+            step for number in range(40) for step in (0.3 + number * 0.2, b'x')
+        ]
+        path = scripted_path.Path(
+            ((*_DEAD[:-1], *drips, _HANG),), ((1.4, *_RESUMED),)
+        )
+        self.assertIsNone(path.run())
+        self.assertEqual((_WHOLE, True), _events_of(path))
+        self.assertEqual([0.1, 1.4, 3.0], path.event_times())
+        self.assert_released(path)
+
     def test_silence_is_not_charged_to_the_successor(self):
         """The pause before a resumption is not that of the new upstream.
 
