--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -223,7 +223,7 @@
 
 _QUARANTINE: typing.Final = 'nutmegtrail/retries/quarantine.py'
 _CRASH_DETECTOR: typing.Final = 'nutmegtrail/gateway/crash_detector.py'
-_CRASH_QUARANTINE: typing.Final = 'nutmegtrail/gateway/crash_quarantine.py'
+_MARK_REPLICA: typing.Final = 'nutmegtrail/gateway/mark_replica.py'
 _CRASH_TESTS: typing.Final = 'tests/gateway/test_crash_detector.py'
 _MARK_TESTS: typing.Final = 'tests/gateway/test_crash_quarantine.py'
 _CRASH_GUARDS: typing.Final = (
@@ -264,26 +264,99 @@
     ),
     Guard(
         'another lease after that of the marks is gone',
-        _CRASH_QUARANTINE,
+        _MARK_REPLICA,
         'if isinstance(written.error, key_value.LeaseGone):',
         'if False:',
         _MARK_TESTS,
     ),
     Guard(
         'success of any entry clears a request in the store',
-        _CRASH_QUARANTINE,
+        _MARK_REPLICA,
         'self._enqueue(key, None)',
         'pass',
         _MARK_TESTS,
     ),
     Guard(
         'own marks written again to an earlier copy of the store',
-        _CRASH_QUARANTINE,
+        _MARK_REPLICA,
         'self._enqueue(key, content)\n        self._is_copy',
         'pass\n        self._is_copy',
         _MARK_TESTS,
     ),
 )
+_PART_EVIDENCE: typing.Final = 'nutmegtrail/retries/part_evidence.py'
+_PART_TESTS: typing.Final = 'tests/retries/test_part_evidence.py'
+_PART_GUARDS: typing.Final = (
+    Guard(
+        'part that was sound before needs a contrast',
+        _PART_EVIDENCE,
+        'if sound_count - count_at_mark < const.CONTRAST_SOUND_COUNT:',
+        'if False:',
+        _PART_TESTS,
+    ),
+    Guard(
+        'parts that were marked together are refused together',
+        _PART_EVIDENCE,
+        'may_be_another = not suspects.issubset(parts)',
+        'may_be_another = False',
+        _PART_TESTS,
+    ),
+    Guard(
+        'parts known to be sound do not count for a new one',
+        _PART_EVIDENCE,
+        'and not (is_new and rival in evidence.sound_at_by_part)',
+        'and True',
+        _PART_TESTS,
+    ),
+    Guard(
+        'no mark for a part that was begun since the crash',
+        _PART_EVIDENCE,
+        "if evidence.sound_at_by_part.get(part, float('-inf')) > at_seconds:",
+        'if False:',
+        _PART_TESTS,
+    ),
+    Guard(
+        'stream that went on does not blame its parts',
+        'nutmegtrail/gateway/crash_guard.py',
+        '() if job.has_settled else job.part_keys',
+        'job.part_keys',
+        'tests/gateway/test_crash_guard.py',
+    ),
+)
+_HEDGING: typing.Final = 'nutmegtrail/gateway/hedging.py'
+_ATTEMPT_RUNNER: typing.Final = 'nutmegtrail/gateway/attempt_runner.py'
+_HEDGING_TESTS: typing.Final = 'tests/gateway/test_hedging.py'
+_ATTEMPT_TESTS: typing.Final = 'tests/gateway/test_attempt_runner.py'
+_HEDGING_GUARDS: typing.Final = (
+    Guard(
+        'first result ends the other operation',
+        _HEDGING,
+        'self._primary_scope.cancel()',
+        'pass',
+        _HEDGING_TESTS,
+    ),
+    Guard(
+        'hedge that runs decides after a failure',
+        _HEDGING,
+        'if self._is_hedged:',
+        'if False:',
+        _HEDGING_TESTS,
+    ),
+    Guard(
+        'hedge takes over only with something to forward',
+        _ATTEMPT_RUNNER,
+        'await opened.prefetch(job.route.kind)',
+        'pass',
+        _ATTEMPT_TESTS,
+    ),
+    Guard(
+        'hedge counts against the limit of upstreams',
+        _ATTEMPT_RUNNER,
+        'if place.is_hedge and not isinstance(event, attempts.NotConnected):',
+        'if False:',
+        _ATTEMPT_TESTS,
+    ),
+)
 _STORE: typing.Final = 'nutmegtrail/platform/store.py'
 _ERA_TESTS: typing.Final = 'tests/platform/test_store_era.py'
 _ERA_GUARDS: typing.Final = (
@@ -331,6 +404,8 @@
             *_EXPERT_MAP_GUARDS,
             *_SWITCH_RECOVERY_GUARDS,
             *_CRASH_GUARDS,
+            *_PART_GUARDS,
+            *_HEDGING_GUARDS,
             *_ERA_GUARDS,
         )
         if filter_word in guard.tests
--- a/tests/retries/test_part_evidence.py
+++ b/tests/retries/test_part_evidence.py
@@ -103,6 +103,14 @@
         self._sound('q', count=const.CONTRAST_SOUND_COUNT)
         self.assertFalse(self._is_refused('p'))
 
+    def test_new_part_after_many_crashes_at_once(self):
+        """Marks of a popular part from other crashes excuse no new part."""
+        self._sound('p', count=const.EXPERIENCED_SOUND_COUNT)
+        self._crash('p', names=[f'n{number}' for number in range(9)])
+        self._crash('px')
+        self.assertTrue(self._is_refused('px'))
+        self.assertFalse(self._is_refused('p'))
+
     def test_part_that_was_sound_before(self):
         """A known part is refused once only requests without it are sound."""
         self._sound('px', 'p', count=const.EXPERIENCED_SOUND_COUNT)
