Let engines fall silent for a while in the soak

Engines pause for 0.8 to 1.8 s and go on, beside the other faults. The pauses have a random source of their own, so that a seed's other faults stay as they were.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -34,6 +34,7 @@
 _MAX_STALL_SECONDS = 4.0
 # Some faults last longer than the lease of the leader.
 _FAULT_RANGE_SECONDS = (0.3, 2.5)
+_SILENCE_SECONDS = (0.8, 1.8)
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 _RESTORE_PROBABILITY = 0.3
 _RESTORE_SECONDS = 0.3
@@ -172,6 +173,7 @@
     def __init__(self, seed, entry_count):
         """Initialize all parts without starting them."""
         self.generator = random.Random(seed)
+        self.pause_generator = random.Random(seed)
         self.folder = tempfile.mkdtemp(prefix=f'nutmegtrail-soak-{seed}-')
         self.store = stand_in.Store()
         self.rank_group = rank_groups.RankGroup(_ENGINES_PER_SERVICE)
@@ -285,6 +287,18 @@
         await self.generator.choice(entry_faults)(entry, seconds)
         entry.has_fault = False
 
+    async def pause_engine(self):
+        """Let one engine send nothing for a time and then go on.
+
+        The random source is another one than that of the faults, which stay
+        the same for a seed.
+        """
+        await anyio.sleep(self.pause_generator.uniform(*_FAULT_RANGE_SECONDS))
+        engine_relay = self.pause_generator.choice(self.engine_relays)
+        engine_relay.is_paused = True
+        await anyio.sleep(self.pause_generator.uniform(*_SILENCE_SECONDS))
+        engine_relay.is_paused = False
+
     async def stop_entry(self):
         """Stop an entry gracefully while no fault is active.
 
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -10,6 +10,7 @@
 
 # SO_LINGER enabled with a timeout of 0 s: closing the socket sends a reset.
 _LINGER_RESET = struct.pack('ii', 1, 0)
+_PAUSE_CHECK_SECONDS = 0.02
 _DELAY_SECONDS = 0.15
 
 
@@ -18,13 +19,15 @@
 
     `fault` is empty for normal forwarding. 'delayed' delays every chunk,
     'silent' drops all traffic, 'no requests' and 'no answers' drop the
-    traffic of one direction.
+    traffic of one direction. While `is_paused` is set, traffic is held back
+    and goes on afterwards.
     """
 
     def __init__(self, target_address):
         """Initialize the relay without starting its listener."""
         self.address = loopback.free_address()
         self.fault = ''
+        self.is_paused = False
         self._target_address = target_address
         self._connection_scopes = set()
 
@@ -70,6 +73,8 @@
         """Forward one direction until its end, subject to the fault."""
         try:
             async for chunk in source:
+                while self.is_paused:
+                    await anyio.sleep(_PAUSE_CHECK_SECONDS)
                 if self.fault == 'delayed':
                     await anyio.sleep(_DELAY_SECONDS)
                 is_dropped = self.fault in {'silent', f'no {direction}'}
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -32,6 +32,7 @@
                 async with anyio.create_task_group() as fault_tasks:
                     for _ in range(2):
                         fault_tasks.start_soon(_inject_faults, deployment)
+                    fault_tasks.start_soon(_pause_engines, deployment)
             await _wait_until_recovered(deployment)
             if deployment.is_group_stalled():
                 violations.append('the group was held after the faults')
@@ -73,6 +74,13 @@
             await deployment.inject_fault()
 
 
+async def _pause_engines(deployment):
+    """Let engines fall silent one after another until cancelled."""
+    while True:
+        with anyio.CancelScope(shield=True):
+            await deployment.pause_engine()
+
+
 async def _wait_until_recovered(deployment):
     """Wait until all entries are ready, then for the recovery time."""
     for entry in deployment.entries:
