--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -352,8 +352,9 @@
     ) -> opened_response.ReceivedEvents | opened_response.Successor:
         """Return the next events of a stream, or the response that resumes it.
 
-        An upstream without a complete event is silent. A silent upstream may go on at any time: its stream is resumed
-        elsewhere only once the other upstream sends events.
+        An upstream without a complete event is silent. A silent upstream may
+        go on at any time: its stream is resumed elsewhere only once the other
+        upstream sends events.
         """
         with anyio.move_on_after(const.STREAM_IDLE_TIMEOUT_SECONDS):
             return await opened.receive_events()
--- a/nutmegtrail/gateway/crash_quarantine.py
+++ b/nutmegtrail/gateway/crash_quarantine.py
@@ -57,7 +57,9 @@
 
     def is_suspect(self, request_fingerprint: str) -> bool:
         """Return whether a request should be kept apart from other suspects."""
-        return bool(self._times(request_fingerprint))
+        return quarantine.is_marked(
+            self._quarantine, request_fingerprint, anyio.current_time()
+        )
 
     def mark(
         self, request_fingerprint: str, crash_id: str, upstream_id: str
--- a/nutmegtrail/gateway/fleet.py
+++ b/nutmegtrail/gateway/fleet.py
@@ -46,7 +46,8 @@
 class Fleet(typing.NamedTuple):
     """Registered upstreams and those whose registration an outage removed.
 
-    `is_known` is set once the registrations were read. `grace_until_seconds` is the end of the grace period after the last outage.
+    `is_known` is set once the registrations were read. `grace_until_seconds`
+    is the end of the grace period after the last outage.
     `removed_at_by_incarnation` has the times at which incarnations were
     removed. `deferred_by_id` has the removed upstreams that an earlier copy
     shows until `deferred_until_seconds`. `announcements_by_id` has the
--- a/nutmegtrail/gateway/request_queue.py
+++ b/nutmegtrail/gateway/request_queue.py
@@ -1,10 +1,10 @@
 """Queue of the requests that wait for a free upstream of a service.
 
 Streams that are resumed go first, because their callers have received a part
-and wait for the rest. Then, requests that can still meet their latency objective are served first,
-because one that has missed it loses little by waiting longer. Among these,
-lower priority numbers are served first, and accounts share the upstreams by
-start-time fair queueing.
+and wait for the rest. Then, requests that can still meet their latency
+objective are served first, because one that has missed it loses little by
+waiting longer. Among these, lower priority numbers are served first, and
+accounts share the upstreams by start-time fair queueing.
 """
 
 import typing
--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -210,7 +210,8 @@
 ) -> Candidate | None:
     """Return the free candidate with the least expected work, None if none.
 
-    Avoided upstreams are chosen only if no other is free. Ties are broken by the given failure domain, then by the lowest ID.
+    Avoided upstreams are chosen only if no other is free. Ties are broken by
+    the given failure domain, then by the lowest ID.
     """
     available = [
         candidate
--- a/nutmegtrail/observability/explain.py
+++ b/nutmegtrail/observability/explain.py
@@ -66,8 +66,9 @@
     """Return the timeline of a request in a log file, None if not in it.
 
     With a fingerprint, it includes crashes that copies of the request are
-    marked with, also if the request itself is not in the file. Lines without a JSON object are skipped. Text before the object, such as the
-    timestamp of a log collector, is ignored.
+    marked with, also if the request itself is not in the file. Lines without a
+    JSON object are skipped. Text before the object, such as the timestamp of a
+    log collector, is ignored.
     """
     parsed = [line for line in map(_parse, lines) if line is not None]
     request_lines = [
--- a/nutmegtrail/retries/part_evidence.py
+++ b/nutmegtrail/retries/part_evidence.py
@@ -8,8 +8,8 @@
 every crash, and many upstreams may crash at once for another reason. So a part
 that has been sound before needs a contrast as well: requests without it that
 are sound while none with it is. Of parts that were always marked together,
-only requests with all of them are refused, unless it goes on for long. An entry that has seen few sound
-requests yet refuses for a short time only.
+only requests with all of them are refused, unless it goes on for long. An
+entry that has seen few sound requests yet refuses for a short time only.
 """
 
 import typing
--- a/nutmegtrail/retries/quarantine.py
+++ b/nutmegtrail/retries/quarantine.py
@@ -123,14 +123,11 @@
 
 
 def is_quarantined(
-    quarantine: Quarantine,
-    request_fingerprint: str,
-    now_seconds: float,
-    crash_limit: int = const.CRASH_LIMIT,
+    quarantine: Quarantine, request_fingerprint: str, now_seconds: float
 ) -> bool:
     """Return whether a request has reached the crash limit."""
     times = attributed_times(quarantine, request_fingerprint, now_seconds)
-    return len(times) >= crash_limit
+    return len(times) >= const.CRASH_LIMIT
 
 
 def attributed_times(
