--- a/nutmegtrail/daemons/crash_marks.py
+++ b/nutmegtrail/daemons/crash_marks.py
@@ -14,7 +14,6 @@
 from nutmegtrail.daemons import const
 from nutmegtrail.observability import logs
 from nutmegtrail.ports import key_value
-from nutmegtrail.retries import const as retry_const
 from nutmegtrail.retries import mark_store
 from nutmegtrail.wire import models
 
@@ -107,6 +106,4 @@
         """Add a change; the oldest one is dropped if there are too many."""
         key = mark_store.mark_key(crash_mark.fingerprint, crash_mark.crash_id)
         self._pending_by_key[key] = content
-        if len(self._pending_by_key) > retry_const.MARKED_REQUESTS_LIMIT:
-            dropped_key, _ = self._pending_by_key.popitem(last=False)
-            logs.decision('crash-marks:dropped', key=dropped_key)
+        mark_store.drop_excess(self._pending_by_key)
--- a/nutmegtrail/gateway/mark_replica.py
+++ b/nutmegtrail/gateway/mark_replica.py
@@ -179,7 +179,5 @@
     def _enqueue(self, key: str, content: bytes | None) -> None:
         """Add a change for the store; the oldest are dropped if too many."""
         self._pending_by_key[key] = content
-        if len(self._pending_by_key) > retry_const.MARKED_REQUESTS_LIMIT:
-            dropped_key, _ = self._pending_by_key.popitem(last=False)
-            logs.decision('crash-marks:dropped', key=dropped_key)
+        mark_store.drop_excess(self._pending_by_key)
         self._has_pending.set()
--- a/nutmegtrail/retries/mark_store.py
+++ b/nutmegtrail/retries/mark_store.py
@@ -1,5 +1,6 @@
 """Keys and leases under which marks of crashing requests are stored."""
 
+import collections
 import typing
 
 import anyio
@@ -31,6 +32,15 @@
     return request_fingerprint, crash_id
 
 
+def drop_excess(
+    pending_by_key: collections.OrderedDict[str, typing.Any],
+) -> None:
+    """Drop the oldest change that waits for the store if there are too many."""
+    if len(pending_by_key) > const.MARKED_REQUESTS_LIMIT:
+        dropped_key, _ = pending_by_key.popitem(last=False)
+        logs.decision('crash-marks:dropped', key=dropped_key)
+
+
 class _Lease(typing.NamedTuple):
     """Lease and the time until which new marks may use it."""
 
