Spread the times at which refused callers come back

Callers that were refused together, in a burst, were told the same share of their time and came back together. The last two fifths of the delay are random now; the bounds stay, and a hold-off of all upstreams is told as it is.

Test: test_spread, which failed before (no such argument).

--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -203,4 +203,5 @@
         runner,
         guard,
         shared.metrics_registry,
+        random.Random(),
     )
--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -91,6 +91,8 @@
 # A refused caller is asked to retry after a share of its remaining time, so
 # that it can still be served and a burst of requests has time to drain.
 RETRY_AFTER_RATIO: typing.Final = 0.125
+# Part of the delay that differs between callers.
+RETRY_AFTER_SPREAD_RATIO: typing.Final = 0.4
 MIN_RETRY_AFTER_SECONDS: typing.Final = 0.1
 MAX_RETRY_AFTER_SECONDS: typing.Final = 2.0
 
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -134,15 +134,20 @@
 
 
 def retry_after_seconds(
-    remaining_seconds: float, held_off_seconds: float = 0
+    remaining_seconds: float,
+    held_off_seconds: float = 0,
+    spread: float = 0,
 ) -> float:
     """Return the seconds after which a refused caller should retry.
 
     `held_off_seconds` is the time until the first upstream accepts requests,
-    0 if one does.
+    0 if one does. `spread` is a random number from 0 to 1, by which callers
+    that are refused together come back at different times.
     """
+    spread_ratio = 1 - spread * const.RETRY_AFTER_SPREAD_RATIO
     delay_seconds = (
-        held_off_seconds or remaining_seconds * const.RETRY_AFTER_RATIO
+        held_off_seconds
+        or remaining_seconds * const.RETRY_AFTER_RATIO * spread_ratio
     )
     bounded_seconds = max(delay_seconds, const.MIN_RETRY_AFTER_SECONDS)
     return min(bounded_seconds, const.MAX_RETRY_AFTER_SECONDS)
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -1,6 +1,7 @@
 """Handling of a request from admission to the final response."""
 
 import http
+import random
 import typing
 
 import anyio
@@ -41,14 +42,19 @@
         runner: attempt_runner.AttemptRunner,
         guard: crash_guard.CrashGuard,
         metrics_registry: metrics.Metrics,
+        generator: random.Random,
     ) -> None:
-        """Initialize the handler; requests are rejected until configured."""
+        """Initialize the handler; requests are rejected until configured.
+
+        The generator spreads the times at which refused callers come back.
+        """
         self.configuration: models.Configuration | None = None
         self._header_translator = header_translator
         self._dispatcher = dispatcher
         self._runner = runner
         self._crash_guard = guard
         self._metrics = metrics_registry
+        self._generator = generator
 
     async def close(self) -> None:
         """Close idle connections to upstreams."""
@@ -135,6 +141,7 @@
                 jobs.retry_after_seconds(
                     job.remaining_seconds,
                     self._dispatcher.held_off_seconds(job.service),
+                    self._generator.random(),
                 ),
             )
             return
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -31,6 +31,16 @@
         self.assertEqual(0.1, jobs.retry_after_seconds(0.4))
         self.assertEqual(2.0, jobs.retry_after_seconds(60))
 
+    def test_spread(self):
+        """Callers that are refused together come back at different times."""
+        delays = [
+            jobs.retry_after_seconds(8, spread=number / 8)
+            for number in range(9)
+        ]
+        self.assertEqual(sorted(set(delays), reverse=True), delays)
+        self.assertAlmostEqual(0.6, delays[-1])
+        self.assertEqual(0.7, jobs.retry_after_seconds(8, 0.7, spread=1))
+
     def test_end_of_hold_offs(self):
         """Without an upstream that takes requests, callers return when one does.
 
