--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -293,7 +293,6 @@
         The random source is another one than that of the faults, which stay
         the same for a seed.
         """
-        await anyio.sleep(self.pause_generator.uniform(*_FAULT_RANGE_SECONDS))
         engine_relay = self.pause_generator.choice(self.engine_relays)
         engine_relay.is_paused = True
         await anyio.sleep(self.pause_generator.uniform(*_SILENCE_SECONDS))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -77,6 +77,9 @@
 async def _pause_engines(deployment):
     """Let engines fall silent one after another until cancelled."""
     while True:
+        await anyio.sleep(
+            deployment.pause_generator.uniform(*_PAUSE_RANGE_SECONDS)
+        )
         with anyio.CancelScope(shield=True):
             await deployment.pause_engine()
 
