Name successes of parts and assignments of upstreams plainly

A part succeeds, where the code called it sound; the queue assigns an upstream, where it gave a place. Names, docstrings, guards and terms only; no behaviour changes.

--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -290,7 +290,7 @@
     Guard(
         'part that was sound before needs a contrast',
         _PART_EVIDENCE,
-        'if sound_count - count_at_mark < const.CONTRAST_SOUND_COUNT:',
+        'if success_count - count_at_mark < const.CONTRAST_SUCCESS_COUNT:',
         'if False:',
         _PART_TESTS,
     ),
@@ -304,14 +304,14 @@
     Guard(
         'parts known to be sound do not count for a new one',
         _PART_EVIDENCE,
-        'and not (is_new and rival in evidence.sound_at_by_part)',
+        'and not (is_new and rival in evidence.succeeded_at_by_part)',
         'and True',
         _PART_TESTS,
     ),
     Guard(
         'no mark for a part that was begun since the crash',
         _PART_EVIDENCE,
-        "if evidence.sound_at_by_part.get(part, float('-inf')) > at_seconds:",
+        "if evidence.succeeded_at_by_part.get(part, float('-inf')) > at_seconds:",
         'if False:',
         _PART_TESTS,
     ),
@@ -352,7 +352,7 @@
     Guard(
         'hedge counts against the limit of upstreams',
         _ATTEMPT_RUNNER,
-        'if place.is_hedge and not isinstance(event, attempts.NotConnected):',
+        'if assignment.is_hedge and not isinstance(event, attempts.NotConnected):',
         'if False:',
         _ATTEMPT_TESTS,
     ),
--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -71,27 +71,27 @@
             opened = await self._forward(job, opened)
 
     async def _open_next(
-        self, job: jobs.Job, place: opened_response.Place
+        self, job: jobs.Job, assignment: opened_response.Assignment
     ) -> opened_response.OpenedResponse:
         """Return a successful response; raise GivenUp without one.
 
-        The first attempt uses the given place.
+        The first attempt uses the given assignment.
         """
         while True:
             try:
                 with anyio.fail_after(max(job.remaining_seconds, 0)):
-                    return await self._open_hedged(job, place)
+                    return await self._open_hedged(job, assignment)
             except TimeoutError:
                 raise errors.GivenUp(
                     attempts.GiveUp(attempts.Outcome.UNKNOWN)
                 ) from None
             except errors.AttemptFailed as error:
                 self._handle_failure(job, error.event)
-            place = await self._acquire(job, is_hedge=place.is_hedge)
+            assignment = await self._acquire(job, is_hedge=assignment.is_hedge)
 
     async def _acquire(
         self, job: jobs.Job, *, is_hedge: bool = False
-    ) -> opened_response.Place:
+    ) -> opened_response.Assignment:
         """Wait for an upstream; raise GivenUp if there is none."""
         self._crash_guard.raise_if_quarantined(job)
         excluded_ids = job.delivery.excluded_ids
@@ -103,7 +103,7 @@
         if candidate is None:
             self._log.record_not_placed(job, queued, queued_at)
             raise errors.GivenUp(_give_up(job))
-        place = opened_response.Place(
+        assignment = opened_response.Assignment(
             candidate.upstream,
             queued.request_id,
             anyio.current_time(),
@@ -113,15 +113,15 @@
             # It may have been quarantined while it was queued.
             self._crash_guard.raise_if_quarantined(job)
         except errors.GivenUp:
-            self._release(place)
+            self._release(assignment)
             raise
         job.choices.append(
-            jobs.describe_choice(candidate, job, place.assigned_at_seconds)
+            jobs.describe_choice(candidate, job, assignment.assigned_at_seconds)
         )
-        return place
+        return assignment
 
     async def _open_hedged(
-        self, job: jobs.Job, place: opened_response.Place
+        self, job: jobs.Job, assignment: opened_response.Assignment
     ) -> opened_response.OpenedResponse:
         """Return the response of an upstream, or of another if it is silent.
 
@@ -129,50 +129,52 @@
         long, and a second attempt would add to the load.
         """
         if job.route.kind is not models.RouteKind.IDEMPOTENT:
-            return await self._open(job, place)
+            return await self._open(job, assignment)
         race = hedging.Race[
             opened_response.OpenedResponse, opened_response.OpenedResponse
         ](
-            functools.partial(self._open_hedge, job, place.upstream),
-            self._hedge_delay(job, place.upstream),
+            functools.partial(self._open_hedge, job, assignment.upstream),
+            self._hedge_delay(job, assignment.upstream),
         )
-        opened = await race.run(functools.partial(self._open, job, place))
-        if opened.place is not place:
-            self._log.record_superseded(job, place.upstream, opened.upstream)
+        opened = await race.run(functools.partial(self._open, job, assignment))
+        if opened.assignment is not assignment:
+            self._log.record_superseded(
+                job, assignment.upstream, opened.upstream
+            )
             if race.failure is None:
-                superseded = _superseded(place.upstream)
-                await self._record_failure(job, place.upstream, superseded)
+                superseded = _superseded(assignment.upstream)
+                await self._record_failure(job, assignment.upstream, superseded)
         return opened
 
     async def _open(
-        self, job: jobs.Job, place: opened_response.Place
+        self, job: jobs.Job, assignment: opened_response.Assignment
     ) -> opened_response.OpenedResponse:
         """Send the request; raise AttemptFailed without a success."""
         opened = opened_response.OpenedResponse(
-            place, functools.partial(self._release, place)
+            assignment, functools.partial(self._release, assignment)
         )
         try:
-            with self._crash_guard.watch(job, place.upstream) as watched:
+            with self._crash_guard.watch(job, assignment.upstream) as watched:
                 event = await self._send(job, opened)
                 watched.is_answered = not isinstance(event, attempts.Broken)
         except BaseException:
             # The upstream may run it although its response is not awaited.
             job.delivery = attempts.count_running(
-                job.delivery, place.upstream.upstream_id
+                job.delivery, assignment.upstream.upstream_id
             )
             await opened.close()
             raise
         if watched.is_cancelled:
             await opened.close()
             raise errors.GivenUp(attempts.GiveUp(attempts.Outcome.UNKNOWN))
-        if place.is_hedge and not isinstance(event, attempts.NotConnected):
+        if assignment.is_hedge and not isinstance(event, attempts.NotConnected):
             # It is cancelled if the other attempt wins at the same time.
             job.delivery = attempts.count_running(
-                job.delivery, place.upstream.upstream_id
+                job.delivery, assignment.upstream.upstream_id
             )
         if event is not None:
             await opened.close()
-            await self._record_failure(job, place.upstream, event)
+            await self._record_failure(job, assignment.upstream, event)
             raise errors.AttemptFailed(event)
         return opened
 
@@ -220,7 +222,7 @@
             return attempts.Broken(upstream.upstream_id, 'foreign response')
         self._crash_guard.record_response(upstream)
         if kind is models.ResponseKind.SUCCESS:
-            if opened.place.is_hedge:
+            if opened.assignment.is_hedge:
                 # It takes over only with something to forward.
                 await opened.prefetch(job.route.kind)
             return None
@@ -249,11 +251,11 @@
             return None
         job.delivery = decision.delivery
         try:
-            place = await self._acquire(job, is_hedge=True)
-            # A hedge may wait for a place that it never gets.
+            assignment = await self._acquire(job, is_hedge=True)
+            # A hedge may wait for an upstream that it never gets.
             if self._retry_budgets.spend_retry(job.service):
-                return await self._open_next(job, place)
-            self._release(place)
+                return await self._open_next(job, assignment)
+            self._release(assignment)
         except errors.GivenUp:
             return None
         return None
@@ -266,7 +268,7 @@
         Raises GivenUp if it is broken and not tried again.
         """
         upstream = opened.upstream
-        job.dispatched_at_seconds = opened.place.assigned_at_seconds
+        job.dispatched_at_seconds = opened.assignment.assigned_at_seconds
         job.begun_at_seconds = None
         try:
             with self._crash_guard.watch(job, upstream) as watched:
@@ -467,9 +469,9 @@
         ):
             raise errors.GivenUp(_give_up(job))
 
-    def _release(self, place: opened_response.Place) -> None:
-        """Free the place of a request at an upstream."""
-        self._dispatcher.release(place.upstream, place.queue_id)
+    def _release(self, assignment: opened_response.Assignment) -> None:
+        """Free the slot of a request at an upstream."""
+        self._dispatcher.release(assignment.upstream, assignment.queue_id)
 
 
 def _is_closed(event: attempts.Event) -> bool:
--- a/nutmegtrail/gateway/crash_guard.py
+++ b/nutmegtrail/gateway/crash_guard.py
@@ -108,13 +108,13 @@
         if job.begun_at_seconds is None:
             job.begun_at_seconds = now
         if now - job.begun_at_seconds >= const.SETTLED_STREAM_SECONDS:
-            self._record_sound(job)
+            self._record_part_success(job)
 
     def record_success(self, job: jobs.Job) -> None:
         """Clear a request, because it ran without a crash."""
         self._quarantine.record_success(job.fingerprint)
         if not job.has_settled:
-            self._record_sound(job)
+            self._record_part_success(job)
 
     async def examine(self, job: jobs.Job, upstream: models.Upstream) -> None:
         """Find out whether an upstream that closed a connection crashed.
@@ -130,11 +130,11 @@
         """Find out in the background whether an upstream crashed."""
         self._detector.examine_later(upstream)
 
-    def _record_sound(self, job: jobs.Job) -> None:
+    def _record_part_success(self, job: jobs.Job) -> None:
         """Record that the prompt of a request does not crash upstreams."""
         job.has_settled = True
         begun_at = job.begun_at_seconds or job.dispatched_at_seconds
-        self._part_quarantine.record_sound(job.part_keys, begun_at)
+        self._part_quarantine.record_success(job.part_keys, begun_at)
 
     def _end(self, attempt: Attempt, upstream: models.Upstream) -> None:
         """Forget an attempt; without an answer, it was interrupted."""
--- a/nutmegtrail/gateway/opened_response.py
+++ b/nutmegtrail/gateway/opened_response.py
@@ -15,7 +15,7 @@
 from nutmegtrail.gateway import models
 
 
-class Place(typing.NamedTuple):
+class Assignment(typing.NamedTuple):
     """Upstream that was assigned to a request in the queue.
 
     `is_hedge` is set if another upstream runs the request, too.
@@ -41,10 +41,10 @@
     """
 
     def __init__(
-        self, place: Place, release: typing.Callable[[], None]
+        self, assignment: Assignment, release: typing.Callable[[], None]
     ) -> None:
-        """Initialize without a connection; `release` frees the place."""
-        self.place = place
+        """Initialize without a connection; `release` frees the slot."""
+        self.assignment = assignment
         self.has_sent_events = False
         self._resources = contextlib.AsyncExitStack()
         self._resources.callback(release)
@@ -56,7 +56,7 @@
     @property
     def upstream(self) -> models.Upstream:
         """Return the upstream that responds."""
-        return self.place.upstream
+        return self.assignment.upstream
 
     @property
     def has_partial_event(self) -> bool:
@@ -111,7 +111,7 @@
         return self._body
 
     async def close(self) -> None:
-        """Close the connection unless it can be reused, and free the place."""
+        """Close the connection unless it can be reused, and free the slot."""
         with anyio.CancelScope(shield=True):
             await self._resources.aclose()
 
--- a/nutmegtrail/gateway/part_quarantine.py
+++ b/nutmegtrail/gateway/part_quarantine.py
@@ -1,6 +1,6 @@
 """Quarantine of prompt parts that crash upstreams, shared by all instances.
 
-Each instance judges the marks of all by the sound requests that it has seen
+Each instance judges the marks of all by the successes that it has seen
 itself. Its verdicts are shared too, for instances that have seen too few: they
 are kept like marks, under a name that no crash has.
 """
@@ -76,11 +76,11 @@
                 self.replica.write(part, crash_id, upstream_id.encode())
                 self._metrics.increment('part_crash_marks')
 
-    def record_sound(
+    def record_success(
         self, parts: tuple[str, ...], begun_at_seconds: float
     ) -> None:
         """Record that a response on these parts was begun without a crash."""
-        self._evidence = part_evidence.record_sound(
+        self._evidence = part_evidence.record_success(
             self._evidence, parts, begun_at_seconds
         )
         for part in parts:
--- a/nutmegtrail/retries/const.py
+++ b/nutmegtrail/retries/const.py
@@ -19,12 +19,12 @@
 PART_CRASH_LIMIT: typing.Final = 3
 # Crashes from which on other parts that were marked alike excuse none.
 CERTAIN_CRASH_COUNT: typing.Final = 6
-# Sound requests of a service after which an entry knows its usual parts.
-EXPERIENCED_SOUND_COUNT: typing.Final = 20
+# Successes of a service after which an entry knows its usual parts.
+EXPERIENCED_SUCCESS_COUNT: typing.Final = 20
 # Refusal by an entry that has seen fewer; it doubles with each further crash.
 PROVISIONAL_HOLD_SECONDS: typing.Final = 8.0
-# Sound requests without a part, and none with it, that show that the part and
-# not the service is at fault.
-CONTRAST_SOUND_COUNT: typing.Final = 12
-# Bounds the memory for parts that are known to be sound.
-SOUND_PARTS_LIMIT: typing.Final = 8_192
+# Successes without a part, and none with it, that show that the part and not
+# the service is at fault.
+CONTRAST_SUCCESS_COUNT: typing.Final = 12
+# Bounds the memory for parts that have succeeded.
+KNOWN_PARTS_LIMIT: typing.Final = 8_192
--- a/nutmegtrail/retries/part_evidence.py
+++ b/nutmegtrail/retries/part_evidence.py
@@ -2,14 +2,15 @@
 
 A part that crashes upstreams crashes each one that begins to write a response
 on it. All parts of the requests that were about to begin at a crash are
-marked. A part of which a response was begun since is sound.
+marked. A part succeeds when a response on it is begun and goes on; that clears
+the marks of the crashes before.
 
 Counting marks is not enough: parts that most requests share are marked at
 every crash, and many upstreams may crash at once for another reason. So a part
-that has been sound before needs a contrast as well: requests without it that
-are sound while none with it is. Of parts that were always marked together,
-only requests with all of them are refused, unless it goes on for long. An
-entry that has seen few sound requests yet refuses for a short time only.
+that has succeeded before needs a contrast as well: requests without it succeed
+while none with it does. Of parts that were always marked together, only
+requests with all of them are refused, unless it goes on for long. An entry
+that has seen few successes yet refuses for a short time only.
 """
 
 import typing
@@ -29,16 +30,17 @@
 
 
 class Evidence(typing.NamedTuple):
-    """Marks of parts and the sound requests that this entry has seen.
+    """Marks of parts and the successful requests that this entry has seen.
 
-    `sound_count_by_service` counts sound requests. `sound_at_by_part` has the
-    time at which the last sound response on a part was begun.
-    `count_at_mark_by_part` has the count of the service at the first mark.
+    `success_count_by_service` counts successful requests.
+    `succeeded_at_by_part` has the time at which the last successful response
+    on a part was begun. `count_at_mark_by_part` has the count of the service
+    at the first mark.
     """
 
     marks: quarantine.Quarantine = quarantine.Quarantine()
-    sound_count_by_service: CountsByService = pyrsistent.pmap()
-    sound_at_by_part: TimesByPart = pyrsistent.pmap()
+    success_count_by_service: CountsByService = pyrsistent.pmap()
+    succeeded_at_by_part: TimesByPart = pyrsistent.pmap()
     count_at_mark_by_part: CountsByPart = pyrsistent.pmap()
 
 
@@ -65,11 +67,11 @@
 
     It does not count if a response on the part has been begun since.
     """
-    if evidence.sound_at_by_part.get(part, float('-inf')) > at_seconds:
+    if evidence.succeeded_at_by_part.get(part, float('-inf')) > at_seconds:
         return evidence
     counts = evidence.count_at_mark_by_part
     if part not in evidence.marks.marks_by_fingerprint:
-        counts = counts.set(part, _sound_count(evidence, part))
+        counts = counts.set(part, _success_count(evidence, part))
     marks = quarantine.mark(evidence.marks, part, crash_id, at_seconds)
     if len(counts) > 2 * const.MARKED_REQUESTS_LIMIT:
         counts = _only_marked(counts, marks)
@@ -85,37 +87,37 @@
     return evidence._replace(marks=marks, count_at_mark_by_part=counts)
 
 
-def record_sound(
+def record_success(
     evidence: Evidence, parts: tuple[str, ...], begun_at_seconds: float
 ) -> Evidence:
     """Return the evidence after a response was begun without a crash."""
     if not parts:
         return evidence
     service = _service_of(parts[0])
-    count = evidence.sound_count_by_service.get(service, 0) + 1
-    sound_at = evidence.sound_at_by_part.update(
+    count = evidence.success_count_by_service.get(service, 0) + 1
+    succeeded_at = evidence.succeeded_at_by_part.update(
         dict.fromkeys(parts, begun_at_seconds)
     )
-    if len(sound_at) > const.SOUND_PARTS_LIMIT:
-        sound_at = _without_oldest(sound_at)
+    if len(succeeded_at) > const.KNOWN_PARTS_LIMIT:
+        succeeded_at = _without_oldest(succeeded_at)
     return evidence._replace(
-        sound_count_by_service=evidence.sound_count_by_service.set(
+        success_count_by_service=evidence.success_count_by_service.set(
             service, count
         ),
-        sound_at_by_part=sound_at,
+        succeeded_at_by_part=succeeded_at,
     )
 
 
 def refuted_marks(evidence: Evidence, part: str) -> tuple[str, ...]:
     """Return the crashes of a part since which a response was begun."""
-    sound_at = evidence.sound_at_by_part.get(part, float('-inf'))
+    succeeded_at = evidence.succeeded_at_by_part.get(part, float('-inf'))
     marks = evidence.marks.marks_by_fingerprint.get(part)
     if marks is None:
         return ()
     return tuple(
         crash_id
         for crash_id, time_seconds in marks.items()
-        if time_seconds < sound_at
+        if time_seconds < succeeded_at
     )
 
 
@@ -140,11 +142,11 @@
     marks = evidence.marks.marks_by_fingerprint[part]
     last_crash_at = max(marks[crash_id] for crash_id in crashes)
     expires_at = last_crash_at + const.CRASH_MARK_TTL_SECONDS
-    if part in evidence.sound_at_by_part:
+    if part in evidence.succeeded_at_by_part:
         return _judge_known_part(evidence, part, expires_at)
     suspects = _common_suspects(evidence, crashes)
     may_be_another = not suspects.issubset(parts)
-    if _sound_count(evidence, part) >= const.EXPERIENCED_SOUND_COUNT:
+    if _success_count(evidence, part) >= const.EXPERIENCED_SUCCESS_COUNT:
         is_certain = len(crashes) >= const.CERTAIN_CRASH_COUNT
         if may_be_another and not is_certain:
             return None
@@ -161,10 +163,10 @@
 def _judge_known_part(
     evidence: Evidence, part: str, expires_at_seconds: float
 ) -> Verdict | None:
-    """Return the verdict on a part that has been sound before its crashes."""
-    sound_count = _sound_count(evidence, part)
-    count_at_mark = evidence.count_at_mark_by_part.get(part, sound_count)
-    if sound_count - count_at_mark < const.CONTRAST_SOUND_COUNT:
+    """Return the verdict on a part that has succeeded before its crashes."""
+    success_count = _success_count(evidence, part)
+    count_at_mark = evidence.count_at_mark_by_part.get(part, success_count)
+    if success_count - count_at_mark < const.CONTRAST_SUCCESS_COUNT:
         return None
     return Verdict(expires_at_seconds, is_proven=True)
 
@@ -186,7 +188,7 @@
     """Return the crashes that are attributed to a part.
 
     A crash is attributed to the parts with the most crashes among those that
-    it marked. Parts that have been sound before do not count there for one
+    it marked. Parts that have succeeded before do not count there for one
     that has not.
     """
     marks = evidence.marks.marks_by_fingerprint.get(part)
@@ -205,13 +207,13 @@
     evidence: Evidence, part: str, crash_id: str, now_seconds: float
 ) -> int:
     """Return the most crashes of another part that a crash marked."""
-    is_new = part not in evidence.sound_at_by_part
+    is_new = part not in evidence.succeeded_at_by_part
     return max(
         (
             _count(evidence, rival, now_seconds)
             for rival in evidence.marks.fingerprints_by_crash_id[crash_id]
             if rival != part
-            and not (is_new and rival in evidence.sound_at_by_part)
+            and not (is_new and rival in evidence.succeeded_at_by_part)
         ),
         default=0,
     )
@@ -222,13 +224,13 @@
 ) -> frozenset[str]:
     """Return the parts that all crashes marked and that may be at fault.
 
-    Which one of them it is cannot be told until one is sound.
+    Which one of them it is cannot be told until one succeeds.
     """
     marked = evidence.marks.fingerprints_by_crash_id
     common = frozenset.intersection(
         *(frozenset(marked[crash_id]) for crash_id in crashes)
     )
-    return common.difference(evidence.sound_at_by_part)
+    return common.difference(evidence.succeeded_at_by_part)
 
 
 def _count(evidence: Evidence, part: str, now_seconds: float) -> int:
@@ -244,9 +246,9 @@
     return time_seconds < now_seconds - const.CRASH_MARK_TTL_SECONDS
 
 
-def _sound_count(evidence: Evidence, part: str) -> int:
-    """Return the number of sound requests of a part's service."""
-    return evidence.sound_count_by_service.get(_service_of(part), 0)
+def _success_count(evidence: Evidence, part: str) -> int:
+    """Return the number of successful requests of a part's service."""
+    return evidence.success_count_by_service.get(_service_of(part), 0)
 
 
 def _service_of(part: str) -> str:
@@ -267,8 +269,8 @@
     )
 
 
-def _without_oldest(sound_at: TimesByPart) -> TimesByPart:
+def _without_oldest(succeeded_at: TimesByPart) -> TimesByPart:
     """Return the times without the oldest ones, several at once."""
-    ordered = sorted(sound_at, key=sound_at.__getitem__, reverse=True)
-    kept = ordered[: const.SOUND_PARTS_LIMIT - const.EVICTED_REQUESTS]
-    return pyrsistent.pmap({part: sound_at[part] for part in kept})
+    ordered = sorted(succeeded_at, key=succeeded_at.__getitem__, reverse=True)
+    kept = ordered[: const.KNOWN_PARTS_LIMIT - const.EVICTED_REQUESTS]
+    return pyrsistent.pmap({part: succeeded_at[part] for part in kept})
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -52,7 +52,7 @@
 class CrashGuardTest(testtools.TestCase):
     """A guard with a quarantine and a recording detector."""
 
-    def _run(self, *jobs, sound_count=0):
+    def _run(self, *jobs, success_count=0):
         """Run attempts of jobs until `bad` is quarantined.
 
         Return the names of those that were cancelled.
@@ -75,8 +75,8 @@
                 for job in jobs:
                     tasks.start_soon(_attempt, job)
                 await anyio.sleep(1)
-                for _ in range(sound_count):
-                    parts.record_sound((_GOOD_PART,), anyio.current_time())
+                for _ in range(success_count):
+                    parts.record_success((_GOOD_PART,), anyio.current_time())
                 for number in range(const.CRASH_LIMIT):
                     quarantine.mark('bad', f'c{number}', 'a')
                     parts.mark((_BAD_PART,), f'c{number}', 'a', 1)
@@ -119,7 +119,7 @@
         self._run(
             _job('bad', 'new', (_GOOD_PART, _BAD_PART)),
             _job('good', 'other', (_GOOD_PART,)),
-            sound_count=retry_const.EXPERIENCED_SOUND_COUNT,
+            success_count=retry_const.EXPERIENCED_SUCCESS_COUNT,
         )
         self.assertEqual(
             [attempts.GiveUp(attempts.Outcome.QUARANTINED), None],
@@ -131,7 +131,7 @@
         cancelled = self._run(
             _job('bad', 'new', (_GOOD_PART, _BAD_PART)),
             _job('good', 'other', (_GOOD_PART,)),
-            sound_count=retry_const.EXPERIENCED_SOUND_COUNT,
+            success_count=retry_const.EXPERIENCED_SUCCESS_COUNT,
         )
         self.assertEqual(['bad'], cancelled)
 
--- a/tests/gateway/test_part_quarantine.py
+++ b/tests/gateway/test_part_quarantine.py
@@ -39,9 +39,9 @@
         return entry
 
     def _gain_experience(self, entry):
-        """Let an entry see sound requests with the first part."""
-        for _ in range(retry_const.EXPERIENCED_SOUND_COUNT):
-            entry.record_sound((_FIRST,), anyio.current_time())
+        """Let an entry see successes with the first part."""
+        for _ in range(retry_const.EXPERIENCED_SUCCESS_COUNT):
+            entry.record_success((_FIRST,), anyio.current_time())
 
     def _crash(self, count=retry_const.PART_CRASH_LIMIT):
         """Mark both parts at crashes, at both entries in turn."""
@@ -65,14 +65,14 @@
 
         self._run(_scenario)
 
-    def test_sound_response_clears_a_part_everywhere(self):
+    def test_success_clears_a_part_everywhere(self):
         """A part that is begun without a crash is no longer refused."""
 
         async def _scenario():
             self._gain_experience(self.entries[0])
             self._crash()
             await anyio.sleep(1)
-            self.entries[1].record_sound((_BAD,), anyio.current_time())
+            self.entries[1].record_success((_BAD,), anyio.current_time())
             await anyio.sleep(1)
             for entry in self.entries:
                 self.assertEqual(0, entry.remaining_seconds((_BAD,)))
@@ -90,7 +90,7 @@
             await anyio.sleep(1)
             self._crash()
             await anyio.sleep(1)
-            self.entries[0].record_sound((_BAD,), begun_at)
+            self.entries[0].record_success((_BAD,), begun_at)
             self.assertTrue(self.entries[0].remaining_seconds((_BAD,)) > 60)
 
         self._run(_scenario)
--- a/tests/retries/test_part_evidence.py
+++ b/tests/retries/test_part_evidence.py
@@ -24,7 +24,7 @@
 
 
 class PartEvidenceTest(testtools.TestCase):
-    """Marks and sound requests at one entry."""
+    """Marks and successes at one entry."""
 
     def setUp(self):
         """Start without evidence."""
@@ -41,12 +41,12 @@
                         self.evidence, key, crash_id, self.now
                     )
 
-    def _sound(self, *requests, count=1):
-        """Record sound requests with these parts, begun a second later."""
+    def _succeed(self, *requests, count=1):
+        """Record successes with these parts, begun a second later."""
         self.now += 1
         for _ in range(count):
             for parts in requests:
-                self.evidence = part_evidence.record_sound(
+                self.evidence = part_evidence.record_success(
                     self.evidence, _keys(parts), self.now
                 )
         for part in tuple(self.evidence.marks.marks_by_fingerprint):
@@ -69,8 +69,8 @@
         return verdict is not None and verdict.expires_at_seconds > self.now
 
     def test_new_part(self):
-        """A part that was never sound is refused after its crashes."""
-        self._sound('p', count=const.EXPERIENCED_SOUND_COUNT)
+        """A part that never succeeded is refused after its crashes."""
+        self._succeed('p', count=const.EXPERIENCED_SUCCESS_COUNT)
         self._crash('px', names=_CRASHES[:-1])
         self.assertFalse(self._is_refused('px'))
         self._crash('px')
@@ -79,7 +79,7 @@
 
     def test_popular_part_at_each_crash(self):
         """A part that most requests share is not blamed beside a new one."""
-        self._sound('p', 'pm', count=const.EXPERIENCED_SOUND_COUNT)
+        self._succeed('p', 'pm', count=const.EXPERIENCED_SUCCESS_COUNT)
         for number in range(9):
             self._crash('px', 'pm', names=(f'n{number}',))
         self.assertTrue(self._is_refused('px'))
@@ -87,7 +87,7 @@
 
     def test_new_part_beside_another_new_one(self):
         """Another part at each crash does not excuse a part for ever."""
-        self._sound('p', count=const.EXPERIENCED_SOUND_COUNT)
+        self._succeed('p', count=const.EXPERIENCED_SUCCESS_COUNT)
         for number in range(const.CERTAIN_CRASH_COUNT):
             self.assertFalse(self._is_refused('px'))
             self._crash('px', 'pm', names=(f'n{number}',))
@@ -96,36 +96,36 @@
 
     def test_many_crashes_at_once(self):
         """Upstreams that crash for another reason blame no popular part."""
-        self._sound('p', 'q', count=const.EXPERIENCED_SOUND_COUNT)
+        self._succeed('p', 'q', count=const.EXPERIENCED_SUCCESS_COUNT)
         self._crash('p', names=[f'n{number}' for number in range(30)])
         self.assertFalse(self._is_refused('p'))
-        self._sound('p')
-        self._sound('q', count=const.CONTRAST_SOUND_COUNT)
+        self._succeed('p')
+        self._succeed('q', count=const.CONTRAST_SUCCESS_COUNT)
         self.assertFalse(self._is_refused('p'))
 
     def test_new_part_after_many_crashes_at_once(self):
         """Marks of a popular part from other crashes excuse no new part."""
-        self._sound('p', count=const.EXPERIENCED_SOUND_COUNT)
+        self._succeed('p', count=const.EXPERIENCED_SUCCESS_COUNT)
         self._crash('p', names=[f'n{number}' for number in range(9)])
         self._crash('px')
         self.assertTrue(self._is_refused('px'))
         self.assertFalse(self._is_refused('p'))
 
-    def test_part_that_was_sound_before(self):
-        """A known part is refused once only requests without it are sound."""
-        self._sound('px', 'p', count=const.EXPERIENCED_SOUND_COUNT)
+    def test_part_that_succeeded_before(self):
+        """A known part is refused once only requests without it succeed."""
+        self._succeed('px', 'p', count=const.EXPERIENCED_SUCCESS_COUNT)
         self._crash('px')
         self.assertFalse(self._is_refused('px'))
-        self._sound('p', count=const.CONTRAST_SOUND_COUNT)
+        self._succeed('p', count=const.CONTRAST_SUCCESS_COUNT)
         self.assertTrue(self._verdict('x').is_proven)
         self.assertFalse(self._is_refused('p'))
 
-    def test_sound_requests_of_another_service(self):
+    def test_successes_of_another_service(self):
         """They say nothing about the parts of this one."""
-        self._sound('p')
+        self._succeed('p')
         self._crash('p')
-        for _ in range(2 * const.EXPERIENCED_SOUND_COUNT):
-            self.evidence = part_evidence.record_sound(
+        for _ in range(2 * const.EXPERIENCED_SUCCESS_COUNT):
+            self.evidence = part_evidence.record_success(
                 self.evidence, (_key('p', 'other'),), self.now
             )
         self.assertFalse(self._is_refused('p'))
@@ -144,17 +144,17 @@
         self.assertTrue(self._is_refused('px'))
 
     def test_suspects_are_told_apart(self):
-        """A suspect that is sound leaves the other one as proven."""
-        self._sound('r', count=const.EXPERIENCED_SOUND_COUNT)
+        """A suspect that succeeds leaves the other one as proven."""
+        self._succeed('r', count=const.EXPERIENCED_SUCCESS_COUNT)
         self._crash('px')
         self.assertFalse(self._verdict('px').is_proven)
-        self._sound('p')
+        self._succeed('p')
         self.assertTrue(self._verdict('qx').is_proven)
 
-    def test_mark_after_a_sound_response(self):
-        """A crash that is known late does not blame a part sound since."""
+    def test_mark_after_a_success(self):
+        """A crash that is known late does not blame a part that succeeded since."""
         interrupted_at = self.now
-        self._sound('p')
+        self._succeed('p')
         evidence = part_evidence.mark(
             self.evidence, _key('p'), 'c0', interrupted_at
         )
@@ -162,7 +162,7 @@
 
     def test_expiry(self):
         """Marks and the counts beside them are forgotten."""
-        self._sound('p', count=const.EXPERIENCED_SOUND_COUNT)
+        self._succeed('p', count=const.EXPERIENCED_SUCCESS_COUNT)
         self._crash('px')
         self.now += const.CRASH_MARK_TTL_SECONDS + 1
         self.assertFalse(self._is_refused('px'))
@@ -172,20 +172,20 @@
 
     def test_bounded_memory(self):
         """Many parts do not push out one with many crashes."""
-        self._sound('p', count=const.EXPERIENCED_SOUND_COUNT)
+        self._succeed('p', count=const.EXPERIENCED_SUCCESS_COUNT)
         self._crash('x')
-        for number in range(const.SOUND_PARTS_LIMIT + 9):
+        for number in range(const.KNOWN_PARTS_LIMIT + 9):
             self.now += 0.001
             key = _key(f'm{number}')
             self.evidence = part_evidence.mark(
                 self.evidence, key, f'm{number}', self.now
             )
-            self.evidence = part_evidence.record_sound(
+            self.evidence = part_evidence.record_success(
                 self.evidence, (_key(f's{number}'),), self.now
             )
         self.assertTrue(self._is_refused('x'))
         for records, limit in (
-            (self.evidence.sound_at_by_part, const.SOUND_PARTS_LIMIT),
+            (self.evidence.succeeded_at_by_part, const.KNOWN_PARTS_LIMIT),
             (
                 self.evidence.marks.marks_by_fingerprint,
                 const.MARKED_REQUESTS_LIMIT,
@@ -201,19 +201,19 @@
     @hypothesis.given(
         strategies.lists(
             strategies.tuples(
-                strategies.sampled_from(('crash', 'sound')),
+                strategies.sampled_from(('crash', 'success')),
                 strategies.sampled_from(('p', 'pm', 'pn', 'q', 'qm', 'x')),
             ),
             max_size=60,
         )
     )
-    def test_sound_requests_are_served(self, steps):
-        """Whatever happened before, a request sound since is not refused."""
+    def test_successful_requests_are_served(self, steps):
+        """Whatever happened before, a request that succeeded since is not refused."""
         self.evidence = part_evidence.Evidence()
         for number, (step, parts) in enumerate(steps):
             self.now += 1
             if step == 'crash':
                 self._crash(parts, names=(f'n{number}',))
             else:
-                self._sound(parts)
+                self._succeed(parts)
                 self.assertFalse(self._is_refused(parts), steps[:number])
