Do not count successes of a part as contrast to it

Callers: after crashes under load all requests that share a part, the first one of all prompts for example, were refused for ten minutes.

Cause: a part that has succeeded before is refused if requests of its service succeed while none with it does. Successes with the part that were begun before the crash refute no mark, rightly, but were counted as such a contrast.

A success of a part raises the count that its contrast is measured from. Test: test_successes_begun_before_the_crashes, which failed before.

--- a/nutmegtrail/retries/part_evidence.py
+++ b/nutmegtrail/retries/part_evidence.py
@@ -35,7 +35,7 @@
     `success_count_by_service` counts successful requests.
     `succeeded_at_by_part` has the time at which the last successful response
     on a part was begun. `count_at_mark_by_part` has the count of the service
-    at the first mark.
+    at the first mark, and the successes of the part since.
     """
 
     marks: quarantine.Quarantine = quarantine.Quarantine()
@@ -100,7 +100,12 @@
     )
     if len(succeeded_at) > const.KNOWN_PARTS_LIMIT:
         succeeded_at = _without_oldest(succeeded_at)
+    # A success of a part is no contrast to it, also if it was begun before
+    # the crash and refutes nothing.
+    counts = evidence.count_at_mark_by_part
+    own_counts = {part: counts[part] + 1 for part in parts if part in counts}
     return evidence._replace(
+        count_at_mark_by_part=counts.update(own_counts),
         success_count_by_service=evidence.success_count_by_service.set(
             service, count
         ),
--- a/tests/retries/test_part_evidence.py
+++ b/tests/retries/test_part_evidence.py
@@ -120,6 +120,23 @@
         self.assertTrue(self._verdict('x').is_proven)
         self.assertFalse(self._is_refused('p'))
 
+    def test_successes_begun_before_the_crashes(self):
+        """They are no contrast to a part that they have themselves.
+
+        A part that all requests share was refused when many of them ended
+        well after crashes that they had been begun before.
+        """
+        self._succeed('p', count=const.EXPERIENCED_SUCCESS_COUNT)
+        begun_at = self.now
+        self.now += 1
+        self._crash('px')
+        for _ in range(2 * const.CONTRAST_SUCCESS_COUNT):
+            self.evidence = part_evidence.record_success(
+                self.evidence, _keys('p'), begun_at
+            )
+        self.assertFalse(self._is_refused('p'))
+        self.assertTrue(self._is_refused('px'))
+
     def test_successes_of_another_service(self):
         """They say nothing about the parts of this one."""
         self._succeed('p')
