Attribute crashes to requests and prompt parts by one rule

The evidence on parts counted marks, expiry and rivals with functions of its own, twins of those of the quarantine. quarantine.attributed_crashes serves both; it takes those that are cleared, which count for none. The part quarantine lists its marks with quarantine.all_marks, too.

--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -230,7 +230,7 @@
     Guard(
         'crash attributed to those with the most crashes only',
         _QUARANTINE,
-        'and _highest_count(quarantine, crash_id, now_seconds) <= count',
+        'and _highest_count(quarantine, crash_id, now_seconds, cleared) <= count',
         'and True',
         'tests/retries',
     ),
@@ -304,8 +304,8 @@
     Guard(
         'parts known to be sound do not count for a new one',
         _PART_EVIDENCE,
-        'and not (is_new and rival in evidence.succeeded_at_by_part)',
-        'and True',
+        'cleared = evidence.succeeded_at_by_part',
+        'cleared = ()',
         _PART_TESTS,
     ),
     Guard(
--- a/nutmegtrail/gateway/part_quarantine.py
+++ b/nutmegtrail/gateway/part_quarantine.py
@@ -16,6 +16,7 @@
 from nutmegtrail.ports import key_value
 from nutmegtrail.retries import const as retry_const
 from nutmegtrail.retries import part_evidence
+from nutmegtrail.retries import quarantine
 
 _MARK_PREFIX: typing.Final = f'{shared_const.KEY_VALUE_PREFIX}part-crashes/'
 _VERDICT_ID: typing.Final = 'quarantined'
@@ -130,9 +131,7 @@
 
     def marks(self) -> typing.Iterable[tuple[str, str]]:
         """Return the part and the crash of each mark, and the verdicts."""
-        for part, marks in self._evidence.marks.marks_by_fingerprint.items():
-            for crash_id in marks:
-                yield part, crash_id
+        yield from quarantine.all_marks(self._evidence.marks)
         for part in self._quarantined_at_by_part:
             yield part, _VERDICT_ID
 
--- a/nutmegtrail/retries/part_evidence.py
+++ b/nutmegtrail/retries/part_evidence.py
@@ -144,8 +144,7 @@
     crashes = _attributed_crashes(evidence, part, now_seconds)
     if len(crashes) < const.PART_CRASH_LIMIT:
         return None
-    marks = evidence.marks.marks_by_fingerprint[part]
-    last_crash_at = max(marks[crash_id] for crash_id in crashes)
+    last_crash_at = max(crashes.values())
     expires_at = last_crash_at + const.CRASH_MARK_TTL_SECONDS
     if part in evidence.succeeded_at_by_part:
         return _judge_known_part(evidence, part, expires_at)
@@ -189,43 +188,21 @@
 
 def _attributed_crashes(
     evidence: Evidence, part: str, now_seconds: float
-) -> tuple[str, ...]:
-    """Return the crashes that are attributed to a part.
+) -> dict[str, float]:
+    """Return the times of the crashes attributed to a part, by crash.
 
-    A crash is attributed to the parts with the most crashes among those that
-    it marked. Parts that have succeeded before do not count there for one
-    that has not.
+    Parts that have succeeded before excuse none that has not.
     """
-    marks = evidence.marks.marks_by_fingerprint.get(part)
-    if marks is None:
-        return ()
-    count = _count(evidence, part, now_seconds)
-    return tuple(
-        crash_id
-        for crash_id, time_seconds in marks.items()
-        if not _is_expired(time_seconds, now_seconds)
-        and _highest_rival(evidence, part, crash_id, now_seconds) <= count
-    )
-
-
-def _highest_rival(
-    evidence: Evidence, part: str, crash_id: str, now_seconds: float
-) -> int:
-    """Return the most crashes of another part that a crash marked."""
-    is_new = part not in evidence.succeeded_at_by_part
-    return max(
-        (
-            _count(evidence, rival, now_seconds)
-            for rival in evidence.marks.fingerprints_by_crash_id[crash_id]
-            if rival != part
-            and not (is_new and rival in evidence.succeeded_at_by_part)
-        ),
-        default=0,
+    cleared: typing.Container[str] = ()
+    if part not in evidence.succeeded_at_by_part:
+        cleared = evidence.succeeded_at_by_part
+    return quarantine.attributed_crashes(
+        evidence.marks, part, now_seconds, cleared
     )
 
 
 def _common_suspects(
-    evidence: Evidence, crashes: tuple[str, ...]
+    evidence: Evidence, crashes: typing.Iterable[str]
 ) -> frozenset[str]:
     """Return the parts that all crashes marked and that may be at fault.
 
@@ -238,19 +215,6 @@
     return common.difference(evidence.succeeded_at_by_part)
 
 
-def _count(evidence: Evidence, part: str, now_seconds: float) -> int:
-    """Return the number of marks of a part that have not expired."""
-    return sum(
-        not _is_expired(time_seconds, now_seconds)
-        for time_seconds in evidence.marks.marks_by_fingerprint[part].values()
-    )
-
-
-def _is_expired(time_seconds: float, now_seconds: float) -> bool:
-    """Return whether a mark of this time has expired."""
-    return time_seconds < now_seconds - const.CRASH_MARK_TTL_SECONDS
-
-
 def _success_count(evidence: Evidence, part: str) -> int:
     """Return the number of successful requests of a part's service."""
     return evidence.success_count_by_service.get(_service_of(part), 0)
--- a/nutmegtrail/retries/quarantine.py
+++ b/nutmegtrail/retries/quarantine.py
@@ -134,19 +134,32 @@
     quarantine: Quarantine, request_fingerprint: str, now_seconds: float
 ) -> tuple[float, ...]:
     """Return the ascending times of the crashes attributed to a request."""
+    crashes = attributed_crashes(quarantine, request_fingerprint, now_seconds)
+    return tuple(sorted(crashes.values()))
+
+
+def attributed_crashes(
+    quarantine: Quarantine,
+    request_fingerprint: str,
+    now_seconds: float,
+    cleared: typing.Container[str] = (),
+) -> dict[str, float]:
+    """Return the times of the crashes attributed to a request, by crash.
+
+    A crash is attributed to those with the most crashes of all that it
+    marked. Those that are cleared do not count there.
+    """
     marks = quarantine.marks_by_fingerprint.get(request_fingerprint)
     if marks is None:
-        return ()
+        return {}
     expired_ids = _expired_ids(marks, now_seconds)
     count = len(marks) - len(expired_ids)
-    return tuple(
-        sorted(
-            time_seconds
-            for crash_id, time_seconds in marks.items()
-            if crash_id not in expired_ids
-            and _highest_count(quarantine, crash_id, now_seconds) <= count
-        )
-    )
+    return {
+        crash_id: time_seconds
+        for crash_id, time_seconds in marks.items()
+        if crash_id not in expired_ids
+        and _highest_count(quarantine, crash_id, now_seconds, cleared) <= count
+    }
 
 
 def remove_expired(quarantine: Quarantine, now_seconds: float) -> Quarantine:
@@ -158,7 +171,10 @@
 
 
 def _highest_count(
-    quarantine: Quarantine, crash_id: str, now_seconds: float
+    quarantine: Quarantine,
+    crash_id: str,
+    now_seconds: float,
+    cleared: typing.Container[str],
 ) -> int:
     """Return the most crashes of any request that a crash interrupted."""
     marks_by_fingerprint = quarantine.marks_by_fingerprint
@@ -168,6 +184,7 @@
             _expired_ids(marks_by_fingerprint[request_fingerprint], now_seconds)
         )
         for request_fingerprint in quarantine.fingerprints_by_crash_id[crash_id]
+        if request_fingerprint not in cleared
     )
 
 
