Eject and restore upstreams in one place each

The block for an ejection stood twice and that for a recovery twice; the silence of streams had brought the second ones. _eject and record_recovery serve all.

--- a/nutmegtrail/gateway/health_recorder.py
+++ b/nutmegtrail/gateway/health_recorder.py
@@ -48,20 +48,14 @@
         No event means success. A `Failed` event counts as success too, since
         the upstream did respond.
         """
-        upstream_health = self._dispatcher.upstream_health
         if event is None or isinstance(event, attempts.Failed):
-            upstream_health = health.record_success(
-                upstream_health, upstream.upstream_id
-            )
-            upstream_health = health.record_success(
-                upstream_health, upstream.group_name
-            )
-        else:
-            now = anyio.current_time()
-            upstream_health = health.record_failure(
-                upstream_health, upstream.upstream_id, now
-            )
-        self._dispatcher.upstream_health = upstream_health
+            self.record_recovery(upstream)
+            return
+        self._dispatcher.upstream_health = health.record_failure(
+            self._dispatcher.upstream_health,
+            upstream.upstream_id,
+            anyio.current_time(),
+        )
 
     def eject_blocked_group(
         self,
@@ -76,12 +70,7 @@
     def eject_group(self, upstream: models.Upstream) -> None:
         """Eject an upstream together with its rank group for some time."""
         logs.decision('upstream:group-left-out', group=upstream.group_name)
-        self._dispatcher.upstream_health = health.record_failure(
-            self._dispatcher.upstream_health,
-            upstream.group_name,
-            anyio.current_time(),
-            failures_to_eject=1,
-        )
+        self._eject(upstream.group_name)
 
     def eject_silent(self, upstream: models.Upstream) -> None:
         """Eject an upstream whose stream is silent.
@@ -89,23 +78,17 @@
         Ranks of a group run in lock-step, so that the whole group is ejected
         if none of its streams goes on.
         """
-        now = anyio.current_time()
-        spoke_at = health.last_latency_at(
+        silent_seconds = anyio.current_time() - health.last_latency_at(
             self._dispatcher.upstream_health, upstream.group_name
         )
-        if now - spoke_at >= const.STREAM_IDLE_TIMEOUT_SECONDS:
+        if silent_seconds >= const.STREAM_IDLE_TIMEOUT_SECONDS:
             self.eject_group(upstream)
             return
         logs.decision('upstream:left-out', upstream=upstream.upstream_id)
-        self._dispatcher.upstream_health = health.record_failure(
-            self._dispatcher.upstream_health,
-            upstream.upstream_id,
-            now,
-            failures_to_eject=1,
-        )
+        self._eject(upstream.upstream_id)
 
     def record_recovery(self, upstream: models.Upstream) -> None:
-        """End the ejection of an upstream that was silent and goes on."""
+        """End the ejection of an upstream, and of its group, that responds."""
         upstream_health = self._dispatcher.upstream_health
         for name in (upstream.upstream_id, upstream.group_name):
             upstream_health = health.record_success(upstream_health, name)
@@ -151,3 +134,12 @@
                 max(self._dispatcher.previous_load(group), ranks),
                 anyio.current_time(),
             )
+
+    def _eject(self, name: str) -> None:
+        """Eject an upstream or a rank group at its first failure."""
+        self._dispatcher.upstream_health = health.record_failure(
+            self._dispatcher.upstream_health,
+            name,
+            anyio.current_time(),
+            failures_to_eject=1,
+        )
