Split resumed streams from the limit of the queue plainly

The order was sorted once more to number those that the limit concerns, though it has resumed streams first already.

--- a/nutmegtrail/gateway/request_queue.py
+++ b/nutmegtrail/gateway/request_queue.py
@@ -132,13 +132,9 @@
         and _first_available(request, available_from_by_id, first_available)
         < request.latest_start_seconds
     ]
-    kept_ids = {
-        request.request_id
-        for number, request in enumerate(
-            sorted(viable, key=lambda request: request.is_resumed)
-        )
-        if request.is_resumed or number < limit
-    }
+    resumed = [request for request in viable if request.is_resumed]
+    others = [request for request in viable if not request.is_resumed]
+    kept_ids = {request.request_id for request in (*resumed, *others[:limit])}
     refused_ids = tuple(
         request.request_id
         for request in ordered
