--- a/nutmegtrail/gateway/events.py
+++ b/nutmegtrail/gateway/events.py
@@ -72,12 +72,16 @@
     """Return the numeric ID of an event, None if it has none."""
     for line in event.split(b'\n'):
         if line.startswith(_ID_FIELD):
-            text = line[len(_ID_FIELD) :].strip()
-            is_number = text.isdigit() and len(text) <= _ID_DIGITS_LIMIT
-            return int(text) if is_number else None
+            return parse_number(line[len(_ID_FIELD) :].strip())
     return None
 
 
+def parse_number(text: bytes) -> int | None:
+    """Return the number of an event, None if the text is not one."""
+    is_number = text.isdigit() and len(text) <= _ID_DIGITS_LIMIT
+    return int(text) if is_number else None
+
+
 def select_new_events(
     position: Position, events: tuple[bytes, ...]
 ) -> NewEvents:
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -34,8 +34,6 @@
 
 # HTTP headers, in lower case.
 REQUEST_ID_HEADER: typing.Final = b'x-nutmegtrail-request-id'
-# Longer numbers of events exceed 64 bits.
-EVENT_DIGITS_LIMIT: typing.Final = 18
 # Lists the parts of the prompt as ID:TOKENS, the first one first.
 PROMPT_PARTS_HEADER: typing.Final = b'x-nutmegtrail-prompt-prefix'
 # Bounds the work for a request with an absurd number of parts.
--- a/nutmegtrail/platform/headers.py
+++ b/nutmegtrail/platform/headers.py
@@ -8,6 +8,7 @@
 from nutmegtrail import const as shared_const
 from nutmegtrail.adapters.http1 import messages
 from nutmegtrail.gateway import errors
+from nutmegtrail.gateway import events
 from nutmegtrail.gateway import models
 from nutmegtrail.observability import logs
 from nutmegtrail.platform import const
@@ -46,7 +47,7 @@
                 'latin-1'
             ),
             _to_seconds(deadline),
-            _to_event_number(last_event),
+            events.parse_number(last_event),
             _shared_parts(
                 messages.find_header(headers, const.PROMPT_PARTS_HEADER)
             ),
@@ -187,12 +188,6 @@
     return tuple(distinct_names)[: const.PROMPT_PARTS_LIMIT]
 
 
-def _to_event_number(text: bytes) -> int | None:
-    """Return the number of an event, None if it is not one."""
-    is_number = text.isdigit() and len(text) <= const.EVENT_DIGITS_LIMIT
-    return int(text) if is_number else None
-
-
 def _to_seconds(milliseconds: bytes) -> float | None:
     """Convert milliseconds in a header to seconds, None if not a number."""
     try:
