Import anyio.lowlevel like the other modules of anyio

Behaviour is unchanged: tests of gateway, adapters, headers and hostile input pass as they are (275 passed), formatter, linter and types are clean.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -6,7 +6,7 @@
 
 import anyio
 import anyio.abc
-from anyio import lowlevel
+import anyio.lowlevel
 
 from nutmegtrail import const as shared_const
 from nutmegtrail import models
@@ -98,7 +98,7 @@
         If it is cancelled before it sends them, the response has not started
         and the handler can send another one.
         """
-        await lowlevel.checkpoint_if_cancelled()
+        await anyio.lowlevel.checkpoint_if_cancelled()
         self.has_started = True
         await self._send(payload)
 
