Move expert balancing into a folder of its own

The modules that turn a popularity shift into a new expert map (balancer, popularity, groups, executor, recovery, leadership) were spread over the flat folder of the gateway. They move with their constants and tests; no behaviour changes.

--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -187,8 +187,12 @@
 )
 
 
-_SWITCH_RECOVERY: typing.Final = 'nutmegtrail/gateway/switch_recovery.py'
-_EXPERT_BALANCER_TESTS: typing.Final = 'tests/gateway/test_expert_balancer.py'
+_SWITCH_RECOVERY: typing.Final = (
+    'nutmegtrail/expert_balancing/switch_recovery.py'
+)
+_EXPERT_BALANCER_TESTS: typing.Final = (
+    'tests/expert_balancing/test_expert_balancer.py'
+)
 _SWITCH_RECOVERY_GUARDS: typing.Final = (
     Guard(
         'ranks fenced off before the reports are read',
@@ -213,7 +217,7 @@
     ),
     Guard(
         'recovery of a group in which a rank refused an order',
-        'nutmegtrail/gateway/expert_balancer.py',
+        'nutmegtrail/expert_balancing/expert_balancer.py',
         'self._switch_recovery.mark_for_recovery(group)',
         'pass',
         _EXPERT_BALANCER_TESTS,
--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -6,19 +6,19 @@
 
 from nutmegtrail import const as shared_const
 from nutmegtrail import models
+from nutmegtrail.expert_balancing import const as balancing_const
+from nutmegtrail.expert_balancing import expert_balancer
+from nutmegtrail.expert_balancing import leader_lease
+from nutmegtrail.expert_balancing import pacer
 from nutmegtrail.gateway import attempt_runner
-from nutmegtrail.gateway import const as gateway_const
 from nutmegtrail.gateway import crash_detector
 from nutmegtrail.gateway import crash_guard
 from nutmegtrail.gateway import crash_quarantine
 from nutmegtrail.gateway import daemon
 from nutmegtrail.gateway import dispatcher as dispatching
-from nutmegtrail.gateway import expert_balancer
 from nutmegtrail.gateway import gossip as gossiping
-from nutmegtrail.gateway import leader_lease
 from nutmegtrail.gateway import limit_prober
 from nutmegtrail.gateway import mark_replica
-from nutmegtrail.gateway import pacer
 from nutmegtrail.gateway import part_quarantine
 from nutmegtrail.gateway import request_handler as request_handlers
 from nutmegtrail.gateway import retry_budget
@@ -175,7 +175,7 @@
         link.megabits_per_second * shared_const.BYTES_PER_MEGABIT
     )
     return pacer.Pacer(
-        link_bytes_per_second * gateway_const.ORDER_BANDWIDTH_RATIO
+        link_bytes_per_second * balancing_const.ORDER_BANDWIDTH_RATIO
     )
 
 
--- a/nutmegtrail/gateway/expert_balancer.py
+++ b/nutmegtrail/expert_balancing/expert_balancer.py
@@ -4,19 +4,19 @@
 
 import anyio
 
+from nutmegtrail.expert_balancing import const
+from nutmegtrail.expert_balancing import leader_lease
+from nutmegtrail.expert_balancing import pacer as pacing
+from nutmegtrail.expert_balancing import popularity
+from nutmegtrail.expert_balancing import rank_groups
+from nutmegtrail.expert_balancing import switch_executor
+from nutmegtrail.expert_balancing import switch_recovery
 from nutmegtrail.expert_map import layer_placement
 from nutmegtrail.expert_map import switch as switches
-from nutmegtrail.gateway import const
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import fleet
-from nutmegtrail.gateway import leader_lease
 from nutmegtrail.gateway import models
-from nutmegtrail.gateway import pacer as pacing
-from nutmegtrail.gateway import popularity
-from nutmegtrail.gateway import rank_groups
 from nutmegtrail.gateway import request_counts
-from nutmegtrail.gateway import switch_executor
-from nutmegtrail.gateway import switch_recovery
 from nutmegtrail.observability import logs
 from nutmegtrail.observability import metrics
 from nutmegtrail.ports import rank_control
--- a/nutmegtrail/gateway/leader_lease.py
+++ b/nutmegtrail/expert_balancing/leader_lease.py
@@ -4,8 +4,8 @@
 
 import anyio
 
-from nutmegtrail.gateway import const
-from nutmegtrail.gateway import leadership
+from nutmegtrail.expert_balancing import const
+from nutmegtrail.expert_balancing import leadership
 from nutmegtrail.observability import logs
 from nutmegtrail.ports import key_value
 from nutmegtrail.ports import watched_store
--- a/nutmegtrail/gateway/popularity.py
+++ b/nutmegtrail/expert_balancing/popularity.py
@@ -2,8 +2,8 @@
 
 import typing
 
+from nutmegtrail.expert_balancing import const
 from nutmegtrail.expert_map import layer_placement
-from nutmegtrail.gateway import const
 
 
 class Reading(typing.NamedTuple):
--- a/nutmegtrail/gateway/rank_groups.py
+++ b/nutmegtrail/expert_balancing/rank_groups.py
@@ -4,8 +4,8 @@
 
 import anyio
 
+from nutmegtrail.expert_balancing import const
 from nutmegtrail.expert_map import layer_placement
-from nutmegtrail.gateway import const
 from nutmegtrail.gateway import models
 from nutmegtrail.ports import rank_control
 
--- a/nutmegtrail/gateway/switch_executor.py
+++ b/nutmegtrail/expert_balancing/switch_executor.py
@@ -6,13 +6,13 @@
 import anyio
 import anyio.abc
 
+from nutmegtrail.expert_balancing import const
+from nutmegtrail.expert_balancing import leader_lease
+from nutmegtrail.expert_balancing import pacer as pacing
+from nutmegtrail.expert_balancing import rank_groups
 from nutmegtrail.expert_map import layer_placement
 from nutmegtrail.expert_map import switch as switches
-from nutmegtrail.gateway import const
-from nutmegtrail.gateway import leader_lease
 from nutmegtrail.gateway import models
-from nutmegtrail.gateway import pacer as pacing
-from nutmegtrail.gateway import rank_groups
 from nutmegtrail.observability import logs
 from nutmegtrail.ports import rank_control
 
--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -156,58 +156,6 @@
 # Time that remains of the grace period when the last requests are cancelled.
 STOP_MARGIN_SECONDS: typing.Final = 0.4
 
-# If the leader dies, a rank group that it holds waits until the lease expires.
-LEADER_TTL_SECONDS: typing.Final = 1
-LEADER_RENEWAL_INTERVAL_SECONDS: typing.Final = 0.3
-# Random delay before an entry tries to become the leader; a few times the
-# duration of a call to the store.
-LEADER_JITTER_SECONDS: typing.Final = 0.05
-
-LEADERSHIP_CHECK_INTERVAL_SECONDS: typing.Final = 0.1
-MAP_INTERVAL_SECONDS: typing.Final = 0.5
-# Share of the network link that orders may take from the callers' streams.
-ORDER_BANDWIDTH_RATIO: typing.Final = 0.25
-# In the map of an order, an expert is a number of up to three digits and a
-# comma.
-BYTES_PER_PLACED_EXPERT: typing.Final = 4
-# One rank in this many is sampled, because all groups get similar requests.
-# At least two are sampled, so that the leader still gets data while one of
-# them restarts.
-RANKS_PER_SAMPLED_RANK: typing.Final = 16
-MIN_SAMPLED_RANKS: typing.Final = 2
-POPULARITY_HALF_LIFE_SECONDS: typing.Final = 0.6
-# Slowness of the current map under the latest expert choices, relative to
-# that under the decayed ones, from which a popularity shift is assumed.
-# Without a shift the two differ by a tenth.
-POPULARITY_SHIFT_RATIO: typing.Final = 1.2
-
-# Relative reduction of a step's expert time that outweighs the copying of a
-# map switch.
-MIN_MAP_GAIN_RATIO: typing.Final = 0.1
-# Reduction of a layer's time, relative to its mean, for each expert that
-# every rank copies. Ranks copy in parallel, so that a smaller reduction
-# justifies a copy if there are more ranks.
-MIN_MAP_GAIN_RATIO_PER_COPY: typing.Final = 0.64
-
-REPORT_LAG_SECONDS: typing.Final = 0.4
-REPORT_INTERVAL_SECONDS: typing.Final = 0.1
-ORDER_RETRY_SECONDS: typing.Final = 0.01
-ORDER_RETRY_LIMIT_SECONDS: typing.Final = 0.08
-# Added to the newest reported map version at a leadership change, so that the
-# previous leader cannot have ordered the result: a leader orders a few
-# versions per second, and reports are less than a second old.
-UNUSED_VERSION_GAP: typing.Final = 1_000
-# Lost orders are sent again until this timeout.
-FENCE_TIMEOUT_SECONDS: typing.Final = 1.0
-RESUME_ATTEMPTS_LIMIT: typing.Final = 5
-# A map that is refused because of the previous switch is sent again for this
-# long: a held step begins within a few passes of up to 0.1 s each.
-PREPARE_RETRY_WINDOW_SECONDS: typing.Final = 0.6
-SWITCH_TIMEOUT_SECONDS: typing.Final = 10.0
-# After this time another entry takes over, which may reach the rank that does
-# not respond.
-HOLD_TIMEOUT_SECONDS: typing.Final = 1.5
-
 # The pause ratio is the pause between a stream's events divided by the longest
 # allowed one. The idle pause ratio is the part without any load: a fifth of a
 # step's time does not depend on the requests in flight.
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -10,12 +10,12 @@
 from nutmegtrail import models
 from nutmegtrail.adapters.http1 import messages
 from nutmegtrail.adapters.http1 import server
+from nutmegtrail.expert_balancing import expert_balancer
+from nutmegtrail.expert_balancing import leader_lease
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import crash_detector
 from nutmegtrail.gateway import dispatcher as dispatching
-from nutmegtrail.gateway import expert_balancer
 from nutmegtrail.gateway import gossip as gossiping
-from nutmegtrail.gateway import leader_lease
 from nutmegtrail.gateway import limit_prober
 from nutmegtrail.gateway import mark_replica
 from nutmegtrail.gateway import request_handler as request_handlers
--- a/nutmegtrail/gateway/store_listeners.py
+++ b/nutmegtrail/gateway/store_listeners.py
@@ -4,9 +4,9 @@
 
 import anyio
 
+from nutmegtrail.expert_balancing import expert_balancer
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import errors
-from nutmegtrail.gateway import expert_balancer
 from nutmegtrail.gateway import fleet
 from nutmegtrail.gateway import models
 from nutmegtrail.gateway import request_handler as request_handlers
--- /dev/null
+++ b/tests/expert_balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of expert_balancing."""
--- a/tests/gateway/test_expert_balancer.py
+++ b/tests/expert_balancing/test_expert_balancer.py
@@ -9,13 +9,13 @@
 import anyio
 import testtools
 
+from nutmegtrail.expert_balancing import const
+from nutmegtrail.expert_balancing import expert_balancer
+from nutmegtrail.expert_balancing import pacer
 from nutmegtrail.expert_map import switch
-from nutmegtrail.gateway import const
 from nutmegtrail.gateway import dispatcher as dispatching
-from nutmegtrail.gateway import expert_balancer
 from nutmegtrail.gateway import fleet
 from nutmegtrail.gateway import models
-from nutmegtrail.gateway import pacer
 from nutmegtrail.gateway import request_counts
 from nutmegtrail.observability import metrics
 from nutmegtrail.ports import rank_control
--- a/tests/gateway/test_leader_lease.py
+++ b/tests/expert_balancing/test_leader_lease.py
@@ -6,7 +6,7 @@
 import expression
 import testtools
 
-from nutmegtrail.gateway import leader_lease
+from nutmegtrail.expert_balancing import leader_lease
 from nutmegtrail.ports import watched_store
 
 
--- a/tests/gateway/test_leadership.py
+++ b/tests/expert_balancing/test_leadership.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from nutmegtrail.gateway import leadership
+from nutmegtrail.expert_balancing import leadership
 
 _ACQUIRE = leadership.NextAction.ACQUIRE
 
--- a/tests/gateway/test_popularity.py
+++ b/tests/expert_balancing/test_popularity.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from nutmegtrail.gateway import popularity
+from nutmegtrail.expert_balancing import popularity
 
 
 def _observe(updated, now, **choices_by_id):
--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -3,7 +3,7 @@
 import anyio
 import testtools
 
-from nutmegtrail.gateway import expert_balancer
+from nutmegtrail.expert_balancing import expert_balancer
 from nutmegtrail.gateway import gossip
 from tests.platform import engine_process
 from tests.platform import entries
