Send the maps of large groups from all entries

Cause: an order to prepare a map has the whole map, 18 KB, and goes to each rank. The leader sent all of them, at a quarter of its own link: 1.2 s for one group and 1.9 s for both, while other experts are in demand every 3.4 s.

The leader now passes the map, compressed, to the other entries, which send it to the ranks of their failure domain under the leader's fencing token. Nothing is decided there: the ranks check the token, version and epoch, and the leader sends what has not been accepted itself, at the latest after 0.4 s. Orders that hold, arm and release ranks come from the leader alone. Small groups are not relayed.

The model of switches has several senders of late copies.

--- /dev/null
+++ b/nutmegtrail/adapters/order_relay/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP calls between instances that pass on orders of the leader."""
--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -6,9 +6,12 @@
 
 from nutmegtrail import const as shared_const
 from nutmegtrail import models
+from nutmegtrail.adapters.order_relay import http as order_relay_http
+from nutmegtrail.expert_balancing import batch_sender
 from nutmegtrail.expert_balancing import const as balancing_const
 from nutmegtrail.expert_balancing import expert_balancer
 from nutmegtrail.expert_balancing import leader_lease
+from nutmegtrail.expert_balancing import order_distribution
 from nutmegtrail.expert_balancing import pacer
 from nutmegtrail.gateway import attempt_runner
 from nutmegtrail.gateway import crash_detector
@@ -19,6 +22,7 @@
 from nutmegtrail.gateway import gossip as gossiping
 from nutmegtrail.gateway import limit_prober
 from nutmegtrail.gateway import mark_replica
+from nutmegtrail.gateway import models as gateway_models
 from nutmegtrail.gateway import part_quarantine
 from nutmegtrail.gateway import request_handler as request_handlers
 from nutmegtrail.gateway import retry_budget
@@ -53,6 +57,14 @@
     mark_replicas: tuple[mark_replica.MarkReplica, ...]
 
 
+class _ExpertBalancing(typing.NamedTuple):
+    """Components that balance expert maps, by this instance and for others."""
+
+    balancer: expert_balancer.ExpertBalancer
+    relay_client: order_relay_http.OrderRelayClient
+    relay_server: order_relay_http.OrderRelayServer
+
+
 def create_gateway(configured: settings.GatewaySettings) -> daemon.Gateway:
     """Create a gateway without starting it."""
     shared = _SharedComponents(
@@ -76,9 +88,13 @@
             protection.part_quarantine,
         ),
     )
+    location = gateway_models.Peer(
+        models.parse_address(configured.listen.peers),
+        configured.process.failure_domain,
+    )
     gossip = gossiping.Gossip(
         shared.incarnation,
-        models.parse_address(configured.listen.peers),
+        location,
         shared.store,
         shared.dispatcher,
     )
@@ -88,18 +104,14 @@
         shared.store,
         random.Random(),
     )
-    balancer = expert_balancer.ExpertBalancer(
-        engines,
-        shared.dispatcher,
-        lease,
-        _create_pacer(configured.link),
-        shared.metrics_registry,
+    balancing = _create_expert_balancing(
+        configured, shared, engines, lease, gossip
     )
     listeners: dict[str, store_watcher.Listener] = {
         const.CONFIGURATION_PREFIX: store_listeners.ConfigurationListener(
             documents,
             request_handler,
-            balancer,
+            balancing.balancer,
         ),
         const.UPSTREAM_PREFIX: store_listeners.UpstreamListener(
             documents,
@@ -120,11 +132,12 @@
             _create_watchers(shared.store, listeners),
             shared.metrics_registry,
             lease,
-            balancer,
+            balancing.balancer,
+            balancing.relay_server,
             protection.mark_replicas,
             protection.detector,
             limit_prober.LimitProber(engines, shared.dispatcher),
-            (engines, shared.store),
+            (engines, balancing.relay_client, shared.store),
         ),
     )
 
@@ -158,6 +171,38 @@
     )
 
 
+def _create_expert_balancing(
+    configured: settings.GatewaySettings,
+    shared: _SharedComponents,
+    engines: platform_engines.EngineControlClient,
+    lease: leader_lease.LeaderLease,
+    gossip: gossiping.Gossip,
+) -> _ExpertBalancing:
+    """Create the balancer of expert maps and the relay of its orders."""
+    order_pacer = _create_pacer(configured.link)
+    relay_client = order_relay_http.OrderRelayClient()
+    distributor = order_distribution.OrderDistributor(
+        relay_client,
+        gossip.reachable_peers,
+        configured.process.failure_domain,
+        order_pacer,
+    )
+    sender = batch_sender.BatchSender(engines, shared.dispatcher, order_pacer)
+    return _ExpertBalancing(
+        expert_balancer.ExpertBalancer(
+            engines,
+            shared.dispatcher,
+            lease,
+            distributor,
+            shared.metrics_registry,
+        ),
+        relay_client,
+        order_relay_http.OrderRelayServer(
+            models.parse_address(configured.listen.peers), sender.send
+        ),
+    )
+
+
 def _create_watchers(
     store: platform_store.PlatformStore,
     listener_by_prefix: dict[str, store_watcher.Listener],
@@ -175,7 +220,8 @@
         link.megabits_per_second * shared_const.BYTES_PER_MEGABIT
     )
     return pacer.Pacer(
-        link_bytes_per_second * balancing_const.ORDER_BANDWIDTH_RATIO
+        link_bytes_per_second * balancing_const.ORDER_BANDWIDTH_RATIO,
+        link_bytes_per_second * balancing_const.ORDER_BURST_SECONDS,
     )
 
 
--- a/nutmegtrail/expert_balancing/const.py
+++ b/nutmegtrail/expert_balancing/const.py
@@ -13,9 +13,13 @@
 MAP_INTERVAL_SECONDS: typing.Final = 0.5
 # Share of the network link that orders may take from the callers' streams.
 ORDER_BANDWIDTH_RATIO: typing.Final = 0.25
-# In the map of an order, an expert is a number of up to three digits and a
-# comma.
-BYTES_PER_PLACED_EXPERT: typing.Final = 4
+# Orders may fill the idle link for this long, a quarter of the pause at which a
+# stream counts as late.
+ORDER_BURST_SECONDS: typing.Final = 0.03
+# Orders that this instance could send within this time are not relayed.
+MIN_RELAYED_SECONDS: typing.Final = 0.05
+# A relayed map is compressed to less than this part of its size.
+MAP_COMPRESSION_RATIO: typing.Final = 2
 # One rank in this many is sampled, because all groups get similar requests.
 # At least two are sampled, so that the leader still gets data while one of
 # them restarts.
--- a/nutmegtrail/expert_balancing/expert_balancer.py
+++ b/nutmegtrail/expert_balancing/expert_balancer.py
@@ -6,7 +6,7 @@
 
 from nutmegtrail.expert_balancing import const
 from nutmegtrail.expert_balancing import leader_lease
-from nutmegtrail.expert_balancing import pacer as pacing
+from nutmegtrail.expert_balancing import order_distribution
 from nutmegtrail.expert_balancing import popularity
 from nutmegtrail.expert_balancing import rank_groups
 from nutmegtrail.expert_balancing import switch_executor
@@ -49,7 +49,7 @@
         engines: rank_control.RankControl,
         dispatcher: dispatching.Dispatcher,
         lease: leader_lease.LeaderLease,
-        pacer: pacing.Pacer,
+        distributor: order_distribution.OrderDistributor,
         metrics_registry: metrics.Metrics,
     ) -> None:
         """Initialize the balancer without any expert statistics."""
@@ -57,14 +57,14 @@
         self._engines = engines
         self._dispatcher = dispatcher
         self._lease = lease
-        self._pacer = pacer
+        self._distributor = distributor
         self._metrics = metrics_registry
         self._popularity = popularity.Popularity()
         self._current_map_by_group: dict[str, CurrentMap] = {}
         self._last_version_by_group: dict[str, int] = {}
         self._held_step_by_group: dict[str, int] = {}
         self._switch_recovery = switch_recovery.SwitchRecovery(
-            engines, lease, pacer
+            engines, lease, distributor
         )
         self._switch_count = 0
 
@@ -253,7 +253,7 @@
             _sort_by_copies(first_decision, copies),
             self._engines,
             self._lease,
-            self._pacer,
+            self._distributor,
         )
         switched = await executor.run()
         self._held_step_by_group[group.name] = executor.held_step
--- a/nutmegtrail/expert_balancing/switch_executor.py
+++ b/nutmegtrail/expert_balancing/switch_executor.py
@@ -6,11 +6,11 @@
 import anyio
 import anyio.abc
 
+from nutmegtrail import models as shared_models
 from nutmegtrail.expert_balancing import const
 from nutmegtrail.expert_balancing import leader_lease
-from nutmegtrail.expert_balancing import pacer as pacing
+from nutmegtrail.expert_balancing import order_distribution
 from nutmegtrail.expert_balancing import rank_groups
-from nutmegtrail.expert_map import layer_placement
 from nutmegtrail.expert_map import switch as switches
 from nutmegtrail.gateway import models
 from nutmegtrail.observability import logs
@@ -39,11 +39,11 @@
         first_decision: switches.Decision,
         engines: rank_control.RankControl,
         lease: leader_lease.LeaderLease,
-        pacer: pacing.Pacer,
+        distributor: order_distribution.OrderDistributor,
     ) -> None:
         """Initialize the executor without sending any orders."""
         self._group = group
-        self._pacer = pacer
+        self._distributor = distributor
         self._first_decision = first_decision
         self._state = first_decision.switch
         self._engines = engines
@@ -94,9 +94,38 @@
         if self._state.phase is switches.Phase.PREPARING:
             await self._send(outgoing_orders[0], tasks)
             outgoing_orders = outgoing_orders[1:]
-        for outgoing in outgoing_orders:
+        distribution = self._distributor.distribute(
+            outgoing_orders, self._upstreams_by_id
+        )
+        for address, relayed in distribution.relayed_by_address.items():
+            tasks.start_soon(self._relay, address, relayed, tasks)
+        for outgoing in distribution.own:
             tasks.start_soon(self._send, outgoing, tasks)
 
+    async def _relay(
+        self,
+        address: shared_models.Address,
+        outgoing_orders: tuple[switches.OutgoingOrder, ...],
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Let another instance send orders.
+
+        Those that it does not report as accepted are sent by this one.
+        """
+        outcomes_by_id = await self._distributor.relay(
+            address, outgoing_orders, self._fence
+        )
+        if rank_control.OrderOutcome.FENCED in outcomes_by_id.values():
+            self._lease.on_fenced()
+            return
+        for outgoing in outgoing_orders:
+            outcome = outcomes_by_id.get(outgoing.upstream_id)
+            if outcome is rank_control.OrderOutcome.ACCEPTED:
+                event = switches.Accepted(outgoing.upstream_id, outgoing.order)
+                self._apply(switches.decide(event, self._state), tasks)
+            else:
+                tasks.start_soon(self._send, outgoing, tasks)
+
     def _is_past_deadline(self) -> bool:
         """Return whether the switch should be left to another instance."""
         return anyio.current_time() > self._deadline
@@ -173,8 +202,7 @@
             self._state.phase not in switches.FINAL_PHASES
             and not self._is_past_deadline()
         ):
-            if outgoing.order.layers is not None:
-                await self._pacer.wait(_size_bytes(outgoing.order.layers))
+            await self._distributor.wait_for_link(outgoing.order)
             if self._lease.fence != self._fence:
                 return
             outcome = await self._engines.order(
@@ -198,9 +226,3 @@
                 retry_seconds * 2,
                 const.ORDER_RETRY_LIMIT_SECONDS,
             )
-
-
-def _size_bytes(layers: layer_placement.Layers) -> int:
-    """Return the approximate encoded size of a map in an order."""
-    placed_experts = sum(len(rank) for layer in layers for rank in layer)
-    return placed_experts * const.BYTES_PER_PLACED_EXPERT
--- a/nutmegtrail/expert_balancing/switch_recovery.py
+++ b/nutmegtrail/expert_balancing/switch_recovery.py
@@ -6,7 +6,7 @@
 
 from nutmegtrail.expert_balancing import const
 from nutmegtrail.expert_balancing import leader_lease
-from nutmegtrail.expert_balancing import pacer as pacing
+from nutmegtrail.expert_balancing import order_distribution
 from nutmegtrail.expert_balancing import rank_groups
 from nutmegtrail.expert_balancing import switch_executor
 from nutmegtrail.expert_map import switch as switches
@@ -22,12 +22,12 @@
         self,
         engines: rank_control.RankControl,
         lease: leader_lease.LeaderLease,
-        pacer: pacing.Pacer,
+        distributor: order_distribution.OrderDistributor,
     ) -> None:
         """Initialize the recovery before any leadership."""
         self._engines = engines
         self._lease = lease
-        self._pacer = pacer
+        self._distributor = distributor
         self._fence: int | None = None
         self._unrecovered_groups: set[str] = set()
         self._failures_by_group: dict[str, int] = {}
@@ -74,7 +74,7 @@
             first_decision,
             self._engines,
             self._lease,
-            self._pacer,
+            self._distributor,
         )
         await executor.run()
         return executor.held_step
--- a/nutmegtrail/expert_map/layer_placement.py
+++ b/nutmegtrail/expert_map/layer_placement.py
@@ -9,6 +9,8 @@
 
 _COST_EXPONENT: typing.Final = 6
 _TARGET_RANKS_LIMIT: typing.Final = 4
+# As text, an expert is a number of up to three digits and a comma.
+_BYTES_PER_PLACED_EXPERT: typing.Final = 4
 
 Rank: typing.TypeAlias = tuple[int, ...]
 Layer: typing.TypeAlias = tuple[Rank, ...]
@@ -224,6 +226,12 @@
     )
 
 
+def size_bytes(layers: Layers) -> int:
+    """Return the approximate size of a map as text."""
+    placed_experts = sum(len(rank) for layer in layers for rank in layer)
+    return placed_experts * _BYTES_PER_PLACED_EXPERT
+
+
 def _count_replicas(layer: Layer, experts: int) -> list[int]:
     """Return the number of replicas of each expert."""
     counts = collections.Counter(expert for rank in layer for expert in rank)
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -10,6 +10,7 @@
 from nutmegtrail import models
 from nutmegtrail.adapters.http1 import messages
 from nutmegtrail.adapters.http1 import server
+from nutmegtrail.adapters.order_relay import http as order_relay_http
 from nutmegtrail.expert_balancing import expert_balancer
 from nutmegtrail.expert_balancing import leader_lease
 from nutmegtrail.gateway import const
@@ -58,6 +59,7 @@
     metrics_registry: metrics.Metrics
     lease: leader_lease.LeaderLease
     balancer: expert_balancer.ExpertBalancer
+    order_relay_server: order_relay_http.OrderRelayServer
     mark_replicas: tuple[mark_replica.MarkReplica, ...]
     detector: crash_detector.CrashDetector
     limit_prober: limit_prober.LimitProber
@@ -121,6 +123,7 @@
                 components.gossip.run,
                 components.lease.run,
                 components.balancer.run,
+                components.order_relay_server.run,
                 components.detector.run,
                 components.limit_prober.run,
             )
--- a/nutmegtrail/gateway/gossip.py
+++ b/nutmegtrail/gateway/gossip.py
@@ -14,6 +14,7 @@
 from nutmegtrail import models
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import dispatcher as dispatching
+from nutmegtrail.gateway import models as gateway_models
 from nutmegtrail.gateway import request_counts
 from nutmegtrail.gateway import request_limits
 from nutmegtrail.gateway import signal_messages
@@ -49,19 +50,20 @@
     def __init__(
         self,
         name: str,
-        address: models.Address,
+        location: gateway_models.Peer,
         store: key_value.LeaseStore,
         dispatcher: dispatching.Dispatcher,
     ) -> None:
         """Initialize the exchange without registering or sending."""
         self._name = name
-        self._address = address
+        self._address = location.address
+        self._failure_domain = location.failure_domain
         self._store = store
         self._dispatcher = dispatcher
         self._signal_recorder = signal_recorder.SignalRecorder(dispatcher)
         # The socket does not accept datagrams of two tasks at a time.
         self._sending = anyio.Lock()
-        self._address_by_key: dict[str, models.Address] = {}
+        self._peer_by_key: dict[str, gateway_models.Peer] = {}
         self._lease_id = 0
         self._own_revision = key_value.ABSENT_REVISION
         self._must_register = anyio.Event()
@@ -83,9 +85,21 @@
         is_told = self._peer_addresses <= self._informants
         return self._is_listed and (has_waited or is_told)
 
+    def reachable_peers(self) -> tuple[gateway_models.Peer, ...]:
+        """Return the registered instances that were heard of lately."""
+        oldest = anyio.current_time() - const.GOSSIP_TIMEOUT_SECONDS
+        peer_by_address = {
+            peer.address: peer for peer in self._peer_by_key.values()
+        }
+        return tuple(
+            peer_by_address[address]
+            for address, heard_at in self._heard_at_by_address.items()
+            if heard_at >= oldest and address in peer_by_address
+        )
+
     def on_snapshot(self, items: tuple[watched_store.Item, ...]) -> None:
         """Replace the known instances with those of a snapshot."""
-        self._address_by_key.clear()
+        self._peer_by_key.clear()
         self._own_revision = key_value.ABSENT_REVISION
         for item in items:
             self.on_change(item)
@@ -101,7 +115,7 @@
             return
         revision = key_value.ABSENT_REVISION
         if isinstance(change, watched_store.Removal):
-            self._address_by_key.pop(change.key, None)
+            self._peer_by_key.pop(change.key, None)
         else:
             revision = change.revision
             self._add_address(change)
@@ -154,13 +168,13 @@
         A restarted instance has two registrations until the lease of the
         earlier one expires.
         """
-        addresses = {self._address, *self._address_by_key.values()}
-        self._dispatcher.entries = len(addresses)
+        self._dispatcher.entries = len({self._address, *self._peer_addresses})
 
     @property
     def _peer_addresses(self) -> set[models.Address]:
         """Return the addresses of the other registered instances."""
-        return set(self._address_by_key.values()) - {self._address}
+        addresses = {peer.address for peer in self._peer_by_key.values()}
+        return addresses - {self._address}
 
     def _share_limits(self) -> None:
         """Update how the instances share the limits of upstreams.
@@ -188,13 +202,13 @@
     def _add_address(self, item: watched_store.Item) -> None:
         """Store the address of an instance; malformed ones are ignored."""
         try:
-            address = models.parse_address(item.content.decode())
+            peer = _decode_registration(item.content)
         except ValueError as error:
             logs.decision('entry:malformed', key=item.key, detail=str(error))
             return
-        if item.key not in self._address_by_key:
+        if item.key not in self._peer_by_key:
             self._has_new_peer.set()
-        self._address_by_key[item.key] = address
+        self._peer_by_key[item.key] = peer
 
     async def _register(self) -> None:
         """Keep this instance registered under a lease until cancelled."""
@@ -208,12 +222,6 @@
             with anyio.move_on_after(interval_seconds):
                 await self._must_register.wait()
 
-    def _record_registration(self) -> None:
-        """Record that the others know of this instance for a while."""
-        self._registered_until_seconds = (
-            anyio.current_time() + const.REGISTRATION_TTL_SECONDS
-        )
-
     async def _renew(self) -> bool:
         """Renew the lease; return False if a new one is needed.
 
@@ -223,7 +231,7 @@
             return False
         renewed = await self._store.keep_alive(self._lease_id)
         if renewed.is_ok() and renewed.ok:
-            self._record_registration()
+            self._registered_until_seconds = _registration_expiry()
         return renewed.is_error() or renewed.ok
 
     async def _write(self) -> None:
@@ -238,13 +246,13 @@
         written = await self._store.swap(
             self._own_key,
             self._own_revision,
-            str(self._address).encode(),
+            f'{self._address}/{self._failure_domain}'.encode(),
             granted.ok,
         )
         registered = written.is_ok()
         logs.decision('entry:registered', name=self._name, done=registered)
         if registered:
-            self._record_registration()
+            self._registered_until_seconds = _registration_expiry()
         self._lease_id = granted.ok if registered else 0
 
     async def _send(self, datagrams: anyio.abc.UDPSocket) -> None:
@@ -369,6 +377,20 @@
         return None
 
 
+def _registration_expiry() -> float:
+    """Return until when the others know an instance that registers now."""
+    return anyio.current_time() + const.REGISTRATION_TTL_SECONDS
+
+
+def _decode_registration(content: bytes) -> gateway_models.Peer:
+    """Return the instance of a registration; raise ValueError if malformed.
+
+    Instances of earlier releases register without their failure domain.
+    """
+    address, _, failure_domain = content.decode().partition('/')
+    return gateway_models.Peer(models.parse_address(address), failure_domain)
+
+
 async def _send_datagram(
     datagrams: anyio.abc.UDPSocket,
     payload: bytes,
--- a/nutmegtrail/gateway/models.py
+++ b/nutmegtrail/gateway/models.py
@@ -67,6 +67,13 @@
         return self.kind is RouteKind.IDEMPOTENT
 
 
+class Peer(typing.NamedTuple):
+    """Instance of the gateway, at the address for other instances."""
+
+    address: models.Address
+    failure_domain: str
+
+
 class GroupShape(typing.NamedTuple):
     """Dimensions of the expert maps of a service's rank groups.
 
--- /dev/null
+++ b/tests/adapters/order_relay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of adapters.order_relay."""
--- a/tests/expert_map/test_switch.py
+++ b/tests/expert_map/test_switch.py
@@ -1,7 +1,8 @@
 """All ranks use the same map in every step, whatever happens to the orders.
 
 Engines follow the platform's rules for orders. Orders are lost, answered
-late, or carried out late or twice. Leaders fail or pause at any order, and
+late, or carried out late or twice. Several instances may send an order for one
+leader, long after it has ended. Leaders fail or pause at any order, and
 others take over with a higher fence.
 """
 
@@ -139,6 +140,8 @@
         engine = self.engines_by_id[outgoing.upstream_id]
         status = engine.take(outgoing.order, leader.fence, self.step)
         leader.outgoing_orders.remove(outgoing)
+        if faults and outgoing.order.operation is switch.Operation.PREPARE:
+            self._relay_late(leader, outgoing)
         if status == 412:
             leader.is_stopped = True
             return
@@ -146,6 +149,13 @@
         event = event_type(outgoing.upstream_id, outgoing.order)
         leader.apply(switch.decide(event, leader.state))
 
+    def _relay_late(self, leader, outgoing):
+        """Let another instance send a map that a rank has got before."""
+        if self.generator.random() < 0.3:
+            self.delayed_orders.append(
+                (outgoing.upstream_id, outgoing.order, leader.fence)
+            )
+
     def _lose(self, leader, outgoing, draw):
         """Lose an order, delay it, or lose its answer."""
         if draw < 0.1:
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -8,6 +8,7 @@
 from nutmegtrail import models
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import gossip
+from nutmegtrail.gateway import models as gateway_models
 from nutmegtrail.gateway import request_limits
 from nutmegtrail.gateway import signal_messages
 from nutmegtrail.ports import key_value
@@ -148,7 +149,7 @@
         the number of live instances.
         """
         dispatcher = dispatching.Dispatcher('kandla-a')
-        own = models.Address('10.1.0.40', 7340)
+        own = gateway_models.Peer(models.Address('10.1.0.40', 7340), 'kandla-a')
         receiver = gossip.Gossip('front-1/new', own, None, dispatcher)
         receiver.on_snapshot(
             tuple(
@@ -168,7 +169,7 @@
     def _share(self, heard=(), **fields):
         """Return how an instance shares limits with two registered ones."""
         dispatcher = dispatching.Dispatcher('kandla-a')
-        own = models.Address('10.1.0.40', 7340)
+        own = gateway_models.Peer(models.Address('10.1.0.40', 7340), 'kandla-a')
         receiver = gossip.Gossip('front-1/new', own, None, dispatcher)
         receiver.on_snapshot(
             tuple(
@@ -219,13 +220,50 @@
         self.assertFalse(sharing.is_complete)
         self.assertFalse(sharing.is_isolated)
 
+    def test_reachable_peers(self):
+        """Peers that were heard of lately are reachable, with their domain.
+
+        Instances of an earlier release do not tell their failure domain.
+        """
+        own = gateway_models.Peer(models.Address('10.1.0.40', 7340), 'a')
+        dispatcher = dispatching.Dispatcher('a')
+        receiver = gossip.Gossip('front-1/new', own, None, dispatcher)
+        contents = (b'10.2.0.40:7340/b', b'10.3.0.40:7340', b'10.4.0.40:7340/d')
+        receiver.on_snapshot(
+            tuple(
+                watched_store.Item(
+                    f'{gossip.REGISTRATION_PREFIX}front-{number}', 1, content
+                )
+                for number, content in enumerate(contents)
+            ),
+        )
+        receiver._heard_at_by_address = {
+            models.Address('10.2.0.40', 7340): 19.5,
+            models.Address('10.3.0.40', 7340): 19.9,
+            models.Address('10.4.0.40', 7340): 18.0,
+            models.Address('10.9.0.40', 7340): 19.9,
+        }
+
+        async def _main():
+            await anyio.sleep(20)
+            return receiver.reachable_peers()
+
+        self.assertEqual(
+            (
+                (models.Address('10.2.0.40', 7340), 'b'),
+                (models.Address('10.3.0.40', 7340), ''),
+            ),
+            simulated_time.run(_main),
+        )
+
     # Guards against an exchange that ended with each second writer at once.
     def test_two_writers(self):
         """Reports and signals are sent one after the other."""
-        own = models.Address('10.1.0.40', 7340)
+        own = gateway_models.Peer(models.Address('10.1.0.40', 7340), 'kandla-a')
         dispatcher = dispatching.Dispatcher('kandla-a')
         receiver = gossip.Gossip('front-1/new', own, None, dispatcher)
-        receiver._address_by_key = {'k': models.Address('10.2.0.40', 7340)}
+        peer = gateway_models.Peer(models.Address('10.2.0.40', 7340), '')
+        receiver._peer_by_key = {'k': peer}
         datagrams = _BusySocket()
 
         async def _main():
@@ -244,7 +282,9 @@
 
         async def _main():
             dispatcher = dispatching.Dispatcher('kandla-a')
-            own = models.Address('10.1.0.40', 7340)
+            own = gateway_models.Peer(
+                models.Address('10.1.0.40', 7340), 'kandla-a'
+            )
             receiver = gossip.Gossip('front-1/new', own, store, dispatcher)
             with anyio.move_on_after(2):
                 await receiver._register()
