Read the report of a rank when it can show a new map

How long a rank copies follows from its number of new experts, their size and the link, all in the configuration, and the age of reports is given there too. A rank's report is read from then on. Without these figures reports are read as before.

--- a/nutmegtrail/const.py
+++ b/nutmegtrail/const.py
@@ -4,6 +4,7 @@
 
 BYTES_PER_MEBIBYTE: typing.Final = 1_048_576
 BYTES_PER_MEGABIT: typing.Final = 125_000
+BITS_PER_BYTE: typing.Final = 8
 MILLISECONDS_PER_SECOND: typing.Final = 1_000
 
 BODY_LIMIT_BYTES: typing.Final = BYTES_PER_MEBIBYTE
--- a/nutmegtrail/expert_balancing/const.py
+++ b/nutmegtrail/expert_balancing/const.py
@@ -40,7 +40,10 @@
 MIN_MAP_GAIN_RATIO_PER_COPY: typing.Final = 0.64
 
 REPORT_LAG_SECONDS: typing.Final = 0.4
+# Between two reads of the report of a rank that still copies experts.
 REPORT_INTERVAL_SECONDS: typing.Final = 0.1
+# How often it is checked which reports are due.
+REPORT_CHECK_SECONDS: typing.Final = 0.02
 ORDER_RETRY_SECONDS: typing.Final = 0.01
 ORDER_RETRY_LIMIT_SECONDS: typing.Final = 0.08
 # Added to the newest reported map version at a leadership change, so that the
--- a/nutmegtrail/expert_balancing/expert_balancer.py
+++ b/nutmegtrail/expert_balancing/expert_balancer.py
@@ -131,9 +131,7 @@
                     group, current, planned_layers, loads_by_layer
                 )
                 if self._is_worthwhile(planned_switch, shape):
-                    tasks.start_soon(
-                        self._switch_to, group, current, planned_layers
-                    )
+                    tasks.start_soon(self._switch_to, planned_switch, shape)
         return self._switch_count > switch_count_before
 
     def _is_worthwhile(
@@ -231,12 +229,10 @@
         return loaded
 
     async def _switch_to(
-        self,
-        group: rank_groups.Group,
-        current: CurrentMap,
-        layers: layer_placement.Layers,
+        self, planned_switch: _PlannedSwitch, shape: models.GroupShape
     ) -> None:
         """Switch a group to a new map and record the result."""
+        group, current, layers, _ = planned_switch
         last_version = self._last_version_by_group.get(group.name, 0)
         version = max(current.version, last_version) + 1
         self._last_version_by_group[group.name] = version
@@ -254,6 +250,7 @@
             self._engines,
             self._lease,
             self._distributor,
+            _preparation_seconds(group, copies, shape),
         )
         switched = await executor.run()
         self._held_step_by_group[group.name] = executor.held_step
@@ -319,6 +316,20 @@
     return tuple(planned_layers)
 
 
+def _preparation_seconds(
+    group: rank_groups.Group,
+    copies_by_rank: tuple[int, ...],
+    shape: models.GroupShape,
+) -> dict[str, float]:
+    """Return how long after its order the report of a rank shows a map."""
+    return {
+        member_id: copies * shape.copy_seconds + shape.report_lag_seconds
+        for member_id, copies in zip(
+            group.member_ids, copies_by_rank, strict=True
+        )
+    }
+
+
 def _sort_by_copies(
     first_decision: switches.Decision,
     copies_by_rank: tuple[int, ...],
--- a/nutmegtrail/expert_balancing/switch_executor.py
+++ b/nutmegtrail/expert_balancing/switch_executor.py
@@ -1,5 +1,6 @@
 """Execution of one expert map switch on the ranks of a group."""
 
+import math
 import types
 import typing
 
@@ -40,8 +41,13 @@
         engines: rank_control.RankControl,
         lease: leader_lease.LeaderLease,
         distributor: order_distribution.OrderDistributor,
+        preparation_seconds_by_id: typing.Mapping[str, float] | None = None,
     ) -> None:
-        """Initialize the executor without sending any orders."""
+        """Initialize the executor without sending any orders.
+
+        `preparation_seconds_by_id` is how long after an accepted order the
+        report of a rank shows a new map. Reports are read from then on.
+        """
         self._group = group
         self._distributor = distributor
         self._first_decision = first_decision
@@ -52,6 +58,10 @@
         self._upstreams_by_id = {
             member.upstream_id: member for member in group.members
         }
+        self._preparation_seconds_by_id = preparation_seconds_by_id or {}
+        self._report_due_at_by_id = dict.fromkeys(
+            self._preparation_seconds_by_id, math.inf
+        )
         self._deadline = 0.0
         self._prepare_retry_until = 0.0
 
@@ -68,7 +78,7 @@
         async with anyio.create_task_group() as tasks:
             await self._begin(tasks)
             while self._state.phase not in switches.FINAL_PHASES:
-                await anyio.sleep(const.REPORT_INTERVAL_SECONDS)
+                await anyio.sleep(const.REPORT_CHECK_SECONDS)
                 if self._lease.fence != self._fence or self._is_past_deadline():
                     break
                 await self._read_reports(tasks)
@@ -121,8 +131,7 @@
         for outgoing in outgoing_orders:
             outcome = outcomes_by_id.get(outgoing.upstream_id)
             if outcome is rank_control.OrderOutcome.ACCEPTED:
-                event = switches.Accepted(outgoing.upstream_id, outgoing.order)
-                self._apply(switches.decide(event, self._state), tasks)
+                self._on_outcome(outgoing, outcome, tasks)
             else:
                 tasks.start_soon(self._send, outgoing, tasks)
 
@@ -131,11 +140,18 @@
         return anyio.current_time() > self._deadline
 
     async def _read_reports(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Read the reports of the ranks that are still copying experts."""
+        """Read the reports that may show copied experts by now."""
+        now = anyio.current_time()
         async with anyio.create_task_group() as reads:
             for member in self._group.members:
-                if member.upstream_id not in self._state.prepared_ids:
-                    reads.start_soon(self._read_report, member, tasks)
+                upstream_id = member.upstream_id
+                due_at = self._report_due_at_by_id.get(upstream_id, now)
+                if due_at > now or upstream_id in self._state.prepared_ids:
+                    continue
+                self._report_due_at_by_id[upstream_id] = (
+                    now + const.REPORT_INTERVAL_SECONDS
+                )
+                reads.start_soon(self._read_report, member, tasks)
 
     async def _read_report(
         self,
@@ -171,6 +187,25 @@
         for outgoing in decision.outgoing_orders:
             tasks.start_soon(self._send, outgoing, tasks)
 
+    def _on_outcome(
+        self,
+        outgoing: switches.OutgoingOrder,
+        outcome: rank_control.OrderOutcome,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Apply the outcome of an order to the switch."""
+        upstream_id, order = outgoing
+        is_accepted = outcome is rank_control.OrderOutcome.ACCEPTED
+        if is_accepted and order.operation is switches.Operation.PREPARE:
+            preparation_seconds = self._preparation_seconds_by_id.get(
+                upstream_id, 0
+            )
+            self._report_due_at_by_id[upstream_id] = (
+                anyio.current_time() + preparation_seconds
+            )
+        event = _EVENT_TYPE_BY_OUTCOME[outcome](upstream_id, order)
+        self._apply(switches.decide(event, self._state), tasks)
+
     def _should_retry_prepare(
         self,
         order: switches.Order,
@@ -214,11 +249,7 @@
                 self._lease.on_fenced()
                 return
             if not self._should_retry_prepare(outgoing.order, outcome):
-                event = _EVENT_TYPE_BY_OUTCOME[outcome](
-                    outgoing.upstream_id,
-                    outgoing.order,
-                )
-                self._apply(switches.decide(event, self._state), tasks)
+                self._on_outcome(outgoing, outcome, tasks)
                 if outcome is not rank_control.OrderOutcome.UNANSWERED:
                     return
             await anyio.sleep(retry_seconds)
--- a/nutmegtrail/gateway/models.py
+++ b/nutmegtrail/gateway/models.py
@@ -79,13 +79,17 @@
 
     `expert_slots` is the number of slots per rank and layer set.
     `spare_expert_slots` is the number of experts that a rank can load in
-    addition to its current ones.
+    addition to its current ones. `copy_seconds` is how long a rank copies an
+    expert. Reports of ranks are `report_lag_seconds` old. Both are 0 if not
+    known.
     """
 
     layer_sets: int
     experts: int
     expert_slots: int
     spare_expert_slots: int
+    copy_seconds: float = 0
+    report_lag_seconds: float = 0
 
 
 class Service(typing.NamedTuple):
--- a/nutmegtrail/platform/documents.py
+++ b/nutmegtrail/platform/documents.py
@@ -126,10 +126,19 @@
             int(engine['experts']),
             int(engine['places']),
             int(engine['spare']),
+            _copy_seconds(engine),
+            _to_seconds(engine.get('report_lag_ms') or 0),
         )
     return models.Service(document['name'], group_shape)
 
 
+def _copy_seconds(engine: _JsonObject) -> float:
+    """Return how long a rank copies an expert, 0 if it is not told."""
+    megabits = float(engine.get('expert_mb') or 0) * shared_const.BITS_PER_BYTE
+    megabits_per_second = float(engine.get('link_mbps') or 0)
+    return megabits / megabits_per_second if megabits_per_second else 0
+
+
 def _upstream(upstream_id: str, document: _JsonObject) -> models.Upstream:
     """Build an upstream; raise TypeError or ValueError for invalid fields."""
     state = document['state']
--- a/tests/expert_balancing/simulated_groups.py
+++ b/tests/expert_balancing/simulated_groups.py
@@ -41,6 +41,8 @@
             self.experts,
             self.expert_slots,
             spare_expert_slots=2,
+            copy_seconds=COPY_SECONDS,
+            report_lag_seconds=REPORT_LAG_SECONDS,
         )
         return models.Service('drafts', shape)
 
@@ -87,6 +89,7 @@
         """Initialize all ranks with the first map."""
         self.size = size
         self.orders = []
+        self.report_count = 0
         self.unreadable_until_by_id = {}
         self.generator = random.Random(1)
         self.lost_ratio = 0
@@ -107,6 +110,7 @@
 
     async def report(self, upstream):
         """Return a rank's state, without unfinished or recent copies."""
+        self.report_count += 1
         now = anyio.current_time()
         if now < self.unreadable_until_by_id.get(upstream.upstream_id, 0):
             return None
--- a/tests/expert_balancing/test_large_groups.py
+++ b/tests/expert_balancing/test_large_groups.py
@@ -151,6 +151,19 @@
                 allowed = share * _LINK_BYTES_PER_SECOND + largest
                 self.assertTrue(burst <= allowed, (burst, allowed))
 
+    def test_reports_are_read_once(self):
+        """A rank's report is read when it can show the copied experts.
+
+        A take-over reads all reports twice, and the first map once.
+        """
+        instances = _Instances()
+        instances.run(1.45)
+        engines = instances.engines
+        self.assertEqual(_SIZE.groups, len(self._released(instances)))
+        upstreams = len(instances.registered)
+        switch_reads = engines.report_count / upstreams - 3
+        self.assertTrue(switch_reads < 1.5, switch_reads)
+
     def test_maps_stay_in_their_failure_domain(self):
         """Orders with maps do not cross failure domains, but for the first."""
         instances = _Instances()
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -1,5 +1,6 @@
 """Tests of the decoders for platform documents."""
 
+import copy
 import json
 
 import testtools
@@ -38,6 +39,27 @@
         )
         self.assertEqual(15.0, decoded.limits.idle_timeout_seconds)
 
+    def test_preparation_of_a_map(self):
+        """The time to copy an expert follows from its size and the link."""
+        cases = (
+            ({'expert_mb': 210.0, 'link_mbps': 84_000.0}, 0.02),
+            ({'expert_mb': 210.0}, 0),
+            ({'link_mbps': 84_000.0}, 0),
+        )
+        for fields, copy_seconds in cases:
+            config = copy.deepcopy(samples.CONFIG)
+            engine = next(
+                service['engine']
+                for service in config['services']
+                if 'engine' in service
+            )
+            engine.pop('link_mbps', None)
+            engine.update(fields, report_lag_ms=200.0)
+            decoded = documents.configuration(json.dumps(config).encode())
+            shape = decoded.services_by_name['drafts'].shape
+            self.assertAlmostEqual(copy_seconds, shape.copy_seconds)
+            self.assertAlmostEqual(0.2, shape.report_lag_seconds)
+
     def test_invalid_configuration(self):
         """An invalid configuration raises MalformedDocument."""
         for content in (b'', b'[]', b'{}', b'{"version":1,"routes":[{}]}'):
