Hold a group when its ranks have copied, before reports tell

The group is now held when the ranks have had the time to copy, which the configuration tells. A rank that still copies refuses to be armed and is armed again for 0.5 s; ranks are released only after all have accepted, as before. Without the figures in the configuration the reports are waited for.

--- a/nutmegtrail/expert_balancing/const.py
+++ b/nutmegtrail/expert_balancing/const.py
@@ -56,6 +56,9 @@
 # A map that is refused because of the previous switch is sent again for this
 # long: a held step begins within a few passes of up to 0.1 s each.
 PREPARE_RETRY_WINDOW_SECONDS: typing.Final = 0.6
+# Ranks that copy for longer than expected are armed again for this long, while
+# the group may be held.
+ARM_RETRY_WINDOW_SECONDS: typing.Final = 0.5
 SWITCH_TIMEOUT_SECONDS: typing.Final = 10.0
 # After this time another entry takes over, which may reach the rank that does
 # not respond.
--- a/nutmegtrail/expert_balancing/expert_balancer.py
+++ b/nutmegtrail/expert_balancing/expert_balancer.py
@@ -250,7 +250,7 @@
             self._engines,
             self._lease,
             self._distributor,
-            _preparation_seconds(group, copies, shape),
+            _preparation(group, copies, shape),
         )
         switched = await executor.run()
         self._held_step_by_group[group.name] = executor.held_step
@@ -316,18 +316,23 @@
     return tuple(planned_layers)
 
 
-def _preparation_seconds(
+def _preparation(
     group: rank_groups.Group,
     copies_by_rank: tuple[int, ...],
     shape: models.GroupShape,
-) -> dict[str, float]:
-    """Return how long after its order the report of a rank shows a map."""
-    return {
-        member_id: copies * shape.copy_seconds + shape.report_lag_seconds
-        for member_id, copies in zip(
-            group.member_ids, copies_by_rank, strict=True
-        )
-    }
+) -> switch_executor.Preparation | None:
+    """Return how long the ranks copy, None if that is not known."""
+    if not shape.copy_seconds:
+        return None
+    return switch_executor.Preparation(
+        {
+            member_id: copies * shape.copy_seconds
+            for member_id, copies in zip(
+                group.member_ids, copies_by_rank, strict=True
+            )
+        },
+        shape.report_lag_seconds,
+    )
 
 
 def _sort_by_copies(
--- a/nutmegtrail/expert_balancing/switch_executor.py
+++ b/nutmegtrail/expert_balancing/switch_executor.py
@@ -31,6 +31,13 @@
 )
 
 
+class Preparation(typing.NamedTuple):
+    """How long ranks copy their new experts, and how old their reports are."""
+
+    copy_seconds_by_id: typing.Mapping[str, float]
+    report_lag_seconds: float
+
+
 class SwitchExecutor:
     """Sends the orders of one switch and handles their outcomes."""
 
@@ -41,12 +48,11 @@
         engines: rank_control.RankControl,
         lease: leader_lease.LeaderLease,
         distributor: order_distribution.OrderDistributor,
-        preparation_seconds_by_id: typing.Mapping[str, float] | None = None,
+        preparation: Preparation | None = None,
     ) -> None:
         """Initialize the executor without sending any orders.
 
-        `preparation_seconds_by_id` is how long after an accepted order the
-        report of a rank shows a new map. Reports are read from then on.
+        Without `preparation`, reports are read until they show the new map.
         """
         self._group = group
         self._distributor = distributor
@@ -58,12 +64,14 @@
         self._upstreams_by_id = {
             member.upstream_id: member for member in group.members
         }
-        self._preparation_seconds_by_id = preparation_seconds_by_id or {}
-        self._report_due_at_by_id = dict.fromkeys(
-            self._preparation_seconds_by_id, math.inf
+        self._preparation = preparation or Preparation({}, 0)
+        self._copied_at_by_id = dict.fromkeys(
+            self._preparation.copy_seconds_by_id, math.inf
         )
+        self._report_due_at_by_id = dict(self._copied_at_by_id)
         self._deadline = 0.0
         self._prepare_retry_until = 0.0
+        self._arm_retry_until = 0.0
 
     @property
     def held_step(self) -> int:
@@ -81,6 +89,7 @@
                 await anyio.sleep(const.REPORT_CHECK_SECONDS)
                 if self._lease.fence != self._fence or self._is_past_deadline():
                     break
+                await self._expect_copies(tasks)
                 await self._read_reports(tasks)
             tasks.cancel_scope.cancel()
         logs.decision(
@@ -139,6 +148,22 @@
         """Return whether the switch should be left to another instance."""
         return anyio.current_time() > self._deadline
 
+    async def _expect_copies(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Hold the group once all ranks should have copied their experts.
+
+        The report of the rank that holds the group tells a recent step.
+        """
+        copied_at = max(self._copied_at_by_id.values(), default=math.inf)
+        is_preparing = self._state.phase is switches.Phase.PREPARING
+        if not is_preparing or anyio.current_time() < copied_at:
+            return
+        await self._read_report(self._group.members[0], tasks)
+        self._arm_retry_until = (
+            anyio.current_time() + const.ARM_RETRY_WINDOW_SECONDS
+        )
+        decision = switches.decide(switches.CopiesExpected(), self._state)
+        self._apply(decision, tasks)
+
     async def _read_reports(self, tasks: anyio.abc.TaskGroup) -> None:
         """Read the reports that may show copied experts by now."""
         now = anyio.current_time()
@@ -197,29 +222,38 @@
         upstream_id, order = outgoing
         is_accepted = outcome is rank_control.OrderOutcome.ACCEPTED
         if is_accepted and order.operation is switches.Operation.PREPARE:
-            preparation_seconds = self._preparation_seconds_by_id.get(
-                upstream_id, 0
-            )
-            self._report_due_at_by_id[upstream_id] = (
-                anyio.current_time() + preparation_seconds
-            )
+            self._on_copy_started(upstream_id)
         event = _EVENT_TYPE_BY_OUTCOME[outcome](upstream_id, order)
         self._apply(switches.decide(event, self._state), tasks)
 
-    def _should_retry_prepare(
+    def _on_copy_started(self, upstream_id: str) -> None:
+        """Note until when a rank copies, and when its report shows that."""
+        copy_seconds = self._preparation.copy_seconds_by_id.get(upstream_id)
+        if copy_seconds is None:
+            return
+        copied_at = anyio.current_time() + copy_seconds
+        self._copied_at_by_id[upstream_id] = copied_at
+        self._report_due_at_by_id[upstream_id] = (
+            copied_at + self._preparation.report_lag_seconds
+        )
+
+    def _should_retry(
         self,
         order: switches.Order,
         outcome: rank_control.OrderOutcome,
     ) -> bool:
-        """Return whether a map was refused because of the previous switch.
+        """Return whether an order was refused because it came too early.
 
-        Such an order succeeds once the step of that switch has started.
+        A map is refused until the step of the previous switch has started. A
+        rank is not armed until it has copied its new experts.
         """
-        return (
-            outcome is rank_control.OrderOutcome.REFUSED
-            and order.operation is switches.Operation.PREPARE
-            and anyio.current_time() < self._prepare_retry_until
-        )
+        if outcome is not rank_control.OrderOutcome.REFUSED:
+            return False
+        now = anyio.current_time()
+        if order.operation is switches.Operation.PREPARE:
+            return now < self._prepare_retry_until
+        is_arming = order.operation is switches.Operation.ARM
+        return is_arming and now < self._arm_retry_until
 
     async def _send(
         self,
@@ -248,7 +282,7 @@
             if outcome is rank_control.OrderOutcome.FENCED:
                 self._lease.on_fenced()
                 return
-            if not self._should_retry_prepare(outgoing.order, outcome):
+            if not self._should_retry(outgoing.order, outcome):
                 self._on_outcome(outgoing, outcome, tasks)
                 if outcome is not rank_control.OrderOutcome.UNANSWERED:
                     return
--- a/nutmegtrail/expert_map/switch.py
+++ b/nutmegtrail/expert_map/switch.py
@@ -144,7 +144,18 @@
     report: Report
 
 
-Event: typing.TypeAlias = Accepted | Refused | Unanswered | Reported
+class CopiesExpected(typing.NamedTuple):
+    """All engines have had the time to copy their new experts.
+
+    Reports show that only later. An engine that still copies refuses to be
+    armed, so that nothing depends on the estimate but how long the group is
+    held.
+    """
+
+
+Event: typing.TypeAlias = (
+    Accepted | Refused | Unanswered | Reported | CopiesExpected
+)
 
 
 def begin(
@@ -282,10 +293,23 @@
     prepared_ids = switch.prepared_ids | {event.upstream_id}
     updated = refreshed._replace(prepared_ids=prepared_ids)
     if prepared_ids == frozenset(switch.member_ids):
-        return _hold(updated._replace(holding_member_id=switch.member_ids[0]))
+        return _begin_hold(updated)
     return Decision(updated)
 
 
+@decide.register
+def _copies_expected(event: CopiesExpected, switch: Switch) -> Decision:
+    """Hold the group without waiting for the reports."""
+    if switch.phase is not Phase.PREPARING:
+        return Decision(switch)
+    return _begin_hold(switch)
+
+
+def _begin_hold(switch: Switch) -> Decision:
+    """Hold the group by its first rank."""
+    return _hold(switch._replace(holding_member_id=switch.member_ids[0]))
+
+
 def _hold(switch: Switch) -> Decision:
     """Hold the group before a future step."""
     if switch.hold_attempts >= HOLD_ATTEMPTS:
--- a/tests/expert_balancing/test_large_groups.py
+++ b/tests/expert_balancing/test_large_groups.py
@@ -133,6 +133,38 @@
         duration = released[_SIZE.groups - 1] - first_orders[0]
         self.assertTrue(duration < _SWITCH_LIMIT_SECONDS, duration)
 
+    def test_hold_does_not_wait_for_reports(self):
+        """A group is held once its ranks have copied, before reports tell.
+
+        The reports of ranks are 0.2 s old.
+        """
+        instances = _Instances()
+        instances.run(1.2)
+        copied_at = max(
+            rank.prepared_at
+            for name, rank in instances.engines.ranks_by_id.items()
+            if name.startswith('m0')
+        )
+        held_at = instances.engines.times(switch.Operation.HOLD)[0]
+        delay = held_at - copied_at
+        self.assertTrue(0 <= delay < 0.1, delay)
+        self.assertEqual(0, instances.engines.early_arms)
+
+    def test_slow_copies(self):
+        """Ranks that copy for longer than expected are armed a little later.
+
+        The group is held meanwhile, and no switch is abandoned.
+        """
+        instances = _Instances()
+        instances.engines.copy_seconds = simulated_groups.COPY_SECONDS * 1.5
+        instances.run(2)
+        self.assertTrue(instances.engines.early_arms > 0)
+        self.assertEqual(_SIZE.groups, len(self._released(instances)))
+        held = instances.engines.times(switch.Operation.HOLD)
+        released = instances.engines.times(switch.Operation.RELEASE)
+        self.assertTrue(released[0] - held[0] < const.ARM_RETRY_WINDOW_SECONDS)
+        self.assertIsNotNone(instances.lease.fence)
+
     def test_links_keep_room_for_streams(self):
         """No instance sends more maps than its link has room for."""
         instances = _Instances()
