Spread requests over all ranks below the average of their group

The idlest rank was always the first choice, and all entries see the same few ranks become idle.

Ranks with fewer requests than the average of their group now count as equal: a step lasts as long as its slowest rank, so that filling up the idlest one first gains nothing. Of these the entry takes one in its failure domain, then the one to which it has sent the fewest itself.

Upstreams without groups are chosen by their own load as before.

--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -20,8 +20,9 @@
 class Candidate(typing.NamedTuple):
     """Upstream that may be selected, with its load.
 
-    `in_flight` counts the requests at the upstream and `group_in_flight` those
-    at its rank group. `group_reported_in_flight` counts those that all entries
+    `in_flight` counts the requests at the upstream, `own_in_flight` those of
+    this entry among them, and `group_in_flight` those at its rank group, which
+    has `group_ranks` usable ranks. `group_reported_in_flight` counts those that all entries
     knew of at their last reports. `group_capacity` is the number of requests
     that the group can hold within its objective. `sharing_entries` is the
     number of entries that fill this capacity. `latency_seconds` is 0 if
@@ -30,12 +31,23 @@
 
     upstream: models.Upstream
     in_flight: int
+    own_in_flight: int
+    group_ranks: int
     group_in_flight: int
     group_reported_in_flight: int
     group_capacity: float
     sharing_entries: int
     latency_seconds: float
 
+    @property
+    def level(self) -> int:
+        """Return the requests in flight, those of a rank group on average.
+
+        Ranks below the average count as equal. If the idlest rank were always
+        the first choice, all entries would choose it until its next reports.
+        """
+        return max(self.in_flight, self.group_in_flight // self.group_ranks)
+
     def has_capacity(self, capacity_ratio: float) -> bool:
         """Return whether a request would run immediately.
 
@@ -88,6 +100,7 @@
     )
     states_by_group = {
         group: _GroupState(
+            group_load.ranks,
             group_load.in_flight,
             context.reported_loads_by_group.get(group, group_load.in_flight),
             _group_capacity(context, group, group_load, now_seconds),
@@ -100,6 +113,7 @@
         Candidate(
             upstream,
             counts_by_id.get(upstream.upstream_id, 0),
+            context.counts.local_by_id.get(upstream.upstream_id, 0),
             *states_by_group[upstream.group_name],
         )
         for upstream in upstreams
@@ -201,6 +215,7 @@
 class _GroupState(typing.NamedTuple):
     """State shared by a group's upstreams; last fields of `Candidate`."""
 
+    ranks: int
     in_flight: int
     reported: int
     capacity: float
@@ -265,8 +280,9 @@
 class Preference(typing.NamedTuple):
     """Which of equally loaded upstreams an entry prefers.
 
-    Upstreams in its failure domain come first, then those that `entry`, the
-    name of the entry, has early in its own order. If all entries had the same
+    Upstreams in its failure domain come first, then those to which it has sent
+    the fewest, then those that `entry`, the name of the entry, has early in its
+    own order. If all entries had the same
     order, those that choose between two reports would choose the same
     upstreams. The order of an entry without a name is that of the identifiers.
     """
@@ -314,7 +330,7 @@
     typical_latency: float,
     preference: Preference,
     avoided_ids: typing.AbstractSet[str],
-) -> tuple[bool, float, float, bool, tuple[int, str]]:
+) -> tuple[bool, float, float, bool, tuple[int, int, str]]:
     """Return the sort key of a candidate: avoided last, then by work."""
     latency_ratio = max(
         (candidate.latency_seconds or typical_latency) / typical_latency, 1.0
@@ -322,10 +338,13 @@
     upstream = candidate.upstream
     return (
         upstream.upstream_id in avoided_ids,
-        (candidate.in_flight + 1) * latency_ratio,
+        (candidate.level + 1) * latency_ratio,
         candidate.group_in_flight * latency_ratio,
         upstream.failure_domain != preference.failure_domain,
-        _position(preference.entry, upstream.upstream_id),
+        (
+            candidate.own_in_flight,
+            *_position(preference.entry, upstream.upstream_id),
+        ),
     )
 
 
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -1,6 +1,7 @@
 """Tests of the upstream selection with uneven load and several entries."""
 
 import collections
+import random
 
 import testtools
 
@@ -226,6 +227,61 @@
         waiting = sum(max(count - 3, 0) for count in total.values())
         self.assertTrue(waiting <= 2, (waiting, total.most_common(9)))
 
+    def test_herd_at_ranks_that_become_idle(self):
+        """Few requests meet at ranks that all entries see become idle.
+
+        Load pattern `burst` on the large fleets: 96 ranks with 3 slots have 0
+        to 3 requests each. Until the next report 14 entries send one request
+        each. One in fifty may wait for a slot of its rank.
+        """
+        generator = random.Random(1)
+        rounds = 60
+        waiting = sum(self._waiting_at_ranks(generator) for _ in range(rounds))
+        self.assertTrue(waiting <= rounds * 14 / 50, waiting)
+
+    def _waiting_at_ranks(self, generator):
+        """Return how many of 14 requests exceed the slots of their rank."""
+        ranks = tuple(
+            samples.member(f'm{rank}', rank, size=96)._replace(
+                slots=3, failure_domain=f'z{rank % 5}'
+            )
+            for rank in range(96)
+        )
+        running = dict(
+            zip(
+                (rank.upstream_id for rank in ranks),
+                generator.choices(range(4), (8, 30, 42, 16), k=len(ranks)),
+                strict=True,
+            )
+        )
+        known_upstreams = fleet.decide(
+            fleet.SnapshotReceived(ranks), fleet.Fleet(), 0
+        )
+        counts = request_counts.record_report(
+            request_counts.Counts(), 'others', running, 0
+        )
+        context = selection.SelectionContext(
+            known_upstreams,
+            health.Health(),
+            counts,
+            14,
+            {'g0': sum(running.values())},
+        )
+        candidates = selection.find_candidates(context, 'drafts', 0)
+        total = collections.Counter(running)
+        for entry in range(14):
+            preference = selection.Preference(f'z{entry % 5}', f'entry-{entry}')
+            candidate = selection.choose(candidates, frozenset(), preference)
+            total[candidate.upstream.upstream_id] += 1
+        return sum(max(count - 3, 0) for count in total.values())
+
+    def test_plain_upstreams_by_their_own_load(self):
+        """Without groups, an idle upstream is preferred to a busy one."""
+        upstreams = tuple(samples.upstream(f'u{number}') for number in range(9))
+        counts = _counts(**{f'u{number}': 1 for number in range(9)})
+        counts = request_counts.record_end(counts, 'u7')
+        self.assertEqual('u7', _choose(upstreams, counts))
+
     def test_late_requests_leave_capacity(self):
         """Pattern `burst`: late requests leave the last capacity free."""
         ranks = tuple(
