Hold a group only after a report of the rank that holds it

Without a recent step, a hold before the reports asked for steps that had begun and was refused up to ten times (found by reading; test_unreadable_holder held at 1.04 s, while the rank was unreadable until 1.6 s).

--- a/nutmegtrail/expert_balancing/batch_sender.py
+++ b/nutmegtrail/expert_balancing/batch_sender.py
@@ -35,12 +35,14 @@
         """Send a batch; engines that are not registered get no order."""
         upstreams_by_id = self._dispatcher.known_upstreams.upstreams_by_id
         outcomes_by_id: dict[str, rank_control.OrderOutcome] = {}
+        layers = batch.order.layers
+        size_bytes = layer_placement.size_bytes(layers) if layers else 0
         async with anyio.create_task_group() as tasks:
             for upstream_id in batch.upstream_ids:
                 upstream = upstreams_by_id.get(upstream_id)
                 if upstream is not None:
                     tasks.start_soon(
-                        self._send, upstream, batch, outcomes_by_id
+                        self._send, upstream, batch, size_bytes, outcomes_by_id
                     )
         counts = collections.Counter(
             outcome.value for outcome in outcomes_by_id.values()
@@ -58,12 +60,11 @@
         self,
         upstream: models.Upstream,
         batch: order_relay.Batch,
+        size_bytes: int,
         outcomes_by_id: dict[str, rank_control.OrderOutcome],
     ) -> None:
         """Send the order to an engine and record the outcome."""
-        layers = batch.order.layers
-        if layers is not None:
-            await self._pacer.wait(layer_placement.size_bytes(layers))
+        await self._pacer.wait(size_bytes)
         outcomes_by_id[upstream.upstream_id] = await self._engines.order(
             upstream, batch.order, batch.fence
         )
--- a/nutmegtrail/expert_balancing/order_distribution.py
+++ b/nutmegtrail/expert_balancing/order_distribution.py
@@ -44,6 +44,8 @@
         self._peers = peers
         self._failure_domain = failure_domain
         self._pacer = pacer
+        self._counted_layers: layer_placement.Layers | None = None
+        self._counted_bytes = 0
 
     def distribute(
         self,
@@ -54,7 +56,9 @@
 
         Few or small orders are all sent by this instance.
         """
-        size_bytes = sum(map(_size_bytes, outgoing_orders))
+        size_bytes = sum(
+            self._size_bytes(outgoing.order) for outgoing in outgoing_orders
+        )
         if self._pacer.duration(size_bytes) < const.MIN_RELAYED_SECONDS:
             return Distribution(outgoing_orders, {})
         domain_by_sender: dict[shared_models.Address | None, str] = {
@@ -76,7 +80,7 @@
     async def wait_for_link(self, order: switches.Order) -> None:
         """Wait until this instance may send an order."""
         if order.layers is not None:
-            await self._pacer.wait(layer_placement.size_bytes(order.layers))
+            await self._pacer.wait(self._size_bytes(order))
 
     async def relay(
         self,
@@ -87,7 +91,7 @@
         """Let another instance send equal orders; return what it tells."""
         order = outgoing_orders[0].order
         # The map is compressed on its way to the other instance.
-        size_bytes = _size_bytes(outgoing_orders[0])
+        size_bytes = self._size_bytes(order)
         await self._pacer.wait(size_bytes // const.MAP_COMPRESSION_RATIO)
         batch = order_relay.Batch(
             order,
@@ -96,6 +100,18 @@
         )
         return await self._relay.relay(address, batch)
 
+    def _size_bytes(self, order: switches.Order) -> int:
+        """Return the approximate size of an order, 0 if it has no map.
+
+        All orders of a switch have the same map, which is counted once.
+        """
+        if order.layers is None:
+            return 0
+        if order.layers is not self._counted_layers:
+            self._counted_layers = order.layers
+            self._counted_bytes = layer_placement.size_bytes(order.layers)
+        return self._counted_bytes
+
 
 def _assign(
     outgoing_orders: tuple[switches.OutgoingOrder, ...],
@@ -126,10 +142,3 @@
         for sender, orders in orders_by_sender.items()
         if orders
     }
-
-
-def _size_bytes(outgoing: switches.OutgoingOrder) -> int:
-    """Return the approximate size of an order, 0 if it has no map."""
-    if outgoing.order.layers is None:
-        return 0
-    return layer_placement.size_bytes(outgoing.order.layers)
--- a/nutmegtrail/expert_balancing/switch_executor.py
+++ b/nutmegtrail/expert_balancing/switch_executor.py
@@ -151,13 +151,15 @@
     async def _expect_copies(self, tasks: anyio.abc.TaskGroup) -> None:
         """Hold the group once all ranks should have copied their experts.
 
-        The report of the rank that holds the group tells a recent step.
+        The report of the rank that holds the group tells a recent step. A hold
+        of a step that has begun is refused.
         """
         copied_at = max(self._copied_at_by_id.values(), default=math.inf)
         is_preparing = self._state.phase is switches.Phase.PREPARING
         if not is_preparing or anyio.current_time() < copied_at:
             return
-        await self._read_report(self._group.members[0], tasks)
+        if not await self._read_report(self._group.members[0], tasks):
+            return
         self._arm_retry_until = (
             anyio.current_time() + const.ARM_RETRY_WINDOW_SECONDS
         )
@@ -182,12 +184,14 @@
         self,
         member: models.Upstream,
         tasks: anyio.abc.TaskGroup,
-    ) -> None:
-        """Read a rank's report and apply it to the switch."""
+    ) -> bool:
+        """Apply a rank's report to the switch; return whether it was read."""
         report = await self._engines.report(member)
-        if report is not None:
-            event = switches.Reported(member.upstream_id, report)
-            self._apply(switches.decide(event, self._state), tasks)
+        if report is None:
+            return False
+        event = switches.Reported(member.upstream_id, report)
+        self._apply(switches.decide(event, self._state), tasks)
+        return True
 
     def _apply(
         self,
--- a/tests/expert_balancing/test_large_groups.py
+++ b/tests/expert_balancing/test_large_groups.py
@@ -94,7 +94,7 @@
         )
         return await sender.send(batch)
 
-    def run(self, seconds):
+    def run(self, seconds, **options):
         """Run the balancer of the leader."""
         distributor = order_distribution.OrderDistributor(
             self, self.peers, _DOMAINS[0], self.own_link.pacer
@@ -105,6 +105,7 @@
             distributor,
             seconds,
             lease=self.lease,
+            **options,
         )
 
     def _address(self, number):
@@ -150,6 +151,28 @@
         self.assertTrue(0 <= delay < 0.1, delay)
         self.assertEqual(0, instances.engines.early_arms)
 
+    def test_unreadable_holder(self):
+        """A group is not held before a step that may have begun.
+
+        The rank that would hold it does not report for a while.
+        """
+        instances = _Instances()
+        engines = instances.engines
+
+        async def _silence():
+            await anyio.sleep(0.6)
+            engines.unreadable_until_by_id['m0-0'] = 1.6
+
+        instances.run(2.5, concurrent_task=_silence)
+        held = [
+            time
+            for time, upstream, order in engines.orders
+            if order.operation is switch.Operation.HOLD
+            and upstream.group_name == 'g0'
+        ]
+        self.assertTrue(held)
+        self.assertTrue(min(held) >= 1.6, held)
+
     def test_slow_copies(self):
         """Ranks that copy for longer than expected are armed a little later.
 
