Let entries of the soak send maps for the leader

On a link of 0.1 Mbit/s the maps of the soak's group are relayed, so that kills, freezes and cuts meet several senders.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -49,6 +49,8 @@
 COMPLETE_STREAM = b''.join(
     b'id: %d\ndata: x\n\n' % number for number in range(1, _EVENT_COUNT + 1)
 )
+# On such a slow link the leader lets the other entries send maps, too.
+_LINK_MEGABITS_PER_SECOND = 0.1
 _SETTINGS_TEMPLATE = """
 [process]
 host = "entry-{name}"
@@ -60,6 +62,8 @@
 metrics = "{metrics}"
 [store]
 address = "{store}"
+[link]
+megabits_per_second = {link_megabits}
 [retries]
 window_seconds = 10
 share = 0.2
@@ -165,6 +169,7 @@
                 peers=loopback.free_address(),
                 metrics=loopback.free_address(),
                 store=store,
+                link_megabits=_LINK_MEGABITS_PER_SECOND,
             ),
         )
         self._log_path = pathlib.Path(folder) / f'{name}.log'
