Keep that the control API names a limit when a lower one overlaps

An entry that had read a limit from the control API and then got a lower one in an overlapping response forgot that the API names limits. Until the API named it again, the limit's end was not noticed there, and a limit of 0 was tried by a request every 10 s.

test_lower_limit_that_overlaps failed before.

--- a/nutmegtrail/gateway/request_limits.py
+++ b/nutmegtrail/gateway/request_limits.py
@@ -283,7 +283,7 @@
     if new.requests_per_second > known.requests_per_second:
         return known
     if new.requests_per_second < known.requests_per_second:
-        return new
+        return new._replace(is_by_control_api=_names_by_control_api(known, new))
     return known._replace(
         asked_at_seconds=max(known.asked_at_seconds, new.asked_at_seconds),
         received_at_seconds=max(
--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -90,6 +90,19 @@
         limits = _record(limits, _statement(2, 1, 2))
         self.assertTrue(limits[_INCARNATION].statement.is_by_control_api)
 
+    def test_lower_limit_that_overlaps(self):
+        """A lower limit in a response does not end what the API names.
+
+        It is not known which of the two responses is later.
+        """
+        limits = _record(
+            pyrsistent.pmap(), _statement(2, 0, 2, is_by_control_api=True)
+        )
+        limits = _record(limits, _statement(1, 1, 3))
+        statement = limits[_INCARNATION].statement
+        self.assertEqual(1, statement.requests_per_second)
+        self.assertTrue(statement.is_by_control_api)
+
 
 class EndOfLimitTest(testtools.TestCase):
     """Growth of the rate after a limit has ended."""
