Let entries prefer the engine that signal tests need first

They relied on ties going to the lowest identifier, which ended: the engine that tells something must get the next request, and entries with other names now prefer other engines. In test_stream_that_tells_with_its_head the engine that tells was no longer the one with the stream; it passed without showing its case.

The other engine is now registered in another failure domain, so that the intended one is the first choice of all entries. All checks are as before.

--- a/tests/platform/test_upstream_signals.py
+++ b/tests/platform/test_upstream_signals.py
@@ -88,6 +88,17 @@
         self.assertEqual({200}, set(_statuses(responses)))
         return responses
 
+    async def _prefer(self, deployment, preferred):
+        """Let the entries prefer an engine to equally loaded ones.
+
+        The others are registered in another failure domain.
+        """
+        for engine in deployment.engines:
+            if engine is not preferred:
+                elsewhere = engine.registration(zone='kandla-b')
+                deployment.store.put(engine.key, elsewhere)
+        await anyio.sleep(_WATCH_SECONDS)
+
 
 class LeavingEngineTest(_SignalsTest):
     """Engines whose responses say that they leave."""
@@ -212,6 +223,7 @@
 
         async def _scenario(deployment):
             leaving, other = deployment.engines
+            await self._prefer(deployment, leaving)
             entry = deployment.entries[0]
             for engine in deployment.engines:
                 engine.scripts = ['paced']
@@ -237,6 +249,7 @@
 
         async def _scenario(deployment):
             leaving, other = deployment.engines
+            await self._prefer(deployment, leaving)
             leaving.added_headers = (_LEAVING,)
             for engine in deployment.engines:
                 engine.scripts = ['paced']
@@ -476,6 +489,7 @@
 
         async def _scenario(deployment):
             held_off = deployment.engines[0]
+            await self._prefer(deployment, held_off)
             held_off.added_headers = (_LONG,)
             held_off.scripts = ['not_run']
             await self._assert_served(deployment, 6, 'e0')
