Let the order relay use the client of the JSON APIs

The relay had a call with time limit, response limit and reasons of failure of its own, beside the one of the store and the engines. That client knows nothing of the platform, so it moves to adapters/http1, and its response limit can be set.

--- a/nutmegtrail/adapters/http1/const.py
+++ b/nutmegtrail/adapters/http1/const.py
@@ -3,6 +3,7 @@
 import typing
 
 RECEIVE_BYTES: typing.Final = 65_536
+JSON_RESPONSE_LIMIT_BYTES: typing.Final = 16_777_216
 LISTEN_BACKLOG: typing.Final = 1_024
 ACCEPT_RETRY_SECONDS: typing.Final = 0.05
 
--- a/nutmegtrail/platform/json_client.py
+++ b/nutmegtrail/adapters/http1/json_client.py
@@ -1,4 +1,4 @@
-"""HTTP client for the JSON APIs of the store and the engines."""
+"""HTTP client for JSON APIs, which tells why a response is missing."""
 
 import typing
 
@@ -6,9 +6,9 @@
 
 from nutmegtrail import models
 from nutmegtrail.adapters.http1 import client
+from nutmegtrail.adapters.http1 import const
 from nutmegtrail.adapters.http1 import errors
 from nutmegtrail.adapters.http1 import messages
-from nutmegtrail.platform import const
 
 JSON_HEADERS: typing.Final[messages.Headers] = (
     (b'content-type', b'application/json'),
@@ -37,9 +37,12 @@
 class JsonClient:
     """Client that reuses its connections."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, response_limit_bytes: int = const.JSON_RESPONSE_LIMIT_BYTES
+    ) -> None:
         """Initialize the client without opening connections."""
         self._http_client = client.Client()
+        self._response_limit_bytes = response_limit_bytes
 
     async def close(self) -> None:
         """Close all connections."""
@@ -70,7 +73,7 @@
             with anyio.fail_after(timeout_seconds):
                 head, received = await self._http_client.fetch(
                     request,
-                    const.RESPONSE_LIMIT_BYTES,
+                    self._response_limit_bytes,
                 )
         except errors.ConnectionRefused as error:
             return NoResponse(str(error), is_refused=True)
--- a/nutmegtrail/adapters/order_relay/http.py
+++ b/nutmegtrail/adapters/order_relay/http.py
@@ -3,11 +3,8 @@
 import http
 import typing
 
-import anyio
-
 from nutmegtrail import models
-from nutmegtrail.adapters.http1 import client
-from nutmegtrail.adapters.http1 import errors
+from nutmegtrail.adapters.http1 import json_client
 from nutmegtrail.adapters.http1 import messages
 from nutmegtrail.adapters.http1 import server
 from nutmegtrail.adapters.order_relay import const
@@ -21,14 +18,9 @@
     const.IDLE_TIMEOUT_SECONDS,
 )
 _RESPONSE_HEADERS: typing.Final[messages.Headers] = (
-    (b'content-type', b'application/json'),
+    *json_client.JSON_HEADERS,
     (b'keep-alive', b'timeout=%d' % const.KEEP_ALIVE_SECONDS),
 )
-_CALL_ERRORS: typing.Final = (
-    errors.NotConnected,
-    errors.ExchangeBroken,
-    TimeoutError,
-)
 
 BatchHandler: typing.TypeAlias = typing.Callable[
     [order_relay.Batch], typing.Awaitable[order_relay.OutcomesById]
@@ -40,36 +32,32 @@
 
     def __init__(self) -> None:
         """Initialize the client without opening connections."""
-        self._http_client = client.Client()
+        self._json_client = json_client.JsonClient(const.RESPONSE_LIMIT_BYTES)
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._http_client.close()
+        await self._json_client.close()
 
     async def relay(
         self, address: models.Address, batch: order_relay.Batch
     ) -> order_relay.OutcomesById:
         """Let an instance send a batch; return no outcomes if it fails."""
-        call = client.Call(
+        response = await self._json_client.send(
             address,
             b'POST',
             const.RELAY_PATH,
-            ((b'host', str(address).encode()),),
+            (),
             documents.encode_batch(batch),
+            const.RELAY_TIMEOUT_SECONDS,
         )
-        try:
-            with anyio.fail_after(const.RELAY_TIMEOUT_SECONDS):
-                head, payload = await self._http_client.fetch(
-                    call, const.RESPONSE_LIMIT_BYTES
-                )
-        except _CALL_ERRORS as error:
-            _log_failure(address, batch, repr(error))
+        if isinstance(response, json_client.NoResponse):
+            _log_failure(address, batch, response.detail)
             return {}
-        if head.status != http.HTTPStatus.OK:
-            _log_failure(address, batch, f'status {head.status}')
+        if response.status != http.HTTPStatus.OK:
+            _log_failure(address, batch, f'status {response.status}')
             return {}
         try:
-            return documents.decode_outcomes(payload)
+            return documents.decode_outcomes(response.body)
         except documents.DECODE_ERRORS as error:
             _log_failure(address, batch, repr(error))
             return {}
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -59,7 +59,6 @@
 CALL_TIMEOUT_SECONDS: typing.Final = 1.5
 # Added to the long-poll time of a watch before the request times out.
 WATCH_TIMEOUT_MARGIN_SECONDS: typing.Final = 1.5
-RESPONSE_LIMIT_BYTES: typing.Final = 16_777_216
 ENGINE_READ_TIMEOUT_SECONDS: typing.Final = 0.3
 # Engines respond to an order within milliseconds, and a paused group waits for
 # the response. An order with an expert map takes 20 ms on the slowest links.
--- a/nutmegtrail/platform/engines.py
+++ b/nutmegtrail/platform/engines.py
@@ -7,13 +7,13 @@
 import anyio
 import orjson
 
+from nutmegtrail.adapters.http1 import json_client
 from nutmegtrail.expert_map import layer_placement
 from nutmegtrail.expert_map import switch
 from nutmegtrail.gateway import models
 from nutmegtrail.observability import logs
 from nutmegtrail.platform import const
 from nutmegtrail.platform import headers
-from nutmegtrail.platform import json_client
 from nutmegtrail.ports import rank_control
 from nutmegtrail.ports import upstream_probe
 
--- a/nutmegtrail/platform/store.py
+++ b/nutmegtrail/platform/store.py
@@ -13,9 +13,9 @@
 
 from nutmegtrail import const as shared_const
 from nutmegtrail import models
+from nutmegtrail.adapters.http1 import json_client
 from nutmegtrail.platform import const
 from nutmegtrail.platform import era
-from nutmegtrail.platform import json_client
 from nutmegtrail.ports import key_value
 from nutmegtrail.ports import watched_store
 
--- a/tests/platform/test_hostile_input.py
+++ b/tests/platform/test_hostile_input.py
@@ -10,6 +10,7 @@
 
 from nutmegtrail import models as shared_models
 from nutmegtrail.adapters.http1 import errors as http_errors
+from nutmegtrail.adapters.http1 import json_client
 from nutmegtrail.adapters.http1 import messages
 from nutmegtrail.gateway import errors
 from nutmegtrail.gateway import events
@@ -18,7 +19,6 @@
 from nutmegtrail.platform import documents
 from nutmegtrail.platform import engines
 from nutmegtrail.platform import headers
-from nutmegtrail.platform import json_client
 from nutmegtrail.platform import store
 from tests.gateway import samples as gateway_samples
 from tests.platform import samples
--- a/tests/platform/test_upstream_framing.py
+++ b/tests/platform/test_upstream_framing.py
@@ -12,8 +12,8 @@
 import anyio.abc
 import testtools
 
+from nutmegtrail.adapters.http1 import json_client
 from nutmegtrail.adapters.http1 import messages
-from nutmegtrail.platform import json_client
 from tests import loopback
 from tests.platform import entries
 from tests.platform import stand_in
