Count the size of a map once, where its switch begins

The distributor kept the size of the last map that it had met, to save counting it for each order; two groups that switch to different maps counted it for each order again. The executor knows the map of its switch and counts it once. An instance is told from its peers by its address instead of None, which needs no copy of the assignment, and its location is parsed once. Which instances were heard of lately is one function for limits and peers.

--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -90,13 +90,12 @@
             protection.part_quarantine,
         ),
     )
-    location = gateway_models.Peer(
-        models.parse_address(configured.listen.peers),
-        configured.process.failure_domain,
-    )
     gossip = gossiping.Gossip(
         shared.incarnation,
-        location,
+        gateway_models.Peer(
+            models.parse_address(configured.listen.peers),
+            configured.process.failure_domain,
+        ),
         shared.store,
         shared.dispatcher,
     )
@@ -185,8 +184,8 @@
     relay_client = order_relay_http.OrderRelayClient()
     distributor = order_distribution.OrderDistributor(
         relay_client,
+        gossip.location,
         gossip.reachable_peers,
-        configured.process.failure_domain,
         order_pacer,
     )
     sender = batch_sender.BatchSender(engines, shared.dispatcher, order_pacer)
@@ -199,9 +198,7 @@
             shared.metrics_registry,
         ),
         relay_client,
-        order_relay_http.OrderRelayServer(
-            models.parse_address(configured.listen.peers), sender.send
-        ),
+        order_relay_http.OrderRelayServer(gossip.location.address, sender.send),
     )
 
 
--- a/nutmegtrail/expert_balancing/batch_sender.py
+++ b/nutmegtrail/expert_balancing/batch_sender.py
@@ -35,8 +35,7 @@
         """Send a batch; engines that are not registered get no order."""
         upstreams_by_id = self._dispatcher.known_upstreams.upstreams_by_id
         outcomes_by_id: dict[str, rank_control.OrderOutcome] = {}
-        layers = batch.order.layers
-        size_bytes = layer_placement.size_bytes(layers) if layers else 0
+        size_bytes = layer_placement.size_bytes(batch.order.layers or ())
         async with anyio.create_task_group() as tasks:
             for upstream_id in batch.upstream_ids:
                 upstream = upstreams_by_id.get(upstream_id)
--- a/nutmegtrail/expert_balancing/switch_executor.py
+++ b/nutmegtrail/expert_balancing/switch_executor.py
@@ -12,6 +12,7 @@
 from nutmegtrail.expert_balancing import leader_lease
 from nutmegtrail.expert_balancing import order_distribution
 from nutmegtrail.expert_balancing import rank_groups
+from nutmegtrail.expert_map import layer_placement
 from nutmegtrail.expert_map import switch as switches
 from nutmegtrail.gateway import models
 from nutmegtrail.observability import logs
@@ -58,6 +59,8 @@
         self._distributor = distributor
         self._first_decision = first_decision
         self._state = first_decision.switch
+        # Orders without a map, such as those of a recovery, need no pacing.
+        self._map_bytes = layer_placement.size_bytes(self._state.layers or ())
         self._engines = engines
         self._lease = lease
         self._fence = lease.fence or 0
@@ -114,7 +117,7 @@
             await self._send(outgoing_orders[0], tasks)
             outgoing_orders = outgoing_orders[1:]
         distribution = self._distributor.distribute(
-            outgoing_orders, self._upstreams_by_id
+            outgoing_orders, self._upstreams_by_id, self._map_bytes
         )
         for address, relayed in distribution.relayed_by_address.items():
             tasks.start_soon(self._relay, address, relayed, tasks)
@@ -132,7 +135,7 @@
         Those that it does not report as accepted are sent by this one.
         """
         outcomes_by_id = await self._distributor.relay(
-            address, outgoing_orders, self._fence
+            address, outgoing_orders, self._fence, self._map_bytes
         )
         if rank_control.OrderOutcome.FENCED in outcomes_by_id.values():
             self._lease.on_fenced()
@@ -275,7 +278,8 @@
             self._state.phase not in switches.FINAL_PHASES
             and not self._is_past_deadline()
         ):
-            await self._distributor.wait_for_link(outgoing.order)
+            if outgoing.order.layers is not None:
+                await self._distributor.wait_for_link(self._map_bytes)
             if self._lease.fence != self._fence:
                 return
             outcome = await self._engines.order(
--- a/nutmegtrail/gateway/gossip.py
+++ b/nutmegtrail/gateway/gossip.py
@@ -55,9 +55,9 @@
         dispatcher: dispatching.Dispatcher,
     ) -> None:
         """Initialize the exchange without registering or sending."""
+        self.location = location
         self._name = name
         self._address = location.address
-        self._failure_domain = location.failure_domain
         self._store = store
         self._dispatcher = dispatcher
         self._signal_recorder = signal_recorder.SignalRecorder(dispatcher)
@@ -87,14 +87,13 @@
 
     def reachable_peers(self) -> tuple[gateway_models.Peer, ...]:
         """Return the registered instances that were heard of lately."""
-        oldest = anyio.current_time() - const.GOSSIP_TIMEOUT_SECONDS
         peer_by_address = {
             peer.address: peer for peer in self._peer_by_key.values()
         }
         return tuple(
             peer_by_address[address]
-            for address, heard_at in self._heard_at_by_address.items()
-            if heard_at >= oldest and address in peer_by_address
+            for address in _heard_lately(self._heard_at_by_address)
+            if address in peer_by_address
         )
 
     def on_snapshot(self, items: tuple[watched_store.Item, ...]) -> None:
@@ -183,12 +182,7 @@
         unless they hear it.
         """
         now = anyio.current_time()
-        oldest = now - const.GOSSIP_TIMEOUT_SECONDS
-        self._heard_at_by_address = {
-            address: heard_at
-            for address, heard_at in self._heard_at_by_address.items()
-            if heard_at >= oldest
-        }
+        self._heard_at_by_address = _heard_lately(self._heard_at_by_address)
         heard = set(self._heard_at_by_address)
         is_alone = bool(self._peer_addresses) and not heard
         members = {self._address, *self._peer_addresses, *heard}
@@ -246,7 +240,7 @@
         written = await self._store.swap(
             self._own_key,
             self._own_revision,
-            f'{self._address}/{self._failure_domain}'.encode(),
+            f'{self._address}/{self.location.failure_domain}'.encode(),
             granted.ok,
         )
         registered = written.is_ok()
@@ -377,6 +371,18 @@
         return None
 
 
+def _heard_lately(
+    heard_at_by_address: dict[models.Address, float],
+) -> dict[models.Address, float]:
+    """Return the instances that were heard of within the timeout."""
+    oldest = anyio.current_time() - const.GOSSIP_TIMEOUT_SECONDS
+    return {
+        address: heard_at
+        for address, heard_at in heard_at_by_address.items()
+        if heard_at >= oldest
+    }
+
+
 def _registration_expiry() -> float:
     """Return until when the others know an instance that registers now."""
     return anyio.current_time() + const.REGISTRATION_TTL_SECONDS
--- a/tests/expert_balancing/simulated_groups.py
+++ b/tests/expert_balancing/simulated_groups.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from nutmegtrail import models as shared_models
 from nutmegtrail.expert_balancing import expert_balancer
 from nutmegtrail.expert_balancing import order_distribution
 from nutmegtrail.expert_balancing import pacer
@@ -233,8 +234,9 @@
 
 def distributor_without_peers(bytes_per_second=1e6):
     """Return the distributor of an instance that sends all orders itself."""
+    location = models.Peer(shared_models.Address('10.0.0.40', 7340), 'kandla-a')
     return order_distribution.OrderDistributor(
-        None, tuple, 'kandla-a', pacer.Pacer(bytes_per_second)
+        None, location, tuple, pacer.Pacer(bytes_per_second)
     )
 
 
--- a/tests/expert_balancing/test_large_groups.py
+++ b/tests/expert_balancing/test_large_groups.py
@@ -96,8 +96,9 @@
 
     def run(self, seconds, **options):
         """Run the balancer of the leader."""
+        location = models.Peer(self._address(_PEERS), _DOMAINS[0])
         distributor = order_distribution.OrderDistributor(
-            self, self.peers, _DOMAINS[0], self.own_link.pacer
+            self, location, self.peers, self.own_link.pacer
         )
         simulated_groups.run(
             self.own_link,
@@ -120,16 +121,8 @@
         """Both groups get a new map well within the time between shifts."""
         instances = _Instances()
         instances.run(3.5)
-        first_orders = [
-            time
-            for time, upstream, order in instances.engines.orders
-            if order.operation is switch.Operation.PREPARE
-        ]
-        released = [
-            time
-            for time, _, order in instances.engines.orders
-            if order.operation is switch.Operation.RELEASE
-        ]
+        first_orders = instances.engines.times(switch.Operation.PREPARE)
+        released = instances.engines.times(switch.Operation.RELEASE)
         self.assertTrue(len(released) >= _SIZE.groups, released)
         duration = released[_SIZE.groups - 1] - first_orders[0]
         self.assertTrue(duration < _SWITCH_LIMIT_SECONDS, duration)
@@ -264,8 +257,5 @@
 
     def _released(self, instances):
         """Return the groups that were switched."""
-        return {
-            upstream.group_name
-            for _, upstream, order in instances.engines.orders
-            if order.operation is switch.Operation.RELEASE
-        }
+        released = instances.engines.versions(switch.Operation.RELEASE)
+        return {group for group, _ in released}
