--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -44,6 +44,12 @@
     return counts
 
 
+def _beyond_slots(total):
+    """Return how many requests wait for a slot of their rank."""
+    return sum(max(count - _LARGE_GROUP_SLOTS, 0) for count in total.values())
+
+
+_LARGE_GROUP_SLOTS = 3
 _TWO_UPSTREAMS = (samples.upstream('u1'), samples.upstream('u2'))
 
 
@@ -195,36 +201,9 @@
         does not know of those of the others. A request beyond the slots of a
         rank waits there for another one to end.
         """
-        ranks = tuple(
-            samples.member(
-                f'm{rank}',
-                rank,
-                size=96,
-            )._replace(slots=3, failure_domain=f'z{rank % 5}')
-            for rank in range(96)
-        )
         running = {f'm{rank}': 1 + (rank % 5 > 2) for rank in range(96)}
-        known_upstreams = fleet.decide(
-            fleet.SnapshotReceived(ranks), fleet.Fleet(), 0
-        )
-        total = collections.Counter(running)
-        for entry in range(14):
-            counts = request_counts.record_report(
-                request_counts.Counts(), 'others', running, 0
-            )
-            for _ in range(3):
-                context = selection.SelectionContext(
-                    known_upstreams, health.Health(), counts, 14, {'g0': 134}
-                )
-                candidate = selection.choose(
-                    selection.find_candidates(context, 'drafts', 0),
-                    frozenset(),
-                    selection.Preference(f'z{entry % 5}', f'entry-{entry}'),
-                )
-                name = candidate.upstream.upstream_id
-                counts = request_counts.record_start(counts, name)
-                total[name] += 1
-        waiting = sum(max(count - 3, 0) for count in total.values())
+        total = self._send_between_reports(running, requests_per_entry=3)
+        waiting = _beyond_slots(total)
         self.assertTrue(waiting <= 2, (waiting, total.most_common(9)))
 
     def test_herd_at_ranks_that_become_idle(self):
@@ -236,44 +215,50 @@
         """
         generator = random.Random(1)
         rounds = 60
-        waiting = sum(self._waiting_at_ranks(generator) for _ in range(rounds))
+        waiting = 0
+        for _ in range(rounds):
+            loads = generator.choices(range(4), (8, 30, 42, 16), k=96)
+            running = {f'm{rank}': load for rank, load in enumerate(loads)}
+            total = self._send_between_reports(running, requests_per_entry=1)
+            waiting += _beyond_slots(total)
         self.assertTrue(waiting <= rounds * 14 / 50, waiting)
 
-    def _waiting_at_ranks(self, generator):
-        """Return how many of 14 requests exceed the slots of their rank."""
+    def _send_between_reports(self, running, requests_per_entry):
+        """Return the requests by rank after 14 entries have sent some.
+
+        No entry knows of those that the others send.
+        """
         ranks = tuple(
             samples.member(f'm{rank}', rank, size=96)._replace(
-                slots=3, failure_domain=f'z{rank % 5}'
+                slots=_LARGE_GROUP_SLOTS, failure_domain=f'z{rank % 5}'
             )
             for rank in range(96)
         )
-        running = dict(
-            zip(
-                (rank.upstream_id for rank in ranks),
-                generator.choices(range(4), (8, 30, 42, 16), k=len(ranks)),
-                strict=True,
-            )
-        )
         known_upstreams = fleet.decide(
             fleet.SnapshotReceived(ranks), fleet.Fleet(), 0
         )
-        counts = request_counts.record_report(
-            request_counts.Counts(), 'others', running, 0
-        )
-        context = selection.SelectionContext(
-            known_upstreams,
-            health.Health(),
-            counts,
-            14,
-            {'g0': sum(running.values())},
-        )
-        candidates = selection.find_candidates(context, 'drafts', 0)
         total = collections.Counter(running)
         for entry in range(14):
             preference = selection.Preference(f'z{entry % 5}', f'entry-{entry}')
-            candidate = selection.choose(candidates, frozenset(), preference)
-            total[candidate.upstream.upstream_id] += 1
-        return sum(max(count - 3, 0) for count in total.values())
+            counts = request_counts.record_report(
+                request_counts.Counts(), 'others', running, 0
+            )
+            for _ in range(requests_per_entry):
+                context = selection.SelectionContext(
+                    known_upstreams,
+                    health.Health(),
+                    counts,
+                    14,
+                    {'g0': sum(running.values())},
+                )
+                candidates = selection.find_candidates(context, 'drafts', 0)
+                candidate = selection.choose(
+                    candidates, frozenset(), preference
+                )
+                name = candidate.upstream.upstream_id
+                counts = request_counts.record_start(counts, name)
+                total[name] += 1
+        return total
 
     def test_plain_upstreams_by_their_own_load(self):
         """Without groups, an idle upstream is preferred to a busy one."""
