Guard what the relay and early holds depend on

Three lines that the rule of one map depends on had no guard: that nothing but maps is relayed, that a peer's newer fence ends the leadership, and that a hold follows a recent report. The copy in which guards are removed lacked benchmarks/, which tests/loopback.py imports: tests that use it could not be loaded there and were reported green.

--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -193,6 +193,10 @@
 _EXPERT_BALANCER_TESTS: typing.Final = (
     'tests/expert_balancing/test_expert_balancer.py'
 )
+_SWITCH_EXECUTOR: typing.Final = (
+    'nutmegtrail/expert_balancing/switch_executor.py'
+)
+_LARGE_GROUP_TESTS: typing.Final = 'tests/expert_balancing/test_large_groups.py'
 _SWITCH_RECOVERY_GUARDS: typing.Final = (
     Guard(
         'ranks fenced off before the reports are read',
@@ -222,6 +226,27 @@
         'pass',
         _EXPERT_BALANCER_TESTS,
     ),
+    Guard(
+        'hold only after a report of the rank that holds',
+        _SWITCH_EXECUTOR,
+        'if not await self._read_report(self._group.members[0], tasks):',
+        'if False:',
+        _LARGE_GROUP_TESTS,
+    ),
+    Guard(
+        'leadership ends when a peer meets a newer fence',
+        _SWITCH_EXECUTOR,
+        'if rank_control.OrderOutcome.FENCED in outcomes_by_id.values():',
+        'if False:',
+        _LARGE_GROUP_TESTS,
+    ),
+    Guard(
+        'nothing but maps is relayed',
+        'nutmegtrail/adapters/order_relay/documents.py',
+        'if operation is not switch.Operation.PREPARE:',
+        'if False:',
+        'tests/adapters/order_relay/test_order_relay.py',
+    ),
 )
 
 
@@ -356,7 +381,7 @@
     Guard(
         'hedge counts against the limit of upstreams',
         _ATTEMPT_RUNNER,
-        'if assignment.is_hedge and not isinstance(event, attempts.NotConnected):',
+        'if assignment.is_hedge and not isinstance(event, _NOT_SENT):',
         'if False:',
         _ATTEMPT_TESTS,
     ),
@@ -428,7 +453,7 @@
     """
     with tempfile.TemporaryDirectory() as directory:
         copy_root = pathlib.Path(directory)
-        for name in ('nutmegtrail', 'tests'):
+        for name in ('benchmarks', 'nutmegtrail', 'tests'):
             shutil.copytree(_ROOT / name, copy_root / name)
         shutil.copy(_ROOT / 'pyproject.toml', copy_root)
         path = copy_root / guard.file
