Let reports arrive before another entry is expected to choose an engine

Cause: a report of the first entry, up to 50 ms old, showed its request at that engine, so that the second entry chose the idle one. Checks are as before.

--- a/tests/platform/test_upstream_signals.py
+++ b/tests/platform/test_upstream_signals.py
@@ -13,6 +13,8 @@
 _READ_PATH = b'/long/read/2f'
 _STREAM_PATH = b'/long/prefix/2f'
 _WATCH_SECONDS = 0.4
+# Several intervals of the reports that entries send each other.
+_REPORT_SECONDS = 0.3
 # A restored store is known after a watch that waits.
 _RECOVERY_SECONDS = 4.0
 
@@ -494,6 +496,8 @@
             held_off.scripts = ['not_run']
             await self._assert_served(deployment, 6, 'e0')
             self.assertEqual(1, len(held_off.requests))
+            # Until then, a report may show a request at the engine.
+            await anyio.sleep(_REPORT_SECONDS)
             await self._assert_served(deployment, 1, 'e1', entry_index=1)
             self.assertEqual(2, len(held_off.requests))
 
