--- /dev/null
+++ b/nutmegtrail/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Failure domains that operators take out of service."""
--- /dev/null
+++ b/tests/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of failure domains that are out of service."""
