Send nothing to failure domains out of service

Keys of operators are routed by their prefix. The fleet has the domains out of service and no upstream in them is usable, which the dispatcher asks when it chooses and again right before a request is sent: first attempts, retries, hedges, resumed streams and requests that wait all pass there. Entries tell each other what they know, at once and again each second. An entry is not ready before it has read the store. If a service has no other upstreams, waiting requests are refused at once. Requests that still run in the domain count in their rank group, which had seemed idler than it was. Upstreams that are back are preferred in a ramp of 5 s, and get all they can run if nothing else is free.

--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -19,6 +19,7 @@
 from nutmegtrail.gateway import crash_quarantine
 from nutmegtrail.gateway import daemon
 from nutmegtrail.gateway import dispatcher as dispatching
+from nutmegtrail.gateway import evacuation_recorder
 from nutmegtrail.gateway import gossip as gossiping
 from nutmegtrail.gateway import limit_prober
 from nutmegtrail.gateway import mark_replica
@@ -90,6 +91,9 @@
             protection.part_quarantine,
         ),
     )
+    evacuations = evacuation_recorder.EvacuationRecorder(
+        shared.dispatcher, shared.metrics_registry
+    )
     gossip = gossiping.Gossip(
         shared.incarnation,
         gateway_models.Peer(
@@ -98,6 +102,7 @@
         ),
         shared.store,
         shared.dispatcher,
+        evacuations,
     )
     lease = leader_lease.LeaderLease(
         expert_balancer.LEADER_KEY,
@@ -109,10 +114,14 @@
         configured, shared, engines, lease, gossip
     )
     listeners: dict[str, store_watcher.Listener] = {
-        const.CONFIGURATION_PREFIX: store_listeners.ConfigurationListener(
+        const.CONFIGURATION_PREFIX: store_listeners.OperatorListener(
             documents,
-            request_handler,
-            balancing.balancer,
+            evacuations,
+            store_listeners.ConfigurationListener(
+                documents,
+                request_handler,
+                balancing.balancer,
+            ),
         ),
         const.UPSTREAM_PREFIX: store_listeners.UpstreamListener(
             documents,
@@ -130,6 +139,7 @@
             request_handler,
             shared.dispatcher,
             gossip,
+            evacuations,
             _create_watchers(shared.store, listeners),
             shared.metrics_registry,
             lease,
--- a/nutmegtrail/gateway/attempt_log.py
+++ b/nutmegtrail/gateway/attempt_log.py
@@ -4,6 +4,7 @@
 
 from nutmegtrail.gateway import attempts
 from nutmegtrail.gateway import dispatcher as dispatching
+from nutmegtrail.gateway import evacuated_upstreams
 from nutmegtrail.gateway import jobs
 from nutmegtrail.gateway import models
 from nutmegtrail.gateway import request_queue
@@ -37,6 +38,15 @@
     ) -> None:
         """Log and count a failed attempt."""
         self._metrics.increment('failed_attempts', type(event).__name__)
+        known_upstreams = self._dispatcher.known_upstreams
+        is_evacuated = isinstance(
+            event, attempts.Withdrawn
+        ) and evacuated_upstreams.is_out_of_service(
+            known_upstreams,
+            known_upstreams.upstreams_by_id.get(event.upstream_id),
+        )
+        if is_evacuated:
+            self._metrics.increment('evacuated_requests', 'withdrawn')
         logs.decision(
             'attempt:failed',
             request_id=job.caller.request_id,
@@ -44,6 +54,7 @@
             upstream=event.upstream_id,
             failure=type(event).__name__,
             detail=getattr(event, 'detail', ''),
+            out_of_service=is_evacuated,
             reached=job.delivery.reached,
             action=type(action).__name__,
         )
@@ -93,4 +104,7 @@
             late_by_seconds=round(now - queued.latest_start_seconds, 4),
             waiting=self._dispatcher.waiting_count,
             limited_upstreams=self._dispatcher.limited_count(job.service),
+            out_of_service_upstreams=evacuated_upstreams.count(
+                self._dispatcher.known_upstreams, job.service
+            ),
         )
--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -16,6 +16,10 @@
 # not live expire within this time.
 COPY_EXPIRY_SECONDS: typing.Final = 6.0
 
+# Upstreams of a failure domain that is back in service are preferred like the
+# others after this time.
+DOMAIN_RAMP_SECONDS: typing.Final = 5.0
+
 # For upstreams that do not register their number of slots.
 DEFAULT_SLOTS: typing.Final = 6
 
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -16,6 +16,7 @@
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import crash_detector
 from nutmegtrail.gateway import dispatcher as dispatching
+from nutmegtrail.gateway import evacuation_recorder
 from nutmegtrail.gateway import gossip as gossiping
 from nutmegtrail.gateway import limit_prober
 from nutmegtrail.gateway import mark_replica
@@ -55,6 +56,7 @@
     request_handler: request_handlers.RequestHandler
     dispatcher: dispatching.Dispatcher
     gossip: gossiping.Gossip
+    evacuations: evacuation_recorder.EvacuationRecorder
     store_watchers: tuple[store_watcher.StoreWatcher, ...]
     metrics_registry: metrics.Metrics
     lease: leader_lease.LeaderLease
@@ -168,6 +170,7 @@
                 components.request_handler.configuration is not None,
                 components.dispatcher.known_upstreams.is_known,
                 components.gossip.is_informed,
+                components.evacuations.is_known,
                 *(replica.is_known for replica in components.mark_replicas),
             )
         )
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -3,6 +3,7 @@
 import anyio
 
 from nutmegtrail.gateway import const
+from nutmegtrail.gateway import evacuated_upstreams
 from nutmegtrail.gateway import fleet
 from nutmegtrail.gateway import health
 from nutmegtrail.gateway import models
@@ -226,7 +227,12 @@
         queue: request_queue.RequestQueue,
         now: float,
     ) -> request_queue.RequestQueue:
-        """Refuse requests that would wait too long."""
+        """Refuse requests that would wait too long.
+
+        None is kept if all upstreams are in failure domains out of service.
+        """
+        if evacuated_upstreams.are_all(self.known_upstreams, service):
+            return self._refuse_all(queue)
         context = self._selection_context()
         slots = selection.slots(context, service, now)
         result = request_queue.shed_load(
@@ -242,6 +248,15 @@
             self._pending_by_id.pop(request_id).decided.set()
         return result.queue
 
+    def _refuse_all(
+        self, queue: request_queue.RequestQueue
+    ) -> request_queue.RequestQueue:
+        """Refuse all queued requests."""
+        for request in queue.requests:
+            self._pending_by_id.pop(request.request_id).decided.set()
+            queue = request_queue.remove(queue, request.request_id)
+        return queue
+
     def _choose(
         self,
         candidates: tuple[selection.Candidate, ...],
--- a/nutmegtrail/gateway/fleet.py
+++ b/nutmegtrail/gateway/fleet.py
@@ -51,7 +51,9 @@
     `removed_at_by_incarnation` has the times at which incarnations were
     removed. `deferred_by_id` has the removed upstreams that an earlier copy
     shows until `deferred_until_seconds`. `announcements_by_id` has the
-    upstreams that announced that they leave.
+    upstreams that announced that they leave. Upstreams in a domain of
+    `domains_out_of_service` get no requests, whenever they register.
+    `returned_at_by_domain` has the domains that came back lately.
     """
 
     upstreams_by_id: UpstreamsById = pyrsistent.pmap()
@@ -63,6 +65,8 @@
     deferred_by_id: UpstreamsById = pyrsistent.pmap()
     deferred_until_seconds: float = float('-inf')
     announcements_by_id: AnnouncementsById = pyrsistent.pmap()
+    domains_out_of_service: frozenset[str] = frozenset()
+    returned_at_by_domain: DeadlinesById = pyrsistent.pmap()
 
 
 class SnapshotReceived(typing.NamedTuple):
@@ -90,6 +94,12 @@
     started_at_ms: int
 
 
+class DomainsOutOfService(typing.NamedTuple):
+    """Failure domains were taken out of service or back into it."""
+
+    domains: frozenset[str]
+
+
 class StoreLost(typing.NamedTuple):
     """The store stopped responding."""
 
@@ -111,6 +121,7 @@
     | Registered
     | Removed
     | AnnouncedLeaving
+    | DomainsOutOfService
     | StoreLost
     | StoreRecovered
     | StoreRestored
@@ -218,6 +229,22 @@
     )
 
 
+@decide.register
+def _domains_out_of_service(
+    event: DomainsOutOfService, fleet: Fleet, now_seconds: float
+) -> Fleet:
+    """Replace the domains out of service; record which came back."""
+    returned_at = fleet.returned_at_by_domain
+    for domain in fleet.domains_out_of_service - event.domains:
+        returned_at = returned_at.set(domain, now_seconds)
+    for taken_out in event.domains:
+        returned_at = returned_at.discard(taken_out)
+    return fleet._replace(
+        domains_out_of_service=event.domains,
+        returned_at_by_domain=returned_at,
+    )
+
+
 @decide.register
 def _store_lost(event: StoreLost, fleet: Fleet, now_seconds: float) -> Fleet:
     """Keep the upstreams and record the outage."""
@@ -278,6 +305,7 @@
             upstreams_by_id=fleet.upstreams_by_id.update(alive),
             deferred_by_id=pyrsistent.pmap(),
         )
+    fleet = _forget_returned(fleet, now_seconds)
     return _forget_announcements(
         _forget_removed(fleet, now_seconds), now_seconds
     )
@@ -299,7 +327,7 @@
     return tuple(
         upstream
         for upstream in registered_upstreams(fleet, service)
-        if _accepts_requests(upstream)
+        if _accepts_requests(fleet, upstream)
     )
 
 
@@ -308,7 +336,7 @@
     current = fleet.upstreams_by_id.get(upstream.upstream_id)
     if current is None or current.incarnation != upstream.incarnation:
         return False
-    return _accepts_requests(current)
+    return _accepts_requests(fleet, current)
 
 
 def announced_incarnations(
@@ -327,9 +355,10 @@
     )
 
 
-def _accepts_requests(upstream: models.Upstream) -> bool:
+def _accepts_requests(fleet: Fleet, upstream: models.Upstream) -> bool:
     """Return whether a registered upstream accepts new requests."""
-    if upstream.leaving:
+    is_out = upstream.failure_domain in fleet.domains_out_of_service
+    if upstream.leaving or is_out:
         return False
     return upstream.membership is None or upstream.membership.is_open
 
@@ -370,6 +399,16 @@
     )
 
 
+def _forget_returned(fleet: Fleet, now_seconds: float) -> Fleet:
+    """Return the fleet without domains whose ramp has ended."""
+    oldest = now_seconds - const.DOMAIN_RAMP_SECONDS
+    returned_at = fleet.returned_at_by_domain
+    for domain, returned_at_seconds in fleet.returned_at_by_domain.items():
+        if returned_at_seconds <= oldest:
+            returned_at = returned_at.remove(domain)
+    return fleet._replace(returned_at_by_domain=returned_at)
+
+
 def _forget_removed(fleet: Fleet, now_seconds: float) -> Fleet:
     """Return the fleet without removals that no copy can be older than."""
     oldest = now_seconds - const.REMOVAL_MEMORY_SECONDS
--- a/nutmegtrail/gateway/gossip.py
+++ b/nutmegtrail/gateway/gossip.py
@@ -1,9 +1,10 @@
 """Exchange between gateway instances over UDP.
 
-They tell each other their requests in flight, and what upstreams say of
-themselves in responses.
+They tell each other their requests in flight, what upstreams say of themselves
+in responses, and which failure domains are out of service.
 """
 
+import functools
 import socket
 import typing
 
@@ -12,8 +13,11 @@
 import orjson
 
 from nutmegtrail import models
+from nutmegtrail.evacuation import domains
+from nutmegtrail.evacuation import messages as evacuation_messages
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import dispatcher as dispatching
+from nutmegtrail.gateway import evacuation_recorder
 from nutmegtrail.gateway import models as gateway_models
 from nutmegtrail.gateway import request_counts
 from nutmegtrail.gateway import request_limits
@@ -44,6 +48,13 @@
     counts_by_id: dict[str, int]
 
 
+Message: typing.TypeAlias = (
+    Report
+    | signal_messages.SignalMessage
+    | evacuation_messages.EvacuationMessage
+)
+
+
 class Gossip:
     """Registers this instance and exchanges reports with the other ones."""
 
@@ -53,6 +64,7 @@
         location: gateway_models.Peer,
         store: key_value.LeaseStore,
         dispatcher: dispatching.Dispatcher,
+        evacuations: evacuation_recorder.EvacuationRecorder,
     ) -> None:
         """Initialize the exchange without registering or sending."""
         self.location = location
@@ -61,6 +73,7 @@
         self._store = store
         self._dispatcher = dispatcher
         self._signal_recorder = signal_recorder.SignalRecorder(dispatcher)
+        self._evacuations = evacuations
         # The socket does not accept datagrams of two tasks at a time.
         self._sending = anyio.Lock()
         self._peer_by_key: dict[str, gateway_models.Peer] = {}
@@ -149,6 +162,11 @@
                 tasks.start_soon(self._send, datagrams)
                 tasks.start_soon(self._send_changed_signals, datagrams)
                 tasks.start_soon(self._send_all_signals, datagrams)
+                tasks.start_soon(
+                    self._evacuations.tell,
+                    self._name,
+                    functools.partial(self._send_to_all, datagrams),
+                )
                 tasks.start_soon(self._register)
 
     async def close(self) -> None:
@@ -254,6 +272,7 @@
         while True:
             await anyio.sleep(const.GOSSIP_INTERVAL_SECONDS)
             self._share_limits()
+            self._evacuations.record(domains.TimeElapsed())
             self._dispatcher.dispatch_all()
             payloads = encode(
                 self._name,
@@ -280,7 +299,9 @@
                 continue
             address = models.Address(*sender)
             self._heard_at_by_address[address] = anyio.current_time()
-            if isinstance(received, Report):
+            if isinstance(received, evacuation_messages.EvacuationMessage):
+                self._evacuations.record_message(received)
+            elif isinstance(received, Report):
                 self._dispatcher.counts = request_counts.record_report(
                     self._dispatcher.counts,
                     f'{received.entry}#{received.part}',
@@ -352,10 +373,12 @@
 
 def decode(
     payload: bytes,
-) -> Report | signal_messages.SignalMessage | None:
+) -> Message | None:
     """Return the message in a datagram, None if it is malformed."""
     try:
         document = orjson.loads(payload)
+        if 'out_of_service' in document:
+            return evacuation_messages.from_document(document)
         if 'limits' in document:
             return signal_messages.from_document(document)
         return Report(
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -14,6 +14,7 @@
 from nutmegtrail.gateway import crash_guard
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import errors
+from nutmegtrail.gateway import evacuated_upstreams
 from nutmegtrail.gateway import jobs
 from nutmegtrail.gateway import models
 from nutmegtrail.gateway import routes
@@ -134,6 +135,11 @@
             )
             return
         if action.outcome is attempts.Outcome.NOT_RUN:
+            evacuated = evacuated_upstreams.count(
+                self._dispatcher.known_upstreams, job.service
+            )
+            if evacuated:
+                self._metrics.increment('evacuated_requests', 'refused')
             await self._reject(
                 job.exchange,
                 job.caller,
@@ -143,6 +149,7 @@
                     self._dispatcher.wait_seconds(job.service),
                     self._generator.random(),
                 ),
+                out_of_service_upstreams=evacuated,
             )
             return
         status = http.HTTPStatus.BAD_GATEWAY
--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from nutmegtrail.gateway import const
+from nutmegtrail.gateway import evacuated_upstreams
 from nutmegtrail.gateway import fleet
 from nutmegtrail.gateway import health
 from nutmegtrail.gateway import models
@@ -22,11 +23,12 @@
 
     `in_flight` counts the requests at the upstream, `own_in_flight` those of
     this entry among them, and `group_in_flight` those at its rank group, which
-    has `group_ranks` usable ranks. `group_reported_in_flight` counts those that all entries
-    knew of at their last reports. `group_capacity` is the number of requests
+    has `group_ranks` ranks, usable or not. `group_reported_in_flight` counts
+    those that all entries knew of at their last reports. `group_capacity` is the number of requests
     that the group can hold within its objective. `sharing_entries` is the
     number of entries that fill this capacity. `latency_seconds` is 0 if
-    unknown.
+    unknown. `is_beyond_ramp` is set if its failure domain came back lately and
+    others are to be chosen first.
     """
 
     upstream: models.Upstream
@@ -38,6 +40,7 @@
     group_capacity: float
     sharing_entries: int
     latency_seconds: float
+    is_beyond_ramp: bool = False
 
     @property
     def level(self) -> int:
@@ -90,7 +93,8 @@
     """Return the usable upstreams of a service that are not ejected.
 
     Those that hold requests off, or have got as many as they take for now, are
-    left out too, but count in their group.
+    left out too, but count in their group. Requests at all ranks of a group
+    slow it, also at those that take no more.
     """
     counts_by_id = request_counts.total_counts(context.counts)
     upstreams = tuple(
@@ -98,11 +102,17 @@
         for upstream in fleet.usable_upstreams(context.known_upstreams, service)
         if not _is_ejected(context.upstream_health, upstream, now_seconds)
     )
+    whole_groups = _sum_by_group(
+        fleet.registered_upstreams(context.known_upstreams, service),
+        counts_by_id,
+    )
     states_by_group = {
         group: _GroupState(
-            group_load.ranks,
-            group_load.in_flight,
-            context.reported_loads_by_group.get(group, group_load.in_flight),
+            whole_groups[group].ranks,
+            whole_groups[group].in_flight,
+            context.reported_loads_by_group.get(
+                group, whole_groups[group].in_flight
+            ),
             _group_capacity(context, group, group_load, now_seconds),
             context.entries if group_load.is_rank_group else 1,
             health.latency(context.upstream_health, group, now_seconds),
@@ -115,6 +125,12 @@
             counts_by_id.get(upstream.upstream_id, 0),
             context.counts.local_by_id.get(upstream.upstream_id, 0),
             *states_by_group[upstream.group_name],
+            is_beyond_ramp=evacuated_upstreams.is_beyond_ramp(
+                context.known_upstreams,
+                upstream,
+                counts_by_id.get(upstream.upstream_id, 0),
+                now_seconds,
+            ),
         )
         for upstream in upstreams
         if now_seconds >= _available_from(context, upstream, now_seconds)
@@ -300,7 +316,8 @@
 ) -> Candidate | None:
     """Return the free candidate with the least expected work, None if none.
 
-    Avoided upstreams are chosen only if no other is free. Ties are broken by
+    Avoided upstreams, and those that got enough after the return of their
+    domain, are chosen only if no other is free. Ties are broken by
     the given preference.
     """
     available = [
@@ -330,14 +347,17 @@
     typical_latency: float,
     preference: Preference,
     avoided_ids: typing.AbstractSet[str],
-) -> tuple[bool, float, float, bool, tuple[int, int, str]]:
-    """Return the sort key of a candidate: avoided last, then by work."""
+) -> tuple[tuple[bool, bool], float, float, bool, tuple[int, int, str]]:
+    """Return the sort key of a candidate: avoided last, then by work.
+
+    Those that got enough after the return of their domain come after others.
+    """
     latency_ratio = max(
         (candidate.latency_seconds or typical_latency) / typical_latency, 1.0
     )
     upstream = candidate.upstream
     return (
-        upstream.upstream_id in avoided_ids,
+        (upstream.upstream_id in avoided_ids, candidate.is_beyond_ramp),
         (candidate.level + 1) * latency_ratio,
         candidate.group_in_flight * latency_ratio,
         upstream.failure_domain != preference.failure_domain,
--- a/nutmegtrail/gateway/store_listeners.py
+++ b/nutmegtrail/gateway/store_listeners.py
@@ -4,9 +4,11 @@
 
 import anyio
 
+from nutmegtrail.evacuation import domains
 from nutmegtrail.expert_balancing import expert_balancer
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import errors
+from nutmegtrail.gateway import evacuation_recorder
 from nutmegtrail.gateway import fleet
 from nutmegtrail.gateway import models
 from nutmegtrail.gateway import request_handler as request_handlers
@@ -32,6 +34,9 @@
     def upstream_id_of(self, key: str) -> str:
         """Return the upstream identifier contained in a registration key."""
 
+    def evacuated_domain(self, key: str) -> str | None:
+        """Return the failure domain that a key takes out of service."""
+
 
 class ConfigurationListener:
     """Applies configurations that are newer than the current one."""
@@ -90,6 +95,65 @@
         """Do nothing; an older version never replaces a newer one."""
 
 
+class OperatorListener:
+    """Applies what operators write: evacuations and configurations."""
+
+    def __init__(
+        self,
+        documents: DocumentDecoder,
+        recorder: evacuation_recorder.EvacuationRecorder,
+        configuration_listener: ConfigurationListener,
+    ) -> None:
+        """Initialize the listener."""
+        self._documents = documents
+        self._recorder = recorder
+        self._configuration_listener = configuration_listener
+
+    def on_listed(self, snapshot: watched_store.Snapshot) -> None:
+        """Apply the evacuations of a snapshot, also if there are none."""
+        revision_by_domain = {}
+        for item in snapshot.items:
+            domain = self._documents.evacuated_domain(item.key)
+            if domain is not None:
+                revision_by_domain[domain] = item.revision
+        self._recorder.record(
+            domains.SnapshotReceived(
+                snapshot.revision, snapshot.era, revision_by_domain
+            )
+        )
+
+    def on_snapshot(self, items: tuple[watched_store.Item, ...]) -> None:
+        """Apply the configuration of a snapshot."""
+        self._configuration_listener.on_snapshot(
+            tuple(
+                item
+                for item in items
+                if self._documents.evacuated_domain(item.key) is None
+            )
+        )
+
+    def on_change(
+        self, change: watched_store.Item | watched_store.Removal
+    ) -> None:
+        """Apply an evacuation, its end or a configuration."""
+        domain = self._documents.evacuated_domain(change.key)
+        if domain is None:
+            self._configuration_listener.on_change(change)
+        elif isinstance(change, watched_store.Removal):
+            self._recorder.record(domains.TakenBack(domain, change.revision))
+        else:
+            self._recorder.record(domains.TakenOut(domain, change.revision))
+
+    def on_store_lost(self) -> None:
+        """Keep the current configuration and evacuations."""
+
+    def on_store_recovered(self) -> None:
+        """Do nothing; the current state arrives with the next read."""
+
+    def on_store_restored(self) -> None:
+        """Do nothing; the era of the next snapshot tells it."""
+
+
 class UpstreamListener:
     """Applies registrations of upstreams to the dispatcher's fleet."""
 
--- a/nutmegtrail/gateway/store_watcher.py
+++ b/nutmegtrail/gateway/store_watcher.py
@@ -31,6 +31,14 @@
         """Handle the return of an earlier copy, before its snapshot."""
 
 
+@typing.runtime_checkable
+class ListingListener(typing.Protocol):
+    """Listener that needs to know at which revision a snapshot was read."""
+
+    def on_listed(self, snapshot: watched_store.Snapshot) -> None:
+        """Handle a snapshot, before its items."""
+
+
 class StoreWatcher:
     """Reads a snapshot and then changes.
 
@@ -78,6 +86,8 @@
             logs.decision('store:restored', prefix=self._prefix)
             self._listener.on_store_restored()
         self._era = result.ok.era
+        if isinstance(self._listener, ListingListener):
+            self._listener.on_listed(result.ok)
         self._listener.on_snapshot(result.ok.items)
         return result.ok.revision
 
--- a/nutmegtrail/observability/explain.py
+++ b/nutmegtrail/observability/explain.py
@@ -204,6 +204,7 @@
             f'{line.get("crashes")} crashes of upstreams'
         )
     text = f'{line.get("reason")}; {line.get("waiting")} requests waited'
+    text = f'{text}{_describe_evacuation(line)}'
     return f'{text}; before that {_as_text(failures)}' if failures else text
 
 
@@ -225,6 +226,7 @@
             limited = not_placed[-1].get('limited_upstreams')
             if limited:
                 text = f'{text}, {limited} named limits'
+            text = f'{text}{_describe_evacuation(not_placed[-1])}'
         return text
     choices = end_line.get('choices') or []
     if not choices:
@@ -235,6 +237,14 @@
     )
 
 
+def _describe_evacuation(line: _Line) -> str:
+    """Return how many upstreams got no requests by an operator's word."""
+    count = line.get('out_of_service_upstreams')
+    if not count:
+        return ''
+    return f', {count} upstreams were in failure domains out of service'
+
+
 def _describe_crashes(lines: list[_Line]) -> str:
     """Return the upstreams that crashed with a request in flight."""
     crashes = ', '.join(
@@ -279,7 +289,8 @@
 def _as_text(failures: list[_Line]) -> str:
     """Return failed attempts as comma-separated text."""
     return ', '.join(
-        f'{line.get("failure")} at {line.get("upstream")} '
+        f'{line.get("failure")} at {line.get("upstream")}'
+        f'{" (out of service)" if line.get("out_of_service") else ""} '
         f'(then {line.get("action")})'
         for line in failures
     )
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -7,6 +7,8 @@
 # Keys in the store.
 CONFIGURATION_PREFIX: typing.Final = 'op/'
 CONFIGURATION_KEY: typing.Final = 'op/config'
+# Followed by the failure domain that is out of service.
+EVACUATION_PREFIX: typing.Final = 'op/evacuate/'
 UPSTREAM_PREFIX: typing.Final = 'servers/'
 
 # Paths of the store's API.
--- a/nutmegtrail/platform/documents.py
+++ b/nutmegtrail/platform/documents.py
@@ -54,6 +54,16 @@
     return key.removeprefix(const.UPSTREAM_PREFIX)
 
 
+def evacuated_domain(key: str) -> str | None:
+    """Return the failure domain that a key takes out of service.
+
+    None for other keys. The key alone counts, whatever its content.
+    """
+    if not key.startswith(const.EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(const.EVACUATION_PREFIX)
+
+
 def _configuration(document: _JsonObject) -> models.Configuration:
     """Build the configuration from a decoded document."""
     routes_by_host: dict[str, list[models.Route]] = {}
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -7,10 +7,12 @@
 
 from nutmegtrail import models
 from nutmegtrail.gateway import dispatcher as dispatching
+from nutmegtrail.gateway import evacuation_recorder
 from nutmegtrail.gateway import gossip
 from nutmegtrail.gateway import models as gateway_models
 from nutmegtrail.gateway import request_limits
 from nutmegtrail.gateway import signal_messages
+from nutmegtrail.observability import metrics
 from nutmegtrail.ports import key_value
 from nutmegtrail.ports import watched_store
 from tests import simulated_time
@@ -57,6 +59,14 @@
         self.sent += 1
 
 
+def _gossip(own, dispatcher, store=None):
+    """Return the exchange of an instance at an address."""
+    evacuations = evacuation_recorder.EvacuationRecorder(
+        dispatcher, metrics.Metrics()
+    )
+    return gossip.Gossip('front-1/new', own, store, dispatcher, evacuations)
+
+
 class GossipTest(testtools.TestCase):
     """Encoding and decoding of reports, and registered instances."""
 
@@ -150,7 +160,7 @@
         """
         dispatcher = dispatching.Dispatcher('kandla-a')
         own = gateway_models.Peer(models.Address('10.1.0.40', 7340), 'kandla-a')
-        receiver = gossip.Gossip('front-1/new', own, None, dispatcher)
+        receiver = _gossip(own, dispatcher)
         receiver.on_snapshot(
             tuple(
                 watched_store.Item(
@@ -170,7 +180,7 @@
         """Return how an instance shares limits with two registered ones."""
         dispatcher = dispatching.Dispatcher('kandla-a')
         own = gateway_models.Peer(models.Address('10.1.0.40', 7340), 'kandla-a')
-        receiver = gossip.Gossip('front-1/new', own, None, dispatcher)
+        receiver = _gossip(own, dispatcher)
         receiver.on_snapshot(
             tuple(
                 watched_store.Item(
@@ -227,7 +237,7 @@
         """
         own = gateway_models.Peer(models.Address('10.1.0.40', 7340), 'a')
         dispatcher = dispatching.Dispatcher('a')
-        receiver = gossip.Gossip('front-1/new', own, None, dispatcher)
+        receiver = _gossip(own, dispatcher)
         contents = (b'10.2.0.40:7340/b', b'10.3.0.40:7340', b'10.4.0.40:7340/d')
         receiver.on_snapshot(
             tuple(
@@ -261,7 +271,7 @@
         """Reports and signals are sent one after the other."""
         own = gateway_models.Peer(models.Address('10.1.0.40', 7340), 'kandla-a')
         dispatcher = dispatching.Dispatcher('kandla-a')
-        receiver = gossip.Gossip('front-1/new', own, None, dispatcher)
+        receiver = _gossip(own, dispatcher)
         peer = gateway_models.Peer(models.Address('10.2.0.40', 7340), '')
         receiver._peer_by_key = {'k': peer}
         datagrams = _BusySocket()
@@ -285,7 +295,7 @@
             own = gateway_models.Peer(
                 models.Address('10.1.0.40', 7340), 'kandla-a'
             )
-            receiver = gossip.Gossip('front-1/new', own, store, dispatcher)
+            receiver = _gossip(own, dispatcher, store)
             with anyio.move_on_after(2):
                 await receiver._register()
 
