--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -419,6 +419,79 @@
     ),
 )
 
+_EVACUATION_TESTS: typing.Final = 'tests/gateway/test_evacuation.py'
+_DOMAIN_TESTS: typing.Final = 'tests/evacuation'
+_DOMAINS: typing.Final = 'nutmegtrail/evacuation/domains.py'
+_EVACUATION_GUARDS: typing.Final = (
+    Guard(
+        'no use of upstreams in domains out of service',
+        'nutmegtrail/gateway/fleet.py',
+        'if upstream.leaving or is_out:',
+        'if upstream.leaving:',
+        _EVACUATION_TESTS,
+    ),
+    Guard(
+        'check of the domain right before a request is sent',
+        'nutmegtrail/gateway/dispatcher.py',
+        'return self._is_open(upstream) and self.limiter.confirm(',
+        'return self.limiter.confirm(',
+        _EVACUATION_TESTS,
+    ),
+    Guard(
+        'refusal at once without upstreams in service',
+        'nutmegtrail/gateway/dispatcher.py',
+        'if evacuated_upstreams.are_all(self.known_upstreams, service):',
+        'if False:',
+        _EVACUATION_TESTS,
+    ),
+    Guard(
+        'requests of all ranks of a group',
+        'nutmegtrail/gateway/selection.py',
+        'fleet.registered_upstreams(context.known_upstreams, service),',
+        'upstreams,',
+        _EVACUATION_TESTS,
+    ),
+    Guard(
+        'ramp of a domain that is back',
+        'nutmegtrail/gateway/evacuated_upstreams.py',
+        'return in_flight >= upstream.slots * ratio',
+        'return False',
+        _EVACUATION_TESTS,
+    ),
+    Guard(
+        'answer to an entry that lags',
+        'nutmegtrail/gateway/evacuation_recorder.py',
+        'if is_outdated and frozenset(told.revision_by_domain) != known:',
+        'if False:',
+        _EVACUATION_TESTS,
+    ),
+    Guard(
+        'no state of a lower revision',
+        _DOMAINS,
+        """    if event.revision <= evacuations.revision:
+        return evacuations
+    kept =""",
+        '    kept =',
+        _DOMAIN_TESTS,
+    ),
+    Guard(
+        'domains that an earlier copy lacks',
+        _DOMAINS,
+        'if event.era > evacuations.era:',
+        'if False:',
+        _DOMAIN_TESTS,
+    ),
+    Guard(
+        'only the store makes an entry ready',
+        _DOMAINS,
+        """    return _adopt(event, evacuations, now_seconds)
+""",
+        """    return _adopt(event, evacuations, now_seconds)._replace(is_known=True)
+""",
+        _DOMAIN_TESTS,
+    ),
+)
+
 
 def main() -> int:
     """Print a line for each guard; return 1 if tests pass without one.
@@ -436,6 +509,7 @@
             *_PART_GUARDS,
             *_HEDGING_GUARDS,
             *_ERA_GUARDS,
+            *_EVACUATION_GUARDS,
         )
         if filter_word in guard.tests
     ]
--- a/tests/observability/test_explain.py
+++ b/tests/observability/test_explain.py
@@ -81,6 +81,32 @@
             self._cause(rejected, _end_line(1.2, status=503)),
         )
 
+    def test_domain_out_of_service(self):
+        """The cause names upstreams that got no requests by operators."""
+        withdrawn = _line(
+            0.1,
+            'attempt:failed',
+            request_id='r1',
+            upstream='i-1',
+            failure='Withdrawn',
+            out_of_service=True,
+            action='Repeat',
+        )
+        rejected = _line(
+            0.2,
+            'request:rejected',
+            request_id='r1',
+            reason='no free upstream',
+            waiting=3,
+            out_of_service_upstreams=24,
+        )
+        self.assertEqual(
+            'no free upstream; 3 requests waited, 24 upstreams were in failure '
+            'domains out of service; before that Withdrawn at i-1 (out of '
+            'service) (then Repeat)',
+            self._cause(withdrawn, rejected, _end_line(0.2, status=503)),
+        )
+
     def test_lost_booking_response(self):
         """The failed attempt is the cause if it must not be repeated."""
         failed = _line(
