Evacuate a failure domain in the randomized soak

One engine of each service is in a domain that is taken out and back during the faults, the last time until after them. A request that begins there later than 4 s after the word, and after the store answered again, is a violation.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -42,6 +42,12 @@
 _LIMIT_RATIO = 1.5
 _LIMIT_EXTRA_REQUESTS = 5
 _LIMIT_REQUESTS_PER_SECOND = 2.0
+_EVACUATED_DOMAIN = 'kandla-b'
+_EVACUATION_KEY = f'op/evacuate/{_EVACUATED_DOMAIN}'
+# Bound of the platform, less a second. An engine that is silent gets requests
+# later than they were sent.
+_EVACUATION_KNOWN_SECONDS = 4.0
+_EVACUATION_SECONDS = (4.5, 6.0)
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 _RESTORE_PROBABILITY = 0.3
 _RESTORE_SECONDS = 0.3
@@ -217,6 +223,7 @@
         """Initialize all parts without starting them."""
         self.generator = random.Random(seed)
         self.pause_generator = random.Random(seed)
+        self.evacuation_generator = random.Random(seed)
         self.folder = tempfile.mkdtemp(prefix=f'nutmegtrail-soak-{seed}-')
         self.store = stand_in.Store()
         self.rank_group = rank_groups.RankGroup(_ENGINES_PER_SERVICE)
@@ -236,6 +243,10 @@
             for name, store_relay in enumerate(self.store_relays)
         ]
         self.responses_by_id = {}
+        # Times from and to which the domain was evacuated, and the store did
+        # not answer.
+        self.evacuations = []
+        self.store_faults = []
         self.cut_while_stopping = []
         self._request_count = 0
 
@@ -267,6 +278,8 @@
     def register(self, engine, **changes):
         """Write an engine's registration with the address of its relay."""
         address = self.engine_relays[self.engines.index(engine)].address
+        if engine in self._evacuated_engines:
+            changes['zone'] = _EVACUATED_DOMAIN
         content = engine.registration(size=_ENGINES_PER_SERVICE, **changes)
         document = {**json.loads(content), 'address': str(address)}
         key = f'servers/{engine.name}'
@@ -341,6 +354,19 @@
         await anyio.sleep(self.pause_generator.uniform(*_SILENCE_SECONDS))
         engine_relay.is_paused = False
 
+    async def evacuate(self):
+        """Take a failure domain out of service for a time.
+
+        The time begins when the store takes the word.
+        """
+        self.store.put(_EVACUATION_KEY, b'{}')
+        word_at = anyio.current_time()
+        await anyio.sleep(
+            self.evacuation_generator.uniform(*_EVACUATION_SECONDS)
+        )
+        self.evacuations.append((word_at, anyio.current_time()))
+        self.store.remove(_EVACUATION_KEY)
+
     async def stop_entry(self):
         """Stop an entry gracefully while no fault is active.
 
@@ -382,6 +408,12 @@
             if not entry.has_given_up(request_id)
         ]
         violations.extend(self.rank_group.map_mismatches)
+        violations.extend(
+            f'{encoded_id.decode()} ran at {engine.name}, out of service'
+            for engine in self._evacuated_engines
+            for encoded_id, started_at in engine.runs
+            if self._is_late_in_evacuation(started_at)
+        )
         if not self.rank_group.switch_count:
             violations.append('no map was switched')
         allowed = _LIMIT_EXTRA_REQUESTS + _LIMIT_RATIO * (
@@ -431,6 +463,30 @@
         successes = [response for response in responses if response[1] == 200]
         return len(successes) / len(responses)
 
+    @property
+    def _evacuated_engines(self):
+        """Return the engines in the domain that is evacuated."""
+        return self.engines[1::_ENGINES_PER_SERVICE]
+
+    def _is_late_in_evacuation(self, started_at):
+        """Return whether a run began when all entries knew the evacuation.
+
+        They had the time since the word and since the store answered again.
+        """
+        for word_at, back_at in self.evacuations:
+            stable_since = max(
+                (
+                    ended_at
+                    for began_at, ended_at in self.store_faults
+                    if began_at < started_at
+                ),
+                default=word_at,
+            )
+            known_at = max(word_at, stable_since) + _EVACUATION_KNOWN_SECONDS
+            if known_at < started_at < back_at:
+                return True
+        return False
+
     @property
     def _limited_engines(self):
         """Return the engines that name limits for a while."""
@@ -478,8 +534,10 @@
         respond with errors, or come back from the copy of an earlier time.
         Every store fault ends in connection resets.
         """
+        began_at = anyio.current_time()
         if self.generator.random() < _RESTORE_PROBABILITY:
             await self._restore_store(seconds)
+            self.store_faults.append((began_at, anyio.current_time()))
             return
         single_relay = [self.generator.choice(self.store_relays)]
         relays = self.generator.choice((single_relay, self.store_relays))
@@ -493,6 +551,8 @@
         for store_relay in relays:
             store_relay.fault = ''
             store_relay.reset_connections()
+        if len(relays) > 1:
+            self.store_faults.append((began_at, anyio.current_time()))
 
     async def _restore_store(self, copy_age_seconds):
         """Let the store be away for a moment and come back from a copy."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -36,6 +36,7 @@
                     for _ in range(2):
                         fault_tasks.start_soon(_inject_faults, deployment)
                     fault_tasks.start_soon(_pause_engines, deployment)
+                    fault_tasks.start_soon(_evacuate, deployment)
             await _wait_until_recovered(deployment)
             # The engines that are left below cannot run all requests.
             deployment.end_limits()
@@ -90,6 +91,19 @@
             await deployment.pause_engine()
 
 
+async def _evacuate(deployment):
+    """Take a failure domain out and back again and again until cancelled.
+
+    The last evacuation goes on after the faults.
+    """
+    while True:
+        await anyio.sleep(
+            deployment.evacuation_generator.uniform(*_PAUSE_RANGE_SECONDS)
+        )
+        with anyio.CancelScope(shield=True):
+            await deployment.evacuate()
+
+
 async def _wait_until_recovered(deployment):
     """Wait until all entries are ready, then for the recovery time."""
     for entry in deployment.entries:
