--- /dev/null
+++ b/nutmegtrail/residency/__init__.py
@@ -0,0 +1,1 @@
+"""Regions in which requests of a route or of an account may be processed."""
--- /dev/null
+++ b/tests/residency/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of allowed regions."""
