--- /dev/null
+++ b/nutmegtrail/warmup/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams that bear few requests for some time after their start."""
--- /dev/null
+++ b/tests/warmup/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cold upstreams."""
