Spare cold upstreams, and keep requests in their regions

Upstreams that started lately crash if they get as many requests as others, and requests of routes and accounts with regions could be sent to any upstream.

The service's rate of cold upstreams holds beside a limit that they name, in the choice, the queue's estimates and right before a request is sent. Entries tell each other which registrations of cold upstreams they read, so that one that is cut from the store learns of a restart. The failure domains of a request's regions are worked out when it is admitted and bind each choice; it holds up no other in the queue, and is refused at once without an upstream there.

Services and routes without these fields are served as before.

--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -252,4 +252,5 @@
         guard,
         shared.metrics_registry,
         random.Random(),
+        configured.regions,
     )
--- a/nutmegtrail/gateway/attempt_log.py
+++ b/nutmegtrail/gateway/attempt_log.py
@@ -48,6 +48,17 @@
             action=type(action).__name__,
         )
 
+    def record_no_upstream(self, job: jobs.Job) -> None:
+        """Log a request that no upstream of its service may get."""
+        allowed = job.allowed_domains
+        logs.decision(
+            'attempt:no-upstream',
+            request_id=job.caller.request_id,
+            service=job.service,
+            excluded=len(job.delivery.excluded_ids),
+            allowed_domains=None if allowed is None else sorted(allowed),
+        )
+
     def record_silence(
         self, job: jobs.Job, upstream: models.Upstream, *, is_hedged: bool
     ) -> None:
@@ -82,7 +93,10 @@
     ) -> None:
         """Log and count that no upstream became free for an attempt."""
         now = anyio.current_time()
+        cold_count = self._dispatcher.cold_count(job.service)
         self._metrics.increment('attempts_not_placed', job.service)
+        if cold_count:
+            self._metrics.increment('attempts_held_back', job.service)
         logs.decision(
             'attempt:not-placed',
             request_id=job.caller.request_id,
@@ -93,4 +107,5 @@
             late_by_seconds=round(now - queued.latest_start_seconds, 4),
             waiting=self._dispatcher.waiting_count,
             limited_upstreams=self._dispatcher.limited_count(job.service),
+            cold_upstreams=cold_count,
         )
--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -101,7 +101,10 @@
         """Wait for an upstream; raise GivenUp if there is none."""
         self._crash_guard.raise_if_quarantined(job)
         excluded_ids = job.delivery.excluded_ids
-        if not self._dispatcher.has_upstreams(job.service, excluded_ids):
+        if not self._dispatcher.has_upstreams(
+            job.service, excluded_ids, job.allowed_domains
+        ):
+            self._log.record_no_upstream(job)
             raise errors.GivenUp(_give_up(job))
         queued = job.queued_request(self._crash_guard.is_suspect(job))
         queued_at = anyio.current_time()
@@ -261,7 +264,9 @@
         can_hedge = (
             isinstance(decision.action, attempts.Repeat)
             and self._dispatcher.has_available_upstreams(
-                job.service, decision.delivery.excluded_ids
+                job.service,
+                decision.delivery.excluded_ids,
+                job.allowed_domains,
             )
             and self._retry_budgets.has_retry(job.service)
         )
--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -78,6 +78,8 @@
 # Signals of upstreams that are not registered are repeated for this long.
 SIGNAL_REPEAT_SECONDS: typing.Final = 60.0
 MAX_SIGNALS_PER_DATAGRAM: typing.Final = 16
+# They name their service.
+MAX_COLD_PER_DATAGRAM: typing.Final = 8
 # A new entry does not wait longer than this to hear from the others.
 SIGNAL_WAIT_SECONDS: typing.Final = 1.0
 
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -178,7 +178,11 @@
 
     async def _serve_metrics(self, exchange: server.Exchange) -> None:
         """Respond with all metrics."""
-        payload = self._components.metrics_registry.render().encode()
+        components = self._components
+        components.metrics_registry.set_gauge(
+            'cold_upstreams', len(components.dispatcher.limiter.cold.by_id)
+        )
+        payload = components.metrics_registry.render().encode()
         await exchange.respond(http.HTTPStatus.OK, _TEXT_HEADERS, payload)
 
     def _server(self, address: str, handler: server.Handler) -> server.Server:
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -10,6 +10,7 @@
 from nutmegtrail.gateway import request_limiter
 from nutmegtrail.gateway import request_queue
 from nutmegtrail.gateway import selection
+from nutmegtrail.residency import regions
 
 
 class _PendingRequest:
@@ -123,6 +124,15 @@
             )
         )
 
+    def cold_count(self, service: str) -> int:
+        """Return how many usable upstreams of a service are cold."""
+        return sum(
+            upstream.upstream_id in self.limiter.cold.by_id
+            for upstream in fleet.usable_upstreams(
+                self.known_upstreams, service
+            )
+        )
+
     def record_response_time(self, service: str, seconds: float) -> None:
         """Record the seconds from dispatch to the response or first event."""
         average = self._expected_seconds_by_service.get(service, seconds)
@@ -146,6 +156,7 @@
             fleet.TimeElapsed(), self.known_upstreams, now
         )
         self.limiter.forget(self._is_registered)
+        self.limiter.cold.refresh(self.known_upstreams.upstreams_by_id.keys())
         self.counts = request_counts.drop_stale_reports(self.counts, now)
         self._previous_loads_by_group = self._loads_by_group
         self._loads_by_group = selection.loads_by_group(
@@ -169,7 +180,7 @@
             if candidates is None:
                 candidates = self._find_candidates(service, now)
             candidate = self._choose(candidates, queued, now + expected_seconds)
-            if candidate is None and queued.excluded_ids:
+            if candidate is None and queued.is_restricted:
                 continue
             if candidate is None:
                 break
@@ -182,17 +193,26 @@
             candidates = None
         self._queues_by_service[service] = self._shed_load(service, queue, now)
 
-    def has_upstreams(self, service: str, excluded_ids: frozenset[str]) -> bool:
-        """Return whether any usable upstream is not excluded."""
+    def has_upstreams(
+        self,
+        service: str,
+        excluded_ids: frozenset[str],
+        allowed_domains: frozenset[str] | None = None,
+    ) -> bool:
+        """Return whether any usable upstream is allowed and not excluded."""
         return any(
             upstream.upstream_id not in excluded_ids
+            and regions.is_allowed(upstream.failure_domain, allowed_domains)
             for upstream in fleet.usable_upstreams(
                 self.known_upstreams, service
             )
         )
 
     def has_available_upstreams(
-        self, service: str, excluded_ids: frozenset[str]
+        self,
+        service: str,
+        excluded_ids: frozenset[str],
+        allowed_domains: frozenset[str] | None = None,
     ) -> bool:
         """Return whether an upstream that is not excluded accepts requests now.
 
@@ -203,6 +223,7 @@
         now = anyio.current_time()
         return any(
             upstream.upstream_id not in excluded_ids
+            and regions.is_allowed(upstream.failure_domain, allowed_domains)
             and selection.is_available(context, upstream, now)
             for upstream in fleet.usable_upstreams(
                 self.known_upstreams, service
@@ -264,6 +285,7 @@
             self._preference,
             const.LATE_REQUEST_CAPACITY_RATIO if is_late else 1.0,
             avoided_ids,
+            queued.allowed_domains,
         )
 
     def _find_candidates(
@@ -284,6 +306,7 @@
             self._loads_by_group,
             self.limiter.limits,
             self.limiter.sharing,
+            self.limiter.cold.by_id,
         )
 
     def _resolve(
--- a/nutmegtrail/gateway/gossip.py
+++ b/nutmegtrail/gateway/gossip.py
@@ -309,8 +309,7 @@
             with anyio.move_on_after(const.SIGNAL_INTERVAL_SECONDS):
                 await self._has_new_peer.wait()
             message = self._signal_recorder.message(self._name)
-            is_empty = not message.limits and not message.leaving
-            if self._has_new_peer.is_set() or not is_empty:
+            if self._has_new_peer.is_set() or not message.is_empty:
                 self._has_new_peer = anyio.Event()
                 await self._send_message(datagrams, message)
 
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -37,8 +37,11 @@
         route: models.Route,
         account: models.Account,
         configuration_version: int,
+        allowed_domains: frozenset[str] | None = None,
     ) -> None:
         """Initialize a job without any attempt."""
+        # Failure domains of the upstreams that may get the request.
+        self.allowed_domains = allowed_domains
         self.configuration_version = configuration_version
         self.exchange = exchange
         self.caller = caller
@@ -110,6 +113,7 @@
             ),
             self.delivery.excluded_ids,
             is_suspect,
+            allowed_domains=self.allowed_domains,
         )
         if not self.delivery.has_sent_events:
             return queued
--- a/nutmegtrail/gateway/models.py
+++ b/nutmegtrail/gateway/models.py
@@ -34,7 +34,8 @@
     the first event of a stream. `pause_objective_seconds` is the longest
     allowed pause between events of a stream. `timeout_seconds` is the longest
     wait for the final response. `max_upstreams` limits the upstreams that one
-    request may be sent to.
+    request may be sent to. Its requests are processed in `allowed_regions`
+    only, in any region if it is None.
     """
 
     name: str
@@ -49,6 +50,7 @@
     max_upstreams: int
     needs_key: bool
     resumable: bool
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def pause_limit_seconds(self) -> float:
@@ -93,17 +95,27 @@
 
 
 class Service(typing.NamedTuple):
-    """Group of interchangeable upstreams; `shape` is None without experts."""
+    """Group of interchangeable upstreams; `shape` is None without experts.
+
+    After its start, an upstream is cold for `cold_seconds` and bears
+    `cold_requests_per_second`. One of them is 0 if it bears as many as later.
+    """
 
     name: str
     shape: GroupShape | None
+    cold_seconds: float = 0
+    cold_requests_per_second: float = 0
 
 
 class Account(typing.NamedTuple):
-    """Client account; its priority, if set, overrides the route's."""
+    """Client account; its priority, if set, overrides the route's.
+
+    Its requests are processed in `allowed_regions` only, unless it is None.
+    """
 
     name: str
     priority: int | None
+    allowed_regions: frozenset[str] | None = None
 
 
 class Limits(typing.NamedTuple):
@@ -156,7 +168,9 @@
 
     `slots` is the number of requests that it runs concurrently.
     `leaving` is set while the upstream drains. `started_at_ms` is the Unix
-    time of its start, or 0 if it does not report one.
+    time of its start, or 0 if it does not report one. `cold_seconds` is how
+    much longer it stays cold after the registration was written, None if it
+    does not say.
     """
 
     upstream_id: str
@@ -167,6 +181,7 @@
     leaving: bool
     started_at_ms: int
     membership: Membership | None
+    cold_seconds: float | None = None
 
     @property
     def incarnation(self) -> Incarnation:
@@ -223,13 +238,15 @@
     it wants no further requests of this host, 0 if it does not say.
     `requests_per_second` is what it takes from all hosts together, None
     without a limit. `has_unreadable_limit` is set if it names a limit that is
-    not a number.
+    not a number. `cold_seconds` is how much longer it stays cold, None if it
+    does not say.
     """
 
     is_leaving: bool = False
     hold_off_seconds: float = 0
     requests_per_second: float | None = None
     has_unreadable_limit: bool = False
+    cold_seconds: float | None = None
 
 
 class ReceivedSignals(typing.NamedTuple):
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -5,6 +5,7 @@
 import typing
 
 import anyio
+import pyrsistent
 
 from nutmegtrail.adapters.http1 import messages
 from nutmegtrail.adapters.http1 import server
@@ -20,7 +21,10 @@
 from nutmegtrail.observability import logs
 from nutmegtrail.observability import metrics
 from nutmegtrail.ports import header_translator as header_translators
+from nutmegtrail.residency import regions
+from nutmegtrail.warmup import shares
 
+_NO_REGIONS: typing.Final[typing.Mapping[str, str]] = pyrsistent.pmap()
 # Statuses that tell callers that the request has not run.
 _NOT_RUN_STATUSES: typing.Final = frozenset(
     (
@@ -43,12 +47,14 @@
         guard: crash_guard.CrashGuard,
         metrics_registry: metrics.Metrics,
         generator: random.Random,
+        region_by_domain: typing.Mapping[str, str] = _NO_REGIONS,
     ) -> None:
         """Initialize the handler; requests are rejected until configured.
 
         The generator spreads the times at which refused callers come back.
         """
-        self.configuration: models.Configuration | None = None
+        self._configuration: models.Configuration | None = None
+        self._region_by_domain = region_by_domain
         self._header_translator = header_translator
         self._dispatcher = dispatcher
         self._runner = runner
@@ -56,6 +62,24 @@
         self._metrics = metrics_registry
         self._generator = generator
 
+    @property
+    def configuration(self) -> models.Configuration | None:
+        """Return the configuration in force, None before the first one."""
+        return self._configuration
+
+    @configuration.setter
+    def configuration(self, configuration: models.Configuration) -> None:
+        """Put a configuration in force."""
+        self._configuration = configuration
+        self._dispatcher.limiter.cold.set_rules(
+            {
+                service.name: shares.Rule(
+                    service.cold_seconds, service.cold_requests_per_second
+                )
+                for service in configuration.services_by_name.values()
+            }
+        )
+
     async def close(self) -> None:
         """Close idle connections to upstreams."""
         await self._runner.close()
@@ -94,8 +118,18 @@
         if route is not None:
             account = routes.find_account(configuration, route, caller.api_key)
             if account is not None:
-                version = configuration.version
-                return jobs.Job(exchange, caller, route, account, version)
+                return jobs.Job(
+                    exchange,
+                    caller,
+                    route,
+                    account,
+                    configuration.version,
+                    regions.allowed_domains(
+                        self._region_by_domain,
+                        route.allowed_regions,
+                        account.allowed_regions,
+                    ),
+                )
             status = http.HTTPStatus.UNAUTHORIZED
         logs.decision(
             'request:denied',
--- a/nutmegtrail/gateway/request_limiter.py
+++ b/nutmegtrail/gateway/request_limiter.py
@@ -1,4 +1,4 @@
-"""Use of the request limits that upstreams name."""
+"""Use of the limits of upstreams: those that they name, and of cold ones."""
 
 import typing
 
@@ -8,6 +8,7 @@
 from nutmegtrail.gateway import models
 from nutmegtrail.gateway import request_limits
 from nutmegtrail.observability import logs
+from nutmegtrail.warmup import cold_upstreams
 
 
 class PeerLimit(typing.NamedTuple):
@@ -33,10 +34,13 @@
     def __init__(self) -> None:
         """Initialize without limits, for a single entry."""
         self.limits: request_limits.LimitsByIncarnation = pyrsistent.pmap()
+        self.cold = cold_upstreams.ColdUpstreams()
         self.sharing = request_limits.Sharing()
         self._changed: set[models.Incarnation] = set()
         self._has_changed = anyio.Event()
         self._reserved_by_request: dict[str, _Reservation] = {}
+        # Requests that were counted at a cold upstream and not sent yet.
+        self._counted_as_cold: set[str] = set()
 
     def record_signals(
         self, upstream: models.Upstream, received: models.ReceivedSignals
@@ -91,7 +95,13 @@
         return is_changed
 
     def reserve(self, upstream: models.Upstream, request_id: str) -> None:
-        """Take a token for a request if the upstream is limited."""
+        """Take a token for a request if the upstream is limited or cold."""
+        if self.cold.take(upstream.upstream_id):
+            self._counted_as_cold.add(request_id)
+        self._take_token(upstream, request_id)
+
+    def _take_token(self, upstream: models.Upstream, request_id: str) -> None:
+        """Take a token for a request if the upstream names a limit."""
         limit = self.limits.get(upstream.incarnation)
         if limit is None:
             return
@@ -106,8 +116,11 @@
     def confirm(self, upstream: models.Upstream, request_id: str) -> bool:
         """Return whether a request may be sent now.
 
-        The limit may have become known, or 0, after it was assigned.
+        The limit may have become known, or 0, after it was assigned, and the
+        upstream cold.
         """
+        if not self._confirm_cold(upstream, request_id):
+            return False
         limit = self.limits.get(upstream.incarnation)
         reservation = self._reserved_by_request.get(request_id)
         now = anyio.current_time()
@@ -120,7 +133,7 @@
             )
             if now < available_from:
                 return False
-            self.reserve(upstream, request_id)
+            self._take_token(upstream, request_id)
         elif (
             not limit.rate(now)
             and limit.statement.received_at_seconds > reservation.at_seconds
@@ -130,7 +143,11 @@
         return True
 
     def release(self, request_id: str) -> None:
-        """Give back the token of a request that was not sent."""
+        """Give back the token of a request that was not sent.
+
+        Cold upstreams wait for the next request as if it had been sent.
+        """
+        self._counted_as_cold.discard(request_id)
         reservation = self._reserved_by_request.pop(request_id, None)
         if reservation is None:
             return
@@ -172,6 +189,16 @@
         self._has_changed = anyio.Event()
         return changed
 
+    def _confirm_cold(self, upstream: models.Upstream, request_id: str) -> bool:
+        """Return whether a request may be sent to an upstream, if it is cold."""
+        if request_id in self._counted_as_cold:
+            self._counted_as_cold.remove(request_id)
+            return True
+        if not self.cold.is_available(upstream.upstream_id, self.sharing):
+            return False
+        self.cold.take(upstream.upstream_id)
+        return True
+
     def _record(
         self,
         incarnation: models.Incarnation,
--- a/nutmegtrail/gateway/request_queue.py
+++ b/nutmegtrail/gateway/request_queue.py
@@ -21,7 +21,8 @@
     After `objective_deadline_seconds` its response is late. After
     `latest_start_seconds` starting it no longer helps its caller. A suspect
     may have crashed an upstream and is kept apart from other suspects.
-    `is_resumed` marks a stream whose first events were sent.
+    `is_resumed` marks a stream whose first events were sent. It is sent to
+    upstreams in `allowed_domains` only, unless that is None.
     """
 
     request_id: str
@@ -34,6 +35,12 @@
     is_resumed: bool = False
     start_tag: float = 0
     arrival_number: int = 0
+    allowed_domains: frozenset[str] | None = None
+
+    @property
+    def is_restricted(self) -> bool:
+        """Return whether upstreams that take others may not take it."""
+        return bool(self.excluded_ids) or self.allowed_domains is not None
 
 
 class RequestQueue(typing.NamedTuple):
--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -12,7 +12,8 @@
 from nutmegtrail.gateway import models
 from nutmegtrail.gateway import request_counts
 from nutmegtrail.gateway import request_limits
-
+from nutmegtrail.residency import regions
+from nutmegtrail.warmup import shares
 
 _NO_IDS: typing.Final[frozenset[str]] = frozenset()
 
@@ -80,6 +81,7 @@
     reported_loads_by_group: typing.Mapping[str, int] = {}
     limits: request_limits.LimitsByIncarnation = pyrsistent.pmap()
     sharing: request_limits.Sharing = request_limits.Sharing()
+    cold_by_id: shares.ColdById = pyrsistent.pmap()
 
 
 def find_candidates(
@@ -151,10 +153,12 @@
     """Return from when on the usable upstreams of a service take a request.
 
     It is empty while no upstream of any service holds requests off or names a
-    limit.
+    limit, and none is cold.
     """
     is_restricted = (
-        context.upstream_health.held_until_by_incarnation or context.limits
+        context.upstream_health.held_until_by_incarnation
+        or context.limits
+        or context.cold_by_id
     )
     if not is_restricted:
         return {}
@@ -169,18 +173,16 @@
 ) -> float:
     """Return the requests per second that this entry can start.
 
-    It is infinite unless all usable upstreams of the service name limits.
+    It is infinite unless all usable upstreams of the service name limits or
+    are cold.
     """
     upstreams = fleet.usable_upstreams(context.known_upstreams, service)
-    if not context.limits or not upstreams:
+    is_restricted = context.limits or context.cold_by_id
+    if not is_restricted or not upstreams:
         return request_limits.UNLIMITED
     return sum(
         (
-            request_limits.expected_rate(
-                context.limits.get(upstream.incarnation),
-                context.sharing,
-                now_seconds,
-            )
+            _expected_rate(context, upstream, now_seconds)
             for upstream in upstreams
         ),
         start=0.0,
@@ -190,7 +192,7 @@
 def slots(context: SelectionContext, service: str, now_seconds: float) -> float:
     """Return the requests that the usable upstreams of a service can run.
 
-    Those that name a limit count for what they take while a request waits.
+    Those that name a limit or are cold count for what they take while a request waits.
     """
     return sum(
         min(
@@ -297,10 +299,11 @@
     preference: Preference,
     capacity_ratio: float = 1.0,
     avoided_ids: typing.AbstractSet[str] = _NO_IDS,
+    allowed_domains: typing.AbstractSet[str] | None = None,
 ) -> Candidate | None:
     """Return the free candidate with the least expected work, None if none.
 
-    Avoided upstreams are chosen only if no other is free. Ties are broken by
+    Those outside the allowed failure domains are never chosen. Avoided upstreams are chosen only if no other is free. Ties are broken by
     the given preference.
     """
     available = [
@@ -308,6 +311,9 @@
         for candidate in candidates
         if candidate.has_capacity(capacity_ratio)
         and candidate.upstream.upstream_id not in excluded_ids
+        and regions.is_allowed(
+            candidate.upstream.failure_domain, allowed_domains
+        )
     ]
     if not available:
         return None
@@ -380,6 +386,29 @@
             context.sharing,
             now_seconds,
         ),
+        shares.available_from(
+            context.cold_by_id.get(upstream.upstream_id),
+            context.sharing,
+            now_seconds,
+        ),
+    )
+
+
+def _expected_rate(
+    context: SelectionContext, upstream: models.Upstream, now_seconds: float
+) -> float:
+    """Return the requests per second that this entry can send an upstream."""
+    return min(
+        request_limits.expected_rate(
+            context.limits.get(upstream.incarnation),
+            context.sharing,
+            now_seconds,
+        ),
+        shares.expected_rate(
+            context.cold_by_id.get(upstream.upstream_id),
+            context.sharing,
+            now_seconds,
+        ),
     )
 
 
@@ -387,7 +416,11 @@
     context: SelectionContext, upstream: models.Upstream, now_seconds: float
 ) -> float:
     """Return the requests per second that an upstream takes of all entries."""
+    rate = request_limits.UNLIMITED
     limit = context.limits.get(upstream.incarnation)
-    if limit is None:
-        return request_limits.UNLIMITED
-    return limit.rate(now_seconds)
+    if limit is not None:
+        rate = limit.rate(now_seconds)
+    cold = context.cold_by_id.get(upstream.upstream_id)
+    if cold is not None:
+        rate = min(rate, cold.requests_per_second)
+    return rate
--- a/nutmegtrail/gateway/settings.py
+++ b/nutmegtrail/gateway/settings.py
@@ -77,7 +77,11 @@
 
 
 class GatewaySettings(pydantic.BaseModel):
-    """Root of the settings file of an entry."""
+    """Root of the settings file of an entry.
+
+    `regions` has the region of each failure domain. Requests that are bound to
+    regions are not sent to upstreams in other failure domains.
+    """
 
     model_config = settings.STRICT
 
@@ -88,3 +92,4 @@
     upstreams: Upstreams = Upstreams()
     retries: Retries
     stop: Stop
+    regions: dict[contract_models.Name, contract_models.Name] = {}
--- a/nutmegtrail/gateway/signal_messages.py
+++ b/nutmegtrail/gateway/signal_messages.py
@@ -6,6 +6,7 @@
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import models
 from nutmegtrail.gateway import request_limits
+from nutmegtrail.warmup import sightings
 
 _Entry = typing.TypeVar('_Entry')
 
@@ -42,11 +43,20 @@
 
 
 class SignalMessage(typing.NamedTuple):
-    """Limits and announcements of leaving that an entry knows of."""
+    """Limits and announcements of leaving that an entry knows of.
+
+    `cold` has the registrations of cold upstreams.
+    """
 
     entry: str
     limits: tuple[LimitEntry, ...] = ()
     leaving: tuple[models.Incarnation, ...] = ()
+    cold: tuple[sightings.Registered, ...] = ()
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether there is nothing to tell."""
+        return not (self.limits or self.leaving or self.cold)
 
 
 def limit_entry(
@@ -77,6 +87,10 @@
         SignalMessage(message.entry, leaving=chunk)
         for chunk in _chunks(message.leaving)
     )
+    parts.extend(
+        SignalMessage(message.entry, cold=chunk)
+        for chunk in _chunks(message.cold, const.MAX_COLD_PER_DATAGRAM)
+    )
     return parts or [message]
 
 
@@ -86,6 +100,7 @@
         'entry': message.entry,
         'limits': [tuple(told) for told in message.limits],
         'leaving': message.leaving,
+        'cold': [tuple(told) for told in message.cold],
     }
 
 
@@ -98,6 +113,25 @@
             (str(upstream_id), int(started_at_ms))
             for upstream_id, started_at_ms in document['leaving']
         ),
+        # Entries of earlier releases tell nothing of cold upstreams.
+        tuple(_registered(*fields) for fields in document.get('cold', ())),
+    )
+
+
+def _registered(
+    upstream_id: str,
+    service: str,
+    started_at_ms: int,
+    revision: int,
+    cold_seconds: float,
+) -> sightings.Registered:
+    """Return a registration whose fields have their types."""
+    return sightings.Registered(
+        str(upstream_id),
+        str(service),
+        int(started_at_ms),
+        int(revision),
+        _non_negative(cold_seconds),
     )
 
 
@@ -123,8 +157,9 @@
     return checked
 
 
-def _chunks(entries: tuple[_Entry, ...]) -> typing.Iterator[tuple[_Entry, ...]]:
+def _chunks(
+    entries: tuple[_Entry, ...], size: int = const.MAX_SIGNALS_PER_DATAGRAM
+) -> typing.Iterator[tuple[_Entry, ...]]:
     """Return the entries in the parts that fit into a datagram."""
-    size = const.MAX_SIGNALS_PER_DATAGRAM
     for start in range(0, len(entries), size):
         yield entries[start : start + size]
--- a/nutmegtrail/gateway/signal_recorder.py
+++ b/nutmegtrail/gateway/signal_recorder.py
@@ -16,6 +16,7 @@
 from nutmegtrail.gateway import request_limiter
 from nutmegtrail.gateway import signal_messages
 from nutmegtrail.observability import logs
+from nutmegtrail.warmup import sightings
 
 
 class SignalRecorder:
@@ -36,6 +37,16 @@
         # The control API may hold off its own calls, not requests.
         if signals.hold_off_seconds and received.request_id:
             self._record_hold_off(upstream, received)
+        if signals.cold_seconds is not None:
+            limiter.cold.record(
+                sightings.Responded(
+                    upstream.upstream_id,
+                    upstream.service,
+                    upstream.started_at_ms,
+                    signals.cold_seconds,
+                ),
+                'response',
+            )
         if limiter.record_signals(upstream, received):
             limiter.share(upstream.incarnation)
             self._dispatcher.dispatch(upstream.service)
@@ -47,6 +58,8 @@
         now = anyio.current_time()
         for incarnation in message.leaving:
             self._record_leaving(incarnation, told_by=message.entry)
+        for registered in message.cold:
+            self._dispatcher.limiter.cold.record(registered, message.entry)
         has_changed = False
         for told in message.limits:
             peer_limit = request_limiter.PeerLimit(
@@ -83,6 +96,12 @@
                 for incarnation in leaving
                 if incarnations is None or incarnation in incarnations
             ),
+            tuple(
+                registered
+                for registered in self._dispatcher.limiter.cold.registrations()
+                if incarnations is None
+                or registered.incarnation in incarnations
+            ),
         )
 
     def _record_leaving(
--- a/nutmegtrail/gateway/store_listeners.py
+++ b/nutmegtrail/gateway/store_listeners.py
@@ -13,6 +13,7 @@
 from nutmegtrail.gateway import store_watcher
 from nutmegtrail.observability import logs
 from nutmegtrail.ports import watched_store
+from nutmegtrail.warmup import sightings
 
 GATEWAY_PREFIX: typing.Final = 'nutmegtrail/'
 
@@ -155,10 +156,25 @@
     def _decode(self, item: watched_store.Item) -> models.Upstream | None:
         """Return the upstream of a registration, None if it is malformed."""
         try:
-            return self._documents.upstream(item.key, item.content)
+            upstream = self._documents.upstream(item.key, item.content)
         except errors.MalformedDocument as error:
             logs.decision('upstream:malformed', detail=str(error))
             return None
+        self._record_cold(upstream, item.revision)
+        return upstream
+
+    def _record_cold(self, upstream: models.Upstream, revision: int) -> None:
+        """Record how long an upstream stays cold, and tell other entries."""
+        registered = sightings.Registered(
+            upstream.upstream_id,
+            upstream.service,
+            upstream.started_at_ms,
+            revision,
+            upstream.cold_seconds,
+        )
+        limiter = self._dispatcher.limiter
+        if limiter.cold.record(registered, 'registration'):
+            limiter.share(upstream.incarnation)
 
     def _decide(self, event: fleet.Event) -> None:
         """Apply an event to the fleet and dispatch waiting requests."""
--- a/nutmegtrail/observability/explain.py
+++ b/nutmegtrail/observability/explain.py
@@ -168,7 +168,7 @@
                 f'{line.get("configuration")} (status {line.get("status")})'
             )
         if name == 'request:rejected':
-            return _describe_rejection(line, _select_failures(request_lines))
+            return _describe_rejection(line, request_lines)
     end_lines = [
         line
         for line in request_lines
@@ -195,7 +195,7 @@
     return f'{cause}; {_describe_crashes(crashes)}' if crashes else cause
 
 
-def _describe_rejection(line: _Line, failures: list[_Line]) -> str:
+def _describe_rejection(line: _Line, request_lines: list[_Line]) -> str:
     """Return why a request was rejected."""
     if line.get('reason') == 'quarantined':
         return (
@@ -204,9 +204,26 @@
             f'{line.get("crashes")} crashes of upstreams'
         )
     text = f'{line.get("reason")}; {line.get("waiting")} requests waited'
+    text = f'{text}{_describe_restriction(request_lines)}'
+    failures = _select_failures(request_lines)
     return f'{text}; before that {_as_text(failures)}' if failures else text
 
 
+def _describe_restriction(request_lines: list[_Line]) -> str:
+    """Return what kept upstreams from taking a request, empty if nothing."""
+    for line in reversed(request_lines):
+        name = line.get('message_type')
+        if (
+            name == 'attempt:no-upstream'
+            and line.get('allowed_domains') is not None
+        ):
+            domains = ', '.join(line['allowed_domains']) or 'none'
+            return f'; its regions allow only the failure domains: {domains}'
+        if name == 'attempt:not-placed' and line.get('cold_upstreams'):
+            return f'; {line.get("cold_upstreams")} upstreams were cold'
+    return ''
+
+
 def _describe_incomplete_response(
     end_line: _Line, request_lines: list[_Line]
 ) -> str:
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -49,6 +49,8 @@
 LEAVING_HEADER: typing.Final = b'server-leaving'
 # Requests per second that an engine takes from all hosts together.
 LIMIT_HEADER: typing.Final = b'server-limit'
+# How much longer an engine stays cold.
+COLD_HEADER: typing.Final = b'x-nutmegtrail-cold-ms'
 RETRY_AFTER_HEADER: typing.Final = b'retry-after'
 LAST_EVENT_HEADER: typing.Final = b'last-event-id'
 
--- a/nutmegtrail/platform/documents.py
+++ b/nutmegtrail/platform/documents.py
@@ -1,6 +1,7 @@
 """Decoders for configuration documents and upstream registrations."""
 
 import json
+import math
 import typing
 
 import pyrsistent
@@ -73,7 +74,11 @@
             for service in document['services']
         },
         {
-            api_key: models.Account(account['name'], account.get('priority'))
+            api_key: models.Account(
+                account['name'],
+                account.get('priority'),
+                _allowed_regions(account),
+            )
             for account in accounts
             for api_key in account['api_keys']
         },
@@ -113,9 +118,20 @@
         int(document.get('max_attempts') or 1),
         not document.get('no_auth', False),
         bool(document.get('resumable', False)),
+        _allowed_regions(document),
     )
 
 
+def _allowed_regions(document: _JsonObject) -> frozenset[str] | None:
+    """Return the regions that requests are bound to, None if there are none."""
+    regions = document.get('allowed_regions')
+    if not regions:
+        return None
+    if not isinstance(regions, list):
+        raise TypeError(f'allowed_regions must be a list, not {regions!r}')
+    return frozenset(str(region) for region in regions)
+
+
 def _service(document: _JsonObject) -> models.Service:
     """Build a service; its group shape is None without experts."""
     engine = document.get('engine') or {}
@@ -129,7 +145,12 @@
             _copy_seconds(engine),
             _to_seconds(engine.get('report_lag_ms') or 0),
         )
-    return models.Service(document['name'], group_shape)
+    return models.Service(
+        document['name'],
+        group_shape,
+        float(document.get('cold_s') or 0),
+        float(document.get('cold_per_s') or 0),
+    )
 
 
 def _copy_seconds(engine: _JsonObject) -> float:
@@ -159,9 +180,21 @@
         state == const.DRAINING_STATE,
         int(document.get('born') or 0),
         _membership(document.get('group'), document.get('size')),
+        _cold_seconds(document.get('cold_left_ms')),
     )
 
 
+def _cold_seconds(milliseconds: object) -> float | None:
+    """Return how much longer an upstream stays cold, None if unreadable."""
+    if isinstance(milliseconds, bool):
+        return None
+    if not isinstance(milliseconds, int | float):
+        return None
+    if not math.isfinite(milliseconds) or milliseconds < 0:
+        return None
+    return _to_seconds(milliseconds)
+
+
 def _membership(
     group: _JsonObject | None,
     size: int | None,
--- a/nutmegtrail/platform/headers.py
+++ b/nutmegtrail/platform/headers.py
@@ -127,12 +127,18 @@
             headers, const.RETRY_AFTER_HEADER, request_id
         )
     limit = _read_number(headers, const.LIMIT_HEADER, request_id)
+    cold_milliseconds = _read_number(headers, const.COLD_HEADER, request_id)
     names_limit = any(name == const.LIMIT_HEADER for name, _ in headers)
     return models.UpstreamSignals(
         leaving not in {b'', b'0'},
         hold_off_seconds or 0,
         limit,
         has_unreadable_limit=names_limit and limit is None,
+        cold_seconds=(
+            None
+            if cold_milliseconds is None
+            else cold_milliseconds / shared_const.MILLISECONDS_PER_SECOND
+        ),
     )
 
 
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -8,10 +8,12 @@
 from nutmegtrail.gateway import models
 from nutmegtrail.gateway import request_queue
 from nutmegtrail.gateway import signal_recorder
+from nutmegtrail.warmup import shares
+from nutmegtrail.warmup import sightings
 from tests.gateway import samples
 
 
-def _queued_request(name, excluded_ids=()):
+def _queued_request(name, excluded_ids=(), allowed_domains=None):
     """Return a request that can wait for one second."""
     now = anyio.current_time()
     return request_queue.QueuedRequest(
@@ -21,6 +23,7 @@
         now + 1,
         now + 1,
         frozenset(excluded_ids),
+        allowed_domains=allowed_domains,
     )
 
 
@@ -65,13 +68,78 @@
             ),
         )
 
-    async def _acquire(self, name, excluded_ids=()):
+    async def _acquire(self, name, excluded_ids=(), allowed_domains=None):
         """Record the candidate that a request was assigned to."""
         self.outcomes[name] = await self.dispatcher.acquire(
             'drafts',
-            _queued_request(name, excluded_ids),
+            _queued_request(name, excluded_ids, allowed_domains),
         )
 
+    def _become_cold(self, requests_per_second):
+        """Apply a registration that says that `u1` is cold for a second."""
+        cold = self.dispatcher.limiter.cold
+        cold.set_rules({'drafts': shares.Rule(3, requests_per_second)})
+        cold.record(sightings.Registered('u1', 'drafts', 1, 5, 1.0), 'test')
+
+    def test_allowed_domains(self):
+        """A request waits for an allowed upstream and holds up no other."""
+        elsewhere = frozenset(('kandla-b',))
+
+        async def _scenario(tasks):
+            tasks.start_soon(self._acquire, 'bound', (), elsewhere)
+            await anyio.sleep(0.01)
+            tasks.start_soon(self._acquire, 'other')
+            await anyio.sleep(0.01)
+            self.assertEqual(['other'], list(self.outcomes))
+            for has_upstreams in (
+                self.dispatcher.has_upstreams,
+                self.dispatcher.has_available_upstreams,
+            ):
+                no_ids = frozenset()
+                self.assertTrue(has_upstreams('drafts', no_ids))
+                self.assertFalse(has_upstreams('drafts', no_ids, elsewhere))
+            self._register(samples.upstream('u2', failure_domain='kandla-b'))
+            await anyio.sleep(0.01)
+            self.assertEqual('u2', self.outcomes['bound'].upstream.upstream_id)
+
+        self._run(_scenario)
+
+    def test_cold_upstream(self):
+        """A cold upstream gets its requests in turn, and all once it is warm."""
+
+        async def _scenario(tasks):
+            self._become_cold(10)
+            for name in ('r1', 'r2'):
+                tasks.start_soon(self._acquire, name)
+            got = []
+            for _ in range(4):
+                self.dispatcher.dispatch_all()
+                await anyio.sleep(0.06)
+                got.append(len(self.outcomes))
+            self.assertEqual([0, 0, 1, 1], got)
+            self.assertEqual(1, self.dispatcher.cold_count('drafts'))
+            await anyio.sleep(0.8)
+            self.dispatcher.dispatch_all()
+            self.assertEqual({}, self.dispatcher.limiter.cold.by_id)
+            await anyio.sleep(0.01)
+            self.assertEqual(2, len(self.outcomes))
+
+        self._run(_scenario)
+
+    def test_cold_after_the_assignment(self):
+        """A request is withdrawn if its upstream became cold before it left."""
+
+        async def _scenario(tasks):
+            await self._acquire('r1')
+            upstream = self.outcomes['r1'].upstream
+            self._become_cold(10)
+            self.assertFalse(self.dispatcher.confirm(upstream, 'r1'))
+            await anyio.sleep(0.11)
+            self.assertTrue(self.dispatcher.confirm(upstream, 'r1'))
+            self.assertFalse(self.dispatcher.confirm(upstream, 'r2'))
+
+        self._run(_scenario)
+
     def test_release_dispatches_the_next_request(self):
         """A third request waits until one of two slots is released."""
 
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -13,6 +13,7 @@
 from nutmegtrail.gateway import signal_messages
 from nutmegtrail.ports import key_value
 from nutmegtrail.ports import watched_store
+from nutmegtrail.warmup import sightings
 from tests import simulated_time
 
 
@@ -96,6 +97,16 @@
                 for number in range(70)
             ),
             tuple((f'i-{number:010x}', number) for number in range(50)),
+            tuple(
+                sightings.Registered(
+                    f'i-{number:010x}',
+                    'a-service-with-a-name-of-40-characters-x',
+                    1_791_239_588_373 + number,
+                    7_000_000_000_000_000 + number,
+                    2.9876,
+                )
+                for number in range(24)
+            ),
         )
         payloads = [
             orjson.dumps(signal_messages.to_document(part))
@@ -105,8 +116,10 @@
         received = [gossip.decode(payload) for payload in payloads]
         limits = [told for part in received for told in part.limits]
         leaving = [told for part in received for told in part.leaving]
+        cold = [told for part in received for told in part.cold]
         self.assertEqual(
-            message, (message.entry, tuple(limits), tuple(leaving))
+            message,
+            (message.entry, tuple(limits), tuple(leaving), tuple(cold)),
         )
         statement = limits[1].statement(100)
         self.assertEqual(
--- a/tests/observability/test_explain.py
+++ b/tests/observability/test_explain.py
@@ -81,6 +81,36 @@
             self._cause(rejected, _end_line(1.2, status=503)),
         )
 
+    def test_rejected_because_of_its_upstreams(self):
+        """What kept upstreams from taking the request is named."""
+        rejected = _line(
+            0.1,
+            'request:rejected',
+            request_id='r1',
+            reason='no free upstream',
+            waiting=3,
+        )
+        text = 'no free upstream; 3 requests waited'
+        cases = (
+            (
+                'attempt:no-upstream',
+                {'allowed_domains': ['a1', 'a2']},
+                '; its regions allow only the failure domains: a1, a2',
+            ),
+            ('attempt:no-upstream', {'allowed_domains': None}, ''),
+            (
+                'attempt:not-placed',
+                {'cold_upstreams': 24},
+                '; 24 upstreams were cold',
+            ),
+            ('attempt:not-placed', {'cold_upstreams': 0}, ''),
+        )
+        for name, fields, restriction in cases:
+            line = _line(0, name, request_id='r1', **fields)
+            self.assertEqual(
+                f'{text}{restriction}', self._cause(line, rejected)
+            )
+
     def test_lost_booking_response(self):
         """The failed attempt is the cause if it must not be repeated."""
         failed = _line(
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -39,6 +39,46 @@
         )
         self.assertEqual(15.0, decoded.limits.idle_timeout_seconds)
 
+    def test_allowed_regions(self):
+        """Routes and accounts may be bound to regions; an empty list binds not."""
+        config = copy.deepcopy(samples.CONFIG)
+        config['routes'][0]['allowed_regions'] = ['alto']
+        config['routes'][1]['allowed_regions'] = []
+        config['tenants'][0]['allowed_regions'] = ['alto', 'bajo']
+        decoded = documents.configuration(json.dumps(config).encode())
+        regions_by_route = {
+            route.name: route.allowed_regions
+            for routes in decoded.routes_by_host.values()
+            for route in routes
+        }
+        first, second, *_ = (route['name'] for route in config['routes'])
+        self.assertEqual(frozenset(('alto',)), regions_by_route[first])
+        self.assertIsNone(regions_by_route[second])
+        self.assertEqual(
+            frozenset(('alto', 'bajo')),
+            decoded.account_by_key['key-1'].allowed_regions,
+        )
+        config['routes'][0]['allowed_regions'] = 'alto'
+        self.assertRaises(
+            errors.MalformedDocument,
+            documents.configuration,
+            json.dumps(config).encode(),
+        )
+
+    def test_cold_services(self):
+        """A service may bear fewer requests while an upstream is cold."""
+        config = copy.deepcopy(samples.CONFIG)
+        config['services'][0].update(cold_s=3.0, cold_per_s=28.0)
+        decoded = documents.configuration(json.dumps(config).encode())
+        cold, other, *_ = (
+            decoded.services_by_name[service['name']]
+            for service in config['services']
+        )
+        self.assertEqual(
+            (3, 28), (cold.cold_seconds, cold.cold_requests_per_second)
+        )
+        self.assertEqual(0, other.cold_requests_per_second)
+
     def test_preparation_of_a_map(self):
         """The time to copy an expert follows from its size and the link."""
         cases = (
@@ -90,6 +130,22 @@
         self.assertTrue(decoded.leaving)
         self.assertIsNone(decoded.membership)
 
+    def test_cold_time_of_registration(self):
+        """What is no duration does not make the registration unreadable."""
+        cases = (
+            (2_500, 2.5),
+            (0, 0),
+            (None, None),
+            (-1, None),
+            (True, None),
+            ('3000', None),
+            (float('inf'), None),
+        )
+        for written, cold_seconds in cases:
+            content = samples.registration(cold_left_ms=written)
+            decoded = documents.upstream('servers/i-1', content)
+            self.assertEqual(cold_seconds, decoded.cold_seconds, written)
+
     def test_invalid_registrations(self):
         """Missing fields and wrong types raise MalformedDocument."""
         cases = [
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -197,6 +197,15 @@
             signals = classification.signals or models.UpstreamSignals()
             self.assertEqual(seconds, signals.hold_off_seconds, (status, text))
 
+    def test_cold_time(self):
+        """Every response of the expected engine may say that it is cold."""
+        for text, cold_seconds in ((b'2500', 2.5), (b'0', 0), (b'x', None)):
+            signals = headers.read_signals(
+                200, ((b'x-nutmegtrail-cold-ms', text),)
+            )
+            self.assertEqual(cold_seconds, signals.cold_seconds)
+        self.assertIsNone(headers.read_signals(200, ()).cold_seconds)
+
     def test_limit(self):
         """Every response of the expected engine may name a limit.
 
--- a/tests/platform/test_template.py
+++ b/tests/platform/test_template.py
@@ -13,11 +13,13 @@
 from nutmegtrail.gateway import settings as gateway_settings
 
 _DEPLOY = pathlib.Path(__file__).parents[2] / 'deploy'
+_SECTION = re.compile(r'\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
 _PLACEHOLDER = re.compile(r'\{\{([\w.]+)(\|json)?\}\}')
 _FIELDS = {
     'node_name': 'front-kandla-a-1',
     'ip': '10.1.0.40',
     'zone': 'kandla-a',
+    'zones': {'kandla-a': 'gujarat', 'kandla-b': 'gujarat'},
     'listen': {'front': '10.1.0.40:8227', 'ready': '10.1.0.40:8220'},
     'port_range': [7340, 7355],
     'limits': {'link_mbps': 50.0},
@@ -40,6 +42,17 @@
     return json.dumps(field) if match.group(2) else str(field)
 
 
+def _fill_section(match):
+    """Return a section for each entry of a table of the platform."""
+    table = _FIELDS.get(match.group(1), {})
+    return ''.join(
+        match.group(2)
+        .replace('{{@}}', key)
+        .replace('{{.|json}}', json.dumps(entry))
+        for key, entry in table.items()
+    )
+
+
 def _load(text):
     """Load settings from a text."""
     with tempfile.TemporaryDirectory() as folder:
@@ -56,8 +69,12 @@
         super().setUp()
         system = tomllib.loads((_DEPLOY / 'system.toml').read_text())
         name = pathlib.Path(system['roles']['entry']['template']).name
+        template = (_DEPLOY / name).read_text()
         self.text = _PLACEHOLDER.sub(
-            _fill_placeholder, (_DEPLOY / name).read_text()
+            _fill_placeholder, _SECTION.sub(_fill_section, template)
+        )
+        self.without_regions = _PLACEHOLDER.sub(
+            _fill_placeholder, _SECTION.sub('', template)
         )
         self.metrics = system['roles']['entry']['metrics']
 
@@ -68,6 +85,8 @@
         self.assertEqual('10.1.0.40:7340', loaded.listen.peers)
         self.assertEqual(50, loaded.link.megabits_per_second)
         self.assertEqual(92, loaded.retries.base)
+        self.assertEqual(_FIELDS['zones'], loaded.regions)
+        self.assertEqual({}, _load(self.without_regions).regions)
         port, _, path = self.metrics.partition('/')
         self.assertEqual(
             (f'10.1.0.40:{port}', 'metrics'),
