--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -42,6 +42,14 @@
 _LIMIT_RATIO = 1.5
 _LIMIT_EXTRA_REQUESTS = 5
 _LIMIT_REQUESTS_PER_SECOND = 2.0
+# An engine that starts again bears so few requests per second for some time.
+# Bound of the platform: in any second it may get so many more.
+_COLD_SECONDS = 3.0
+_COLD_REQUESTS_PER_SECOND = 4.0
+_COLD_WINDOW_SECONDS = 1.0
+_COLD_RATIO = 1.5
+_COLD_EXTRA_REQUESTS = 5
+_REGISTRATION_READ_SECONDS = 0.4
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 _RESTORE_PROBABILITY = 0.3
 _RESTORE_SECONDS = 0.3
@@ -89,6 +97,7 @@
         self.limited_since = None
         self.limited_until = None
         self.draining_since = None
+        self.cold_from = None
         self._rank_group = rank_group
         self._rank_index = rank_index
 
@@ -116,14 +125,23 @@
     def most_in_window(self):
         """Return the most requests in a window while the limit is stable."""
         stable_from = self.limited_since + _LIMIT_STABLE_SECONDS
-        times = [
-            at
-            for at in self.arrival_times
-            if stable_from <= at < self.limited_until
-        ]
+        return self._most_within(
+            _LIMIT_WINDOW_SECONDS, stable_from, self.limited_until
+        )
+
+    def most_while_cold(self):
+        """Return the most requests in a window of the cold time."""
+        cold_until = self.cold_from + _COLD_SECONDS - _REGISTRATION_READ_SECONDS
+        return self._most_within(
+            _COLD_WINDOW_SECONDS, self.cold_from, cold_until
+        )
+
+    def _most_within(self, window_seconds, begin, end):
+        """Return the most requests in a window between two times."""
+        times = [at for at in self.arrival_times if begin <= at < end]
         return max(
             (
-                sum(start <= at < start + _LIMIT_WINDOW_SECONDS for at in times)
+                sum(start <= at < start + window_seconds for at in times)
                 for start in times
             ),
             default=0,
@@ -268,7 +286,11 @@
         """Write an engine's registration with the address of its relay."""
         address = self.engine_relays[self.engines.index(engine)].address
         content = engine.registration(size=_ENGINES_PER_SERVICE, **changes)
-        document = {**json.loads(content), 'address': str(address)}
+        document = {
+            'cold_left_ms': 0,
+            **json.loads(content),
+            'address': str(address),
+        }
         key = f'servers/{engine.name}'
         self.store.put(key, json.dumps(document).encode())
 
@@ -359,6 +381,14 @@
         engine.draining_since = anyio.current_time()
         self.register(engine, state='draining')
 
+    async def restart_cold(self):
+        """Start an engine of the plain service again and let it be known."""
+        engine = self._cold_engine
+        engine.started_at_ms += 1
+        self.register(engine, cold_left_ms=_COLD_SECONDS * 1000)
+        await anyio.sleep(_REGISTRATION_READ_SECONDS)
+        engine.cold_from = anyio.current_time()
+
     def limit_engines(self):
         """Let one engine of each service name a limit."""
         for engine in self._limited_engines:
@@ -391,6 +421,12 @@
             most = engine.most_in_window()
             if most > allowed:
                 violations.append(f'{engine.name} got {most} over its limit')
+        most = self._cold_engine.most_while_cold()
+        if (
+            most
+            > _COLD_EXTRA_REQUESTS + _COLD_RATIO * _COLD_REQUESTS_PER_SECOND
+        ):
+            violations.append(f'{self._cold_engine.name} got {most} while cold')
         for engine in self.engines:
             if engine.draining_since is None:
                 continue
@@ -436,6 +472,11 @@
         """Return the engines that name limits for a while."""
         return self.engines[_ENGINES_PER_SERVICE - 1 :: _ENGINES_PER_SERVICE]
 
+    @property
+    def _cold_engine(self):
+        """Return the engine that starts again; it names no limit."""
+        return self.engines[_ENGINES_PER_SERVICE + 1]
+
     async def _kill_and_restart(self, entry, seconds):
         """Kill an entry and start it again after a time."""
         entry.process.kill()
@@ -517,5 +558,8 @@
         places=rank_groups.EXPERT_SLOTS,
         spare=rank_groups.SPARE_EXPERT_SLOTS,
     )
+    document['services'][1].update(
+        cold_s=_COLD_SECONDS, cold_per_s=_COLD_REQUESTS_PER_SECOND
+    )
     document['routes'][0]['timeout_ms'] = 2500
     return document
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -31,6 +31,7 @@
             await deployment.start(tasks)
             request_scope = await tasks.start(_send_requests, deployment)
             deployment.limit_engines()
+            await deployment.restart_cold()
             with anyio.move_on_after(fault_phase_seconds):
                 async with anyio.create_task_group() as fault_tasks:
                     for _ in range(2):
