--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -262,4 +262,5 @@
         guard,
         shared.metrics_registry,
         random.Random(),
+        configured.regions,
     )
