Let entries share the room of groups by their demand

Entries now lend what they do not need and tell the borrower in their reports. The lender takes a loan back only after the borrower has stopped using it, so lost reports never let two entries fill the same room. Reports of earlier releases have no share and are read as before.

The tests of the selection name a share instead of the number of entries; what they demand is unchanged.

--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -10,6 +10,7 @@
 from nutmegtrail.gateway import request_limiter
 from nutmegtrail.gateway import request_queue
 from nutmegtrail.gateway import selection
+from nutmegtrail.sharing import demand as demands
 
 
 class _PendingRequest:
@@ -31,6 +32,8 @@
         self.counts = request_counts.Counts()
         self.limiter = request_limiter.RequestLimiter()
         self.entries = 1
+        self.share = 1.0
+        self._demand = demands.Demand()
         self._expected_seconds_by_service: dict[str, float] = {}
         self._preference = selection.Preference(failure_domain, entry)
         self._loads_by_group: dict[str, int] = {}
@@ -45,6 +48,12 @@
         """Return the number of queued requests."""
         return len(self._pending_by_id)
 
+    @property
+    def demand(self) -> float:
+        """Return the recent requests per second and those that wait."""
+        arrivals = demands.per_second(self._demand, anyio.current_time())
+        return arrivals + self.waiting_count
+
     async def acquire(
         self,
         service: str,
@@ -67,6 +76,9 @@
     ) -> selection.Candidate | None:
         """Queue a request until it is assigned to an upstream or refused."""
         pending = _PendingRequest()
+        self._demand = demands.record_arrival(
+            self._demand, anyio.current_time()
+        )
         self._pending_by_id[queued.request_id] = pending
         queue = self._queues_by_service.get(
             service, request_queue.RequestQueue()
@@ -231,7 +243,7 @@
         slots = selection.slots(context, service, now)
         result = request_queue.shed_load(
             queue,
-            int(slots / self.entries),
+            int(slots * self.share),
             now,
             request_queue.Availability(
                 selection.available_from_by_id(context, service, now),
@@ -280,7 +292,7 @@
             self.known_upstreams,
             self.upstream_health,
             self.counts,
-            self.entries,
+            self.share,
             self._loads_by_group,
             self.limiter.limits,
             self.limiter.sharing,
--- a/nutmegtrail/gateway/gossip.py
+++ b/nutmegtrail/gateway/gossip.py
@@ -4,6 +4,7 @@
 themselves in responses.
 """
 
+import math
 import socket
 import typing
 
@@ -17,6 +18,7 @@
 from nutmegtrail.gateway import models as gateway_models
 from nutmegtrail.gateway import request_counts
 from nutmegtrail.gateway import request_limits
+from nutmegtrail.gateway import share_exchange
 from nutmegtrail.gateway import signal_messages
 from nutmegtrail.gateway import signal_recorder
 from nutmegtrail.observability import logs
@@ -36,12 +38,14 @@
     """In-flight requests of a gateway instance, for some of its upstreams.
 
     `entry` is the name of the instance, `part` the index of the first
-    upstream in the datagram.
+    upstream in the datagram. `share` is in the first part only, and in none of
+    earlier releases.
     """
 
     entry: str
     part: int
     counts_by_id: dict[str, int]
+    share: share_exchange.ShareReport | None = None
 
 
 class Gossip:
@@ -53,6 +57,7 @@
         location: gateway_models.Peer,
         store: key_value.LeaseStore,
         dispatcher: dispatching.Dispatcher,
+        host_size: share_exchange.HostSize = share_exchange.UNKNOWN_SIZE,
     ) -> None:
         """Initialize the exchange without registering or sending."""
         self.location = location
@@ -60,6 +65,7 @@
         self._address = location.address
         self._store = store
         self._dispatcher = dispatcher
+        self.shares = share_exchange.ShareExchange(dispatcher, host_size)
         self._signal_recorder = signal_recorder.SignalRecorder(dispatcher)
         # The socket does not accept datagrams of two tasks at a time.
         self._sending = anyio.Lock()
@@ -167,7 +173,11 @@
         A restarted instance has two registrations until the lease of the
         earlier one expires.
         """
-        self._dispatcher.entries = len({self._address, *self._peer_addresses})
+        entries = len(
+            {self._address, *self._peer_addresses, *self._heard_at_by_address}
+        )
+        self._dispatcher.entries = entries
+        self.shares.set_entries(entries)
 
     @property
     def _peer_addresses(self) -> set[models.Address]:
@@ -254,12 +264,18 @@
         while True:
             await anyio.sleep(const.GOSSIP_INTERVAL_SECONDS)
             self._share_limits()
+            self._count_entries()
+            self.shares.offer_loans()
             self._dispatcher.dispatch_all()
             payloads = encode(
                 self._name,
                 dict(self._dispatcher.counts.local_by_id),
             )
-            await self._send_to_all(datagrams, payloads)
+            for address, payload in _address_reports(
+                payloads, self._peer_addresses, self.shares
+            ):
+                async with self._sending:
+                    await _send_datagram(datagrams, payload, address)
 
     async def _send_to_all(
         self,
@@ -281,6 +297,7 @@
             address = models.Address(*sender)
             self._heard_at_by_address[address] = anyio.current_time()
             if isinstance(received, Report):
+                self.shares.record(str(address), received.share)
                 self._dispatcher.counts = request_counts.record_report(
                     self._dispatcher.counts,
                     f'{received.entry}#{received.part}',
@@ -365,12 +382,39 @@
                 str(upstream_id): int(count)
                 for upstream_id, count in document['counts'].items()
             },
+            _decode_share(document.get('share')),
         )
     except _DECODE_ERRORS as error:
         logs.decision('entry:malformed-report', detail=repr(error))
         return None
 
 
+def _address_reports(
+    payloads: list[bytes],
+    addresses: set[models.Address],
+    shares: share_exchange.ShareExchange,
+) -> typing.Iterator[tuple[models.Address, bytes]]:
+    """Return the reports for other instances, the share in the first part."""
+    for address in addresses:
+        told = orjson.dumps(tuple(shares.report_to(str(address))))
+        yield address, b'%b,"share":%b}' % (payloads[0][:-1], told)
+        for payload in payloads[1:]:
+            yield address, payload
+
+
+def _decode_share(
+    told: list[float] | None,
+) -> share_exchange.ShareReport | None:
+    """Return the report of a share; raise ValueError if malformed."""
+    if told is None:
+        return None
+    demand, lent, *size = map(float, told)
+    report = share_exchange.ShareReport(demand, lent, *size)
+    if not all(math.isfinite(told) and told >= 0 for told in report):
+        raise ValueError('share is negative or not finite')
+    return report
+
+
 def _heard_lately(
     heard_at_by_address: dict[models.Address, float],
 ) -> dict[models.Address, float]:
--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -24,9 +24,8 @@
     this entry among them, and `group_in_flight` those at its rank group, which
     has `group_ranks` usable ranks. `group_reported_in_flight` counts those that all entries
     knew of at their last reports. `group_capacity` is the number of requests
-    that the group can hold within its objective. `sharing_entries` is the
-    number of entries that fill this capacity. `latency_seconds` is 0 if
-    unknown.
+    that the group can hold within its objective. `share` is the part of what is
+    free of it that this entry may fill. `latency_seconds` is 0 if unknown.
     """
 
     upstream: models.Upstream
@@ -36,7 +35,7 @@
     group_in_flight: int
     group_reported_in_flight: int
     group_capacity: float
-    sharing_entries: int
+    share: float
     latency_seconds: float
 
     @property
@@ -56,7 +55,7 @@
         free_capacity = (
             self.group_capacity * capacity_ratio - self.group_reported_in_flight
         )
-        local_capacity = _entry_share(free_capacity, self.sharing_entries)
+        local_capacity = _entry_share(free_capacity, self.share)
         if (
             self.group_in_flight
             >= self.group_reported_in_flight + local_capacity
@@ -68,6 +67,7 @@
 class SelectionContext(typing.NamedTuple):
     """State that the selection depends on.
 
+    `share` is the part that this entry has of all that the entries share.
     `reported_loads_by_group` has the requests of each group when the entries
     last exchanged their counts. `sharing` tells how the entries share the
     limits of upstreams.
@@ -76,7 +76,7 @@
     known_upstreams: fleet.Fleet
     upstream_health: health.Health
     counts: request_counts.Counts
-    entries: int = 1
+    share: float = 1.0
     reported_loads_by_group: typing.Mapping[str, int] = {}
     limits: request_limits.LimitsByIncarnation = pyrsistent.pmap()
     sharing: request_limits.Sharing = request_limits.Sharing()
@@ -104,7 +104,7 @@
             group_load.in_flight,
             context.reported_loads_by_group.get(group, group_load.in_flight),
             _group_capacity(context, group, group_load, now_seconds),
-            context.entries if group_load.is_rank_group else 1,
+            context.share if group_load.is_rank_group else 1.0,
             health.latency(context.upstream_health, group, now_seconds),
         )
         for group, group_load in _sum_by_group(upstreams, counts_by_id).items()
@@ -219,7 +219,7 @@
     in_flight: int
     reported: int
     capacity: float
-    sharing_entries: int
+    share: float
     latency_seconds: float
 
 
@@ -266,7 +266,7 @@
     return max(capacity, group_load.ranks * const.MIN_CAPACITY_PER_RANK)
 
 
-def _entry_share(free_capacity: float, entries: int) -> float:
+def _entry_share(free_capacity: float, share: float) -> float:
     """Return the part of the free capacity that one entry may fill.
 
     In a burst all entries see the same free capacity and fill it at the same
@@ -274,7 +274,7 @@
     """
     if free_capacity <= 0:
         return free_capacity
-    return max(free_capacity / entries, min(free_capacity, 1))
+    return max(free_capacity * share, min(free_capacity, 1))
 
 
 class Preference(typing.NamedTuple):
--- /dev/null
+++ b/nutmegtrail/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Shares of the entries in what they may use together."""
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -10,6 +10,7 @@
 from nutmegtrail.gateway import gossip
 from nutmegtrail.gateway import models as gateway_models
 from nutmegtrail.gateway import request_limits
+from nutmegtrail.gateway import share_exchange
 from nutmegtrail.gateway import signal_messages
 from nutmegtrail.ports import key_value
 from nutmegtrail.ports import watched_store
@@ -79,6 +80,56 @@
         self.assertEqual(1, len(payloads))
         self.assertEqual({}, gossip.decode(payloads[0]).counts_by_id)
 
+    def test_share(self):
+        """The share is told in the first part; earlier releases tell none."""
+        counts = {f'i-{number:010x}': number % 7 for number in range(200)}
+        dispatcher = dispatching.Dispatcher('kandla-a')
+        size = share_exchange.HostSize(0.559, 28)
+        own = gateway_models.Peer(models.Address('10.1.0.40', 7340), 'kandla-a')
+        sender = gossip.Gossip('front-1', own, None, dispatcher, size)
+        peer = models.Address('10.2.0.40', 7340)
+
+        async def _main():
+            payloads = gossip.encode('front-1', counts)
+            return list(
+                gossip._address_reports(payloads, {peer}, sender.shares)
+            )
+
+        addressed = simulated_time.run(_main)
+        self.assertTrue(all(len(payload) < 1_400 for _, payload in addressed))
+        first, *others = [gossip.decode(payload) for _, payload in addressed]
+        self.assertEqual(share_exchange.ShareReport(0, 0, *size), first.share)
+        self.assertEqual({None}, {report.share for report in others})
+        self.assertEqual(48, len(first.counts_by_id))
+
+    def test_malformed_share(self):
+        """Shares that are no finite numbers from 0 on are dropped."""
+        for share in ('[]', '[1]', '[1,-1,0,0]', '["x",0]', '[1,1,1,1,1]', '7'):
+            payload = f'{{"entry":"e","part":0,"counts":{{}},"share":{share}}}'
+            self.assertIsNone(gossip.decode(payload.encode()), share)
+
+    def test_loans_reach_the_dispatcher(self):
+        """Pattern: an idle entry lends to a busy one, which uses the loan."""
+        own = gateway_models.Peer(models.Address('10.1.0.40', 7340), 'a')
+        dispatcher = dispatching.Dispatcher('a')
+        receiver = gossip.Gossip('front-1', own, None, dispatcher)
+        receiver._heard_at_by_address = {models.Address('10.2.0.40', 7340): 0}
+
+        async def _main():
+            receiver._count_entries()
+            receiver.shares.record(
+                '10.2.0.40:7340', share_exchange.ShareReport(0, 0.2)
+            )
+            receiver.shares.offer_loans()
+            borrowing = dispatcher.share
+            await anyio.sleep(1)
+            receiver.shares.offer_loans()
+            return borrowing, dispatcher.share
+
+        borrowing, alone = simulated_time.run(_main)
+        self.assertAlmostEqual(0.7, borrowing)
+        self.assertAlmostEqual(0.5, alone)
+
     def test_signals(self):
         """All signals arrive, in datagrams that need no IP fragmentation."""
         message = signal_messages.SignalMessage(
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -175,7 +175,7 @@
                     known_upstreams,
                     health.Health(),
                     counts,
-                    entries,
+                    1 / entries,
                     {'g0': 0},
                 )
                 candidate = selection.choose(
@@ -248,7 +248,7 @@
                     known_upstreams,
                     health.Health(),
                     counts,
-                    14,
+                    1 / 14,
                     {'g0': sum(running.values())},
                 )
                 candidates = selection.find_candidates(context, 'drafts', 0)
--- /dev/null
+++ b/tests/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the shares of the entries."""
