Let larger hosts lead and relay more of the maps

The first entry to write the vacant lease led until it ended, and 16 in 22 of the lift-map deployment's hosts have a seventh of the others' link and a quarter of their processor.

An entry leaves a vacant lease to larger hosts for up to 0.15 s, and a leader hands over between two switches once larger ones have been there for two seconds and the store responds. Orders go to the instance whose link would have sent its part first. Hosts of equal size behave as before.

--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -28,6 +28,7 @@
 from nutmegtrail.gateway import retry_budget
 from nutmegtrail.gateway import retry_budgets
 from nutmegtrail.gateway import settings
+from nutmegtrail.gateway import share_exchange
 from nutmegtrail.gateway import signal_recorder
 from nutmegtrail.gateway import store_listeners
 from nutmegtrail.gateway import store_watcher
@@ -98,12 +99,17 @@
         ),
         shared.store,
         shared.dispatcher,
+        share_exchange.HostSize(
+            configured.host.cores * configured.host.core_share,
+            configured.link.megabits_per_second,
+        ),
     )
     lease = leader_lease.LeaderLease(
         expert_balancer.LEADER_KEY,
         shared.incarnation,
         shared.store,
         random.Random(),
+        gossip.shares.larger_hosts,
     )
     balancing = _create_expert_balancing(
         configured, shared, engines, lease, gossip
@@ -187,6 +193,7 @@
         gossip.location,
         gossip.reachable_peers,
         order_pacer,
+        gossip.shares.link_weight,
     )
     sender = batch_sender.BatchSender(engines, shared.dispatcher, order_pacer)
     return _ExpertBalancing(
--- a/nutmegtrail/expert_balancing/const.py
+++ b/nutmegtrail/expert_balancing/const.py
@@ -9,6 +9,15 @@
 # duration of a call to the store.
 LEADER_JITTER_SECONDS: typing.Final = 0.05
 
+# A host leaves a vacant lease to each larger one for this time, in which that
+# one writes it, and to all of them for the second time.
+LARGER_HOST_SECONDS: typing.Final = 0.03
+LARGER_HOSTS_LIMIT_SECONDS: typing.Final = 0.15
+# A leader hands over after larger hosts have been there for this long.
+HANDOVER_SECONDS: typing.Final = 2.0
+# Hosts of less than this many times the size count as equal.
+LARGER_HOST_RATIO: typing.Final = 1.5
+
 LEADERSHIP_CHECK_INTERVAL_SECONDS: typing.Final = 0.1
 MAP_INTERVAL_SECONDS: typing.Final = 0.5
 # Share of the network link that orders may take from the callers' streams.
--- a/nutmegtrail/expert_balancing/expert_balancer.py
+++ b/nutmegtrail/expert_balancing/expert_balancer.py
@@ -80,6 +80,7 @@
             # After a switch, the groups are evaluated again without a pause.
             if not (self._has_traffic() and await self._balance(service)):
                 await anyio.sleep(const.MAP_INTERVAL_SECONDS)
+            await self._lease.hand_over_if_due()
 
     def _has_traffic(self) -> bool:
         """Return whether any request is in flight."""
--- a/nutmegtrail/expert_balancing/leader_lease.py
+++ b/nutmegtrail/expert_balancing/leader_lease.py
@@ -1,16 +1,23 @@
 """Lease on a key in the store that makes a gateway instance the leader."""
 
 import random
+import typing
 
 import anyio
 
 from nutmegtrail.expert_balancing import const
+from nutmegtrail.expert_balancing import handover
 from nutmegtrail.expert_balancing import leadership
 from nutmegtrail.observability import logs
 from nutmegtrail.ports import key_value
 from nutmegtrail.ports import watched_store
 
 
+def _no_larger_hosts() -> int:
+    """Return that all hosts count as equal."""
+    return 0
+
+
 class LeaderLease:
     """Takes part in one leader election for this instance."""
 
@@ -20,12 +27,20 @@
         name: str,
         store: key_value.LeaseStore,
         generator: random.Random,
+        larger_hosts: typing.Callable[[], int] = _no_larger_hosts,
     ) -> None:
-        """Initialize the lease without acquiring it."""
+        """Initialize the lease without acquiring it.
+
+        `larger_hosts` returns the number of reachable instances on hosts that
+        bear more control work than this one.
+        """
         self.state = leadership.Leadership(name)
         self._key = key
         self._store = store
         self._generator = generator
+        self._larger_hosts = larger_hosts
+        self._tenure = handover.Tenure()
+        self._renewed_at_seconds = float('-inf')
         self._became_vacant = anyio.Event()
 
     @property
@@ -92,9 +107,38 @@
         if lease_id:
             await self._store.revoke_lease(lease_id)
 
+    async def hand_over_if_due(self) -> bool:
+        """Resign if larger hosts can lead; return whether this one has.
+
+        Must not be called while this instance switches a group. The leadership
+        stays here while the store, which the next leader needs, is not known
+        to respond.
+        """
+        if self.fence is None:
+            return False
+        now = anyio.current_time()
+        larger_hosts = self._larger_hosts()
+        self._tenure = handover.observe(self._tenure, larger_hosts, now)
+        is_renewed = (
+            now - self._renewed_at_seconds
+            <= 2 * const.LEADER_RENEWAL_INTERVAL_SECONDS
+        )
+        if not is_renewed or not handover.is_due(self._tenure, now):
+            return False
+        logs.decision(
+            'leadership:handed-over',
+            key=self._key,
+            fence=self.fence,
+            larger_hosts=larger_hosts,
+        )
+        await self.resign()
+        return True
+
     async def _renew(self) -> None:
         """Renew the lease and detect whether it has expired."""
         renewed = await self._store.keep_alive(self.state.lease_id)
+        if renewed.is_ok():
+            self._renewed_at_seconds = anyio.current_time()
         if renewed.is_ok() and not renewed.ok:
             self._decide(leadership.LeaseLapsed())
 
@@ -102,10 +146,14 @@
         """Write the key if it does not exist, or exists without a lease.
 
         Instances start at random delays, which makes most of them see the
-        winner's key before they call the store.
+        winner's key before they call the store. Those on larger hosts start
+        first.
         """
         max_delay_seconds = const.LEADER_JITTER_SECONDS
-        await anyio.sleep(self._generator.uniform(0, max_delay_seconds))
+        await anyio.sleep(
+            handover.acquisition_delay(self._larger_hosts())
+            + self._generator.uniform(0, max_delay_seconds)
+        )
         if (
             leadership.next_action(self.state)
             is not leadership.NextAction.ACQUIRE
@@ -132,9 +180,11 @@
         if leadership.next_action(self.state) is leadership.NextAction.ACQUIRE:
             self._became_vacant.set()
         if self.state.fence != before.fence:
+            self._tenure = handover.Tenure()
             logs.decision(
                 'leadership:changed',
                 key=self._key,
                 event=type(event).__name__,
                 fence=self.state.fence,
+                larger_hosts=self._larger_hosts(),
             )
--- a/nutmegtrail/expert_balancing/order_distribution.py
+++ b/nutmegtrail/expert_balancing/order_distribution.py
@@ -2,7 +2,8 @@
 
 Such an order has the whole map of a group, so that the bytes of a switch grow
 with the square of the ranks. Each instance therefore sends the orders for some
-ranks, those in its own failure domain where it can.
+ranks, those in its own failure domain where it can, and as many as its link
+bears beside those of the others.
 """
 
 import collections
@@ -25,6 +26,11 @@
     ]
 
 
+def _equal_links(_: shared_models.Address) -> float:
+    """Return that all links count as equal."""
+    return 1
+
+
 class OrderDistributor:
     """Decides which instance sends an order, and passes batches on."""
 
@@ -34,15 +40,20 @@
         location: models.Peer,
         peers: typing.Callable[[], tuple[models.Peer, ...]],
         pacer: pacing.Pacer,
+        link_weight: typing.Callable[
+            [shared_models.Address], float
+        ] = _equal_links,
     ) -> None:
         """Initialize the distributor of the instance at a location.
 
-        `peers` returns the other instances that are reachable.
+        `peers` returns the other instances that are reachable, and
+        `link_weight` the bandwidth of the link of one of all instances.
         """
         self._relay = relay
         self._location = location
         self._peers = peers
         self._pacer = pacer
+        self._link_weight = link_weight
 
     def distribute(
         self,
@@ -58,7 +69,10 @@
         if self._pacer.duration(total_bytes) < const.MIN_RELAYED_SECONDS:
             return Distribution(outgoing_orders, {})
         relayed_by_address = _assign(
-            outgoing_orders, upstreams_by_id, (self._location, *self._peers())
+            outgoing_orders,
+            upstreams_by_id,
+            (self._location, *self._peers()),
+            self._link_weight,
         )
         own = relayed_by_address.pop(self._location.address, ())
         return Distribution(own, relayed_by_address)
@@ -89,11 +103,12 @@
     outgoing_orders: tuple[switches.OutgoingOrder, ...],
     upstreams_by_id: typing.Mapping[str, models.Upstream],
     senders: tuple[models.Peer, ...],
+    link_weight: typing.Callable[[shared_models.Address], float],
 ) -> dict[shared_models.Address, tuple[switches.OutgoingOrder, ...]]:
     """Return the orders by the address of their sender, in the given order.
 
-    An order goes to the sender of the upstream's failure domain that has the
-    fewest, or to any sender if the domain has none.
+    An order goes to the sender of the upstream's failure domain that will have
+    sent all of its orders first, or to any sender if the domain has none.
     """
     addresses_by_domain: dict[str, list[shared_models.Address]] = (
         collections.defaultdict(list)
@@ -106,11 +121,12 @@
     for outgoing in outgoing_orders:
         domain = upstreams_by_id[outgoing.upstream_id].failure_domain
         addresses = addresses_by_domain.get(domain) or list(orders_by_address)
-        order_counts = [
-            len(orders_by_address[address]) for address in addresses
+        durations = [
+            (len(orders_by_address[address]) + 1) / link_weight(address)
+            for address in addresses
         ]
-        fewest = addresses[order_counts.index(min(order_counts))]
-        orders_by_address[fewest].append(outgoing)
+        first = addresses[durations.index(min(durations))]
+        orders_by_address[first].append(outgoing)
     return {
         address: tuple(orders)
         for address, orders in orders_by_address.items()
--- a/nutmegtrail/gateway/settings.py
+++ b/nutmegtrail/gateway/settings.py
@@ -46,6 +46,21 @@
     megabits_per_second: float = pydantic.Field(default=1_000, gt=0)
 
 
+class Host(pydantic.BaseModel):
+    """Size of the host; memory and descriptors are not watched if not set.
+
+    Leadership goes to larger hosts. `core_share` is the part of each core that
+    the host has.
+    """
+
+    model_config = settings.STRICT
+
+    cores: float = pydantic.Field(default=1, gt=0)
+    core_share: float = pydantic.Field(default=1, gt=0)
+    memory_megabytes: float | None = pydantic.Field(default=None, gt=0)
+    descriptors: int | None = pydantic.Field(default=None, gt=0)
+
+
 class Upstreams(pydantic.BaseModel):
     """Registrations of upstreams in the store."""
 
@@ -85,6 +100,7 @@
     listen: Listen
     store: Store
     link: Link = Link()
+    host: Host = Host()
     upstreams: Upstreams = Upstreams()
     retries: Retries
     stop: Stop
--- a/nutmegtrail/gateway/share_exchange.py
+++ b/nutmegtrail/gateway/share_exchange.py
@@ -4,6 +4,8 @@
 
 import anyio
 
+from nutmegtrail import models
+from nutmegtrail.expert_balancing import const as balancing_const
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.observability import logs
 from nutmegtrail.sharing import const
@@ -66,9 +68,18 @@
         """Return the size of this host, `UNKNOWN_SIZE` while at its limit."""
         return UNKNOWN_SIZE if self.is_strained else self._host_size
 
-    def size_of(self, entry: str) -> HostSize:
-        """Return the size that an entry told last."""
-        return self._size_by_entry.get(entry, UNKNOWN_SIZE)
+    def larger_hosts(self) -> int:
+        """Return how many entries are heard on larger hosts than this one."""
+        weight = self.own_size.weight * balancing_const.LARGER_HOST_RATIO
+        return sum(
+            size.weight > 0 and size.weight >= weight
+            for size in self._size_by_entry.values()
+        )
+
+    def link_weight(self, address: models.Address) -> float:
+        """Return the bandwidth of the link of this entry or another one."""
+        size = self._size_by_entry.get(str(address), self.own_size)
+        return max(size.megabits_per_second, 1)
 
     def set_entries(self, entries: int) -> None:
         """Set the number of entries, this one included."""
@@ -90,6 +101,11 @@
         self._shares = shares.offer_loans(
             self._shares, self._dispatcher.demand, anyio.current_time()
         )
+        self._size_by_entry = {
+            entry: size
+            for entry, size in self._size_by_entry.items()
+            if entry in self._shares.peers_by_entry
+        }
         self._update()
 
     def report_to(self, entry: str) -> ShareReport:
--- a/tests/expert_balancing/simulated_groups.py
+++ b/tests/expert_balancing/simulated_groups.py
@@ -63,6 +63,10 @@
         """Give up the leadership."""
         self.fence = None
 
+    async def hand_over_if_due(self):
+        """Keep the leadership."""
+        return False
+
     def on_fenced(self):
         """Give up the leadership."""
         self.fence = None
--- a/tests/platform/test_template.py
+++ b/tests/platform/test_template.py
@@ -20,7 +20,13 @@
     'zone': 'kandla-a',
     'listen': {'front': '10.1.0.40:8227', 'ready': '10.1.0.40:8220'},
     'port_range': [7340, 7355],
-    'limits': {'link_mbps': 50.0},
+    'limits': {
+        'cpu_share': 0.717,
+        'cores': 3,
+        'memory_mb': 552,
+        'max_fds': 8192,
+        'link_mbps': 50.0,
+    },
     'heartbeat_ms': 1200,
     'bounds': {
         'retry_window_s': 10,
@@ -68,6 +74,15 @@
         self.assertEqual('10.1.0.40:7340', loaded.listen.peers)
         self.assertEqual(50, loaded.link.megabits_per_second)
         self.assertEqual(92, loaded.retries.base)
+        self.assertEqual(
+            (3, 0.717, 552, 8192),
+            (
+                loaded.host.cores,
+                loaded.host.core_share,
+                loaded.host.memory_megabytes,
+                loaded.host.descriptors,
+            ),
+        )
         port, _, path = self.metrics.partition('/')
         self.assertEqual(
             (f'10.1.0.40:{port}', 'metrics'),
