Refuse new requests while the host is at its limit

An entry did not know the memory and descriptors of its host, and would take requests until its process is killed or cannot accept connections.

Settings name the limits, filled in by the template; without them nothing is watched. It stays ready: other entries get the same load, and if all left at once nobody would serve.

--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -32,6 +32,9 @@
 from nutmegtrail.gateway import signal_recorder
 from nutmegtrail.gateway import store_listeners
 from nutmegtrail.gateway import store_watcher
+from nutmegtrail.host_limits import condition as conditions
+from nutmegtrail.host_limits import const as host_limits_const
+from nutmegtrail.host_limits import monitor as host_monitoring
 from nutmegtrail.observability import metrics
 from nutmegtrail.platform import const
 from nutmegtrail.platform import documents
@@ -144,6 +147,11 @@
             protection.mark_replicas,
             protection.detector,
             limit_prober.LimitProber(engines, shared.dispatcher),
+            host_monitoring.HostMonitor(
+                _host_limits(configured.host),
+                (request_handler.on_host_limit, gossip.shares.on_host_limit),
+                shared.metrics_registry,
+            ),
             (engines, balancing.relay_client, shared.store),
         ),
     )
@@ -209,6 +217,16 @@
     )
 
 
+def _host_limits(host: settings.Host) -> conditions.Limits:
+    """Return the limits of the host, as far as the settings name them."""
+    memory_bytes = None
+    if host.memory_megabytes is not None:
+        memory_bytes = (
+            host.memory_megabytes * host_limits_const.BYTES_PER_MEGABYTE
+        )
+    return conditions.Limits(memory_bytes, host.descriptors)
+
+
 def _create_watchers(
     store: platform_store.PlatformStore,
     listener_by_prefix: dict[str, store_watcher.Listener],
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -22,6 +22,7 @@
 from nutmegtrail.gateway import request_handler as request_handlers
 from nutmegtrail.gateway import settings
 from nutmegtrail.gateway import store_watcher
+from nutmegtrail.host_limits import monitor as host_monitoring
 from nutmegtrail.observability import logs
 from nutmegtrail.observability import metrics
 
@@ -63,6 +64,7 @@
     mark_replicas: tuple[mark_replica.MarkReplica, ...]
     detector: crash_detector.CrashDetector
     limit_prober: limit_prober.LimitProber
+    host_monitor: host_monitoring.HostMonitor
     clients: tuple[Closeable, ...]
 
 
@@ -126,6 +128,7 @@
                 components.order_relay_server.run,
                 components.detector.run,
                 components.limit_prober.run,
+                components.host_monitor.run,
             )
         )
         background_tasks.extend(
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -17,6 +17,7 @@
 from nutmegtrail.gateway import jobs
 from nutmegtrail.gateway import models
 from nutmegtrail.gateway import routes
+from nutmegtrail.host_limits import condition as conditions
 from nutmegtrail.observability import logs
 from nutmegtrail.observability import metrics
 from nutmegtrail.ports import header_translator as header_translators
@@ -49,6 +50,7 @@
         The generator spreads the times at which refused callers come back.
         """
         self.configuration: models.Configuration | None = None
+        self._exhausted: frozenset[conditions.Resource] = frozenset()
         self._header_translator = header_translator
         self._dispatcher = dispatcher
         self._runner = runner
@@ -56,6 +58,10 @@
         self._metrics = metrics_registry
         self._generator = generator
 
+    def on_host_limit(self, exhausted: frozenset[conditions.Resource]) -> None:
+        """Refuse new requests while resources of the host are used up."""
+        self._exhausted = exhausted
+
     async def close(self) -> None:
         """Close idle connections to upstreams."""
         await self._runner.close()
@@ -93,6 +99,9 @@
         status = http.HTTPStatus.NOT_FOUND
         if route is not None:
             account = routes.find_account(configuration, route, caller.api_key)
+            if account is not None and self._exhausted:
+                await self._refuse_at_limit(exchange, caller)
+                return None
             if account is not None:
                 version = configuration.version
                 return jobs.Job(exchange, caller, route, account, version)
@@ -107,6 +116,23 @@
         await self._respond(exchange, caller.request_id, status)
         return None
 
+    async def _refuse_at_limit(
+        self, exchange: server.Exchange, caller: models.CallerRequest
+    ) -> None:
+        """Refuse a request so that its caller tries another host.
+
+        The load balancer may send its next connection elsewhere.
+        """
+        exchange.keep_alive = False
+        await self._reject(
+            exchange,
+            caller,
+            f'host at its limit: {", ".join(sorted(self._exhausted))}',
+            jobs.retry_after_seconds(
+                caller.budget_seconds or 0, spread=self._generator.random()
+            ),
+        )
+
     async def _send_final_response(
         self, job: jobs.Job, action: attempts.GiveUp
     ) -> None:
--- a/nutmegtrail/gateway/share_exchange.py
+++ b/nutmegtrail/gateway/share_exchange.py
@@ -7,6 +7,7 @@
 from nutmegtrail import models
 from nutmegtrail.expert_balancing import const as balancing_const
 from nutmegtrail.gateway import dispatcher as dispatching
+from nutmegtrail.host_limits import condition as conditions
 from nutmegtrail.observability import logs
 from nutmegtrail.sharing import const
 from nutmegtrail.sharing import shares
@@ -68,6 +69,10 @@
         """Return the size of this host, `UNKNOWN_SIZE` while at its limit."""
         return UNKNOWN_SIZE if self.is_strained else self._host_size
 
+    def on_host_limit(self, exhausted: frozenset[conditions.Resource]) -> None:
+        """Tell others that this host bears no control work at its limit."""
+        self.is_strained = bool(exhausted)
+
     def larger_hosts(self) -> int:
         """Return how many entries are heard on larger hosts than this one."""
         weight = self.own_size.weight * balancing_const.LARGER_HOST_RATIO
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -19,7 +19,7 @@
 _STREAM = b''.join(b'id: %d\ndata: x\n\n' % number for number in range(1, 6))
 
 
-def _settings(addresses, store, retry_base):
+def _settings(addresses, store, retry_base, host):
     """Return the settings of a gateway."""
     names = ('callers', 'readiness', 'peers', 'metrics')
     listen = {
@@ -37,6 +37,7 @@
                 'base': retry_base,
             },
             'stop': {'grace_seconds': 8},
+            'host': host,
         },
     )
 
@@ -44,18 +45,18 @@
 class PathTest(testtools.TestCase):
     """One gateway in front of two engines of each service."""
 
-    def _run(self, scenario, retry_base=92):
+    def _run(self, scenario, retry_base=92, **host):
         """Run a scenario with a gateway and the simulated platform."""
 
         async def _main():
             with anyio.fail_after(_SCENARIO_TIMEOUT_SECONDS):
                 async with contextlib.AsyncExitStack() as stack:
-                    await self._start(stack, retry_base)
+                    await self._start(stack, retry_base, host)
                     await scenario()
 
         anyio.run(_main)
 
-    async def _start(self, stack, retry_base):
+    async def _start(self, stack, retry_base, host):
         """Start the simulated platform and the gateway until it is ready."""
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
@@ -76,7 +77,7 @@
         self.configure(version=7)
         self.addresses = [loopback.free_address() for _ in range(4)]
         self.gateway = gateway.create_gateway(
-            _settings(self.addresses, self.store, retry_base),
+            _settings(self.addresses, self.store, retry_base, host),
         )
         self.client = client.Client()
         tasks.start_soon(self.gateway.start)
@@ -146,6 +147,25 @@
 
         self._run(_scenario)
 
+    def test_host_at_its_limit(self):
+        """Pattern: an entry has nearly used up its memory.
+
+        Callers are refused with a time to come back, by another connection.
+        """
+
+        async def _scenario():
+            await self._request_until(503, b'/long/prefix/a')
+            received = self._request_count(self.drafts)
+            status, headers, _ = await self._request(b'/long/prefix/a')
+            self.assertEqual((503, b'close'), (status, headers[b'connection']))
+            self.assertTrue(float(headers[b'retry-after']) > 0)
+            status, _, _ = await self._request(b'/long/prefix/a', key=b'other')
+            self.assertEqual(401, status)
+            self.assertEqual(received, self._request_count(self.drafts))
+            self.assertTrue(await self._is_ready())
+
+        self._run(_scenario, memory_megabytes=1)
+
     def test_stream_resumed_on_another_engine(self):
         """A stream interrupted by one engine is completed by another one."""
 
