Decide on loans seven times a second, and show share and leader

The bookkeeping of shares took 0.6 ms of processor time per report interval of 22 entries on a busy machine, more than a hundredth of a core of a small host. The metrics show the share and who leads.

--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -181,7 +181,11 @@
 
     async def _serve_metrics(self, exchange: server.Exchange) -> None:
         """Respond with all metrics."""
-        payload = self._components.metrics_registry.render().encode()
+        components = self._components
+        registry = components.metrics_registry
+        registry.set_gauge('share', components.dispatcher.share)
+        registry.set_gauge('leader', float(components.lease.fence is not None))
+        payload = registry.render().encode()
         await exchange.respond(http.HTTPStatus.OK, _TEXT_HEADERS, payload)
 
     def _server(self, address: str, handler: server.Handler) -> server.Server:
--- a/nutmegtrail/gateway/share_exchange.py
+++ b/nutmegtrail/gateway/share_exchange.py
@@ -62,6 +62,7 @@
         self._dispatcher = dispatcher
         self._shares = shares.Shares()
         self._size_by_entry: dict[str, HostSize] = {}
+        self._told_demand = 0.0
         self._logged_share = 1.0
 
     @property
@@ -103,8 +104,10 @@
 
     def offer_loans(self) -> None:
         """Decide on the loans that the next reports tell."""
+        demand = self._dispatcher.demand
+        self._told_demand = round(demand, 2)
         self._shares = shares.offer_loans(
-            self._shares, self._dispatcher.demand, anyio.current_time()
+            self._shares, demand, anyio.current_time()
         )
         self._size_by_entry = {
             entry: size
@@ -116,7 +119,7 @@
     def report_to(self, entry: str) -> ShareReport:
         """Return what to tell another entry."""
         return ShareReport(
-            round(self._dispatcher.demand, 2),
+            self._told_demand,
             shares.told_loans(self._shares).get(entry, 0),
             *self.own_size,
         )
@@ -134,9 +137,9 @@
             share=round(share, 5),
             entries=self._shares.entries,
             heard=len(self._shares.peers_by_entry),
-            demand=round(self._dispatcher.demand, 2),
+            demand=self._told_demand,
             total_demand=round(
-                self._dispatcher.demand
+                self._told_demand
                 + sum(
                     peer.demand for peer in self._shares.peers_by_entry.values()
                 ),
--- a/nutmegtrail/sharing/const.py
+++ b/nutmegtrail/sharing/const.py
@@ -10,6 +10,9 @@
 # requests that arrive before the others have read its next reports.
 FLOOR_RATIO: typing.Final = 0.5
 
+# Loans are repeated in all reports of this time.
+OFFER_SECONDS: typing.Final = 0.15
+
 # A loan ends this long after the last report that named it was read; some
 # reports may be lost meanwhile.
 LOAN_SECONDS: typing.Final = 0.25
--- a/nutmegtrail/sharing/shares.py
+++ b/nutmegtrail/sharing/shares.py
@@ -22,14 +22,14 @@
 """
 
 import math
+import types
 import typing
 
-import pyrsistent
-import pyrsistent.typing
-
 from nutmegtrail.sharing import const
 
-PartsByEntry: typing.TypeAlias = pyrsistent.typing.PMap[str, float]
+PartsByEntry: typing.TypeAlias = typing.Mapping[str, float]
+
+_NO_PARTS: typing.Final[PartsByEntry] = types.MappingProxyType({})
 
 
 class PeerState(typing.NamedTuple):
@@ -44,9 +44,10 @@
 
 
 class Offer(typing.NamedTuple):
-    """Loans that were told to other entries at a time."""
+    """Loans that were decided on at a time, and last told at another one."""
 
     parts_by_entry: PartsByEntry
+    decided_at_seconds: float
     told_at_seconds: float
 
 
@@ -58,14 +59,14 @@
     """
 
     entries: int = 1
-    peers_by_entry: pyrsistent.typing.PMap[str, PeerState] = pyrsistent.pmap()
+    peers_by_entry: typing.Mapping[str, PeerState] = types.MappingProxyType({})
     offers: tuple[Offer, ...] = ()
 
 
 def record_report(shares: Shares, entry: str, told: PeerState) -> Shares:
     """Return the shares after a report of another entry."""
     return shares._replace(
-        peers_by_entry=shares.peers_by_entry.set(entry, told)
+        peers_by_entry={**shares.peers_by_entry, entry: told}
     )
 
 
@@ -73,32 +74,40 @@
     """Return the shares with the loans that the next reports tell.
 
     `demand` is that of this entry. Entries that are not heard neither lend nor
-    borrow.
+    borrow. Loans are decided on anew in each `OFFER_SECONDS`.
     """
+    last = shares.offers[-1] if shares.offers else None
+    if (
+        last is not None
+        and now_seconds - last.decided_at_seconds < const.OFFER_SECONDS
+    ):
+        retold = last._replace(told_at_seconds=now_seconds)
+        return shares._replace(offers=(*shares.offers[:-1], retold))
     current = _drop_old(shares, now_seconds)
     loans = _limit_to_unreserved(
-        _wanted_loans(current, demand), _reserved_by_entry(current)
+        _wanted_loans(current, demand), _reserved_by_entry(current.offers)
     )
-    offer = Offer(pyrsistent.pmap(loans), now_seconds)
+    offer = Offer(loans, now_seconds, now_seconds)
     return current._replace(offers=(*current.offers, offer))
 
 
 def own_share(shares: Shares, now_seconds: float) -> float:
     """Return the share of this entry, from 0 to 1."""
-    current = _drop_old(shares, now_seconds)
     borrowed = sum(
         peer.lent
-        for peer in current.peers_by_entry.values()
+        for peer in shares.peers_by_entry.values()
         if now_seconds - peer.received_at_seconds <= const.LOAN_SECONDS
     )
-    lent = sum(_reserved_by_entry(current).values())
-    return min(max(1 / current.entries - lent, 0) + borrowed, 1)
+    lent = sum(
+        _reserved_by_entry(_drop_old(shares, now_seconds).offers).values()
+    )
+    return min(max(1 / shares.entries - lent, 0) + borrowed, 1)
 
 
 def told_loans(shares: Shares) -> PartsByEntry:
     """Return the loans of the last offer."""
     if not shares.offers:
-        return pyrsistent.pmap()
+        return _NO_PARTS
     return shares.offers[-1].parts_by_entry
 
 
@@ -149,10 +158,10 @@
     return math.floor(part * const.LOAN_UNITS) / const.LOAN_UNITS
 
 
-def _reserved_by_entry(shares: Shares) -> dict[str, float]:
+def _reserved_by_entry(offers: tuple[Offer, ...]) -> dict[str, float]:
     """Return what each borrower may use at most."""
     reserved_by_entry: dict[str, float] = {}
-    for offer in shares.offers:
+    for offer in offers:
         for entry, part in offer.parts_by_entry.items():
             reserved_by_entry[entry] = max(
                 part, reserved_by_entry.get(entry, 0)
@@ -163,14 +172,11 @@
 def _drop_old(shares: Shares, now_seconds: float) -> Shares:
     """Return the shares without loans that ended and silent entries."""
     return shares._replace(
-        peers_by_entry=pyrsistent.pmap(
-            {
-                entry: peer
-                for entry, peer in shares.peers_by_entry.items()
-                if now_seconds - peer.received_at_seconds
-                <= const.RECLAIM_SECONDS
-            }
-        ),
+        peers_by_entry={
+            entry: peer
+            for entry, peer in shares.peers_by_entry.items()
+            if now_seconds - peer.received_at_seconds <= const.RECLAIM_SECONDS
+        },
         offers=tuple(
             offer
             for offer in shares.offers
