--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -29,9 +29,13 @@
 from nutmegtrail.gateway import retry_budget
 from nutmegtrail.gateway import retry_budgets
 from nutmegtrail.gateway import settings
+from nutmegtrail.gateway import share_exchange
 from nutmegtrail.gateway import signal_recorder
 from nutmegtrail.gateway import store_listeners
 from nutmegtrail.gateway import store_watcher
+from nutmegtrail.host_limits import condition as conditions
+from nutmegtrail.host_limits import const as host_limits_const
+from nutmegtrail.host_limits import monitor as host_monitoring
 from nutmegtrail.observability import metrics
 from nutmegtrail.platform import const
 from nutmegtrail.platform import documents
@@ -103,12 +107,17 @@
         shared.store,
         shared.dispatcher,
         evacuations,
+        share_exchange.HostSize(
+            configured.host.cores * configured.host.core_share,
+            configured.link.megabits_per_second,
+        ),
     )
     lease = leader_lease.LeaderLease(
         expert_balancer.LEADER_KEY,
         shared.incarnation,
         shared.store,
         random.Random(),
+        gossip.shares.larger_hosts,
     )
     balancing = _create_expert_balancing(
         configured, shared, engines, lease, gossip
@@ -148,6 +157,11 @@
             protection.mark_replicas,
             protection.detector,
             limit_prober.LimitProber(engines, shared.dispatcher),
+            host_monitoring.HostMonitor(
+                _host_limits(configured.host),
+                (request_handler.on_host_limit, gossip.shares.on_host_limit),
+                shared.metrics_registry,
+            ),
             (engines, balancing.relay_client, shared.store),
         ),
     )
@@ -197,6 +211,7 @@
         gossip.location,
         gossip.reachable_peers,
         order_pacer,
+        gossip.shares.link_weight,
     )
     sender = batch_sender.BatchSender(engines, shared.dispatcher, order_pacer)
     return _ExpertBalancing(
@@ -212,6 +227,16 @@
     )
 
 
+def _host_limits(host: settings.Host) -> conditions.Limits:
+    """Return the limits of the host, as far as the settings name them."""
+    memory_bytes = None
+    if host.memory_megabytes is not None:
+        memory_bytes = (
+            host.memory_megabytes * host_limits_const.BYTES_PER_MEGABYTE
+        )
+    return conditions.Limits(memory_bytes, host.descriptors)
+
+
 def _create_watchers(
     store: platform_store.PlatformStore,
     listener_by_prefix: dict[str, store_watcher.Listener],
--- a/nutmegtrail/gateway/attempt_log.py
+++ b/nutmegtrail/gateway/attempt_log.py
@@ -5,6 +5,7 @@
 from nutmegtrail.gateway import attempts
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import evacuated_upstreams
+from nutmegtrail.gateway import fleet
 from nutmegtrail.gateway import jobs
 from nutmegtrail.gateway import models
 from nutmegtrail.gateway import request_queue
@@ -104,7 +105,11 @@
     ) -> None:
         """Log and count that no upstream became free for an attempt."""
         now = anyio.current_time()
-        cold_count = self._dispatcher.cold_count(job.service)
+        limiter = self._dispatcher.limiter
+        upstreams = fleet.usable_upstreams(
+            self._dispatcher.known_upstreams, job.service
+        )
+        cold_count = limiter.cold_count(upstreams)
         self._metrics.increment('attempts_not_placed', job.service)
         if cold_count:
             self._metrics.increment('attempts_held_back', job.service)
@@ -117,7 +122,7 @@
             waited_seconds=round(now - queued_at_seconds, 4),
             late_by_seconds=round(now - queued.latest_start_seconds, 4),
             waiting=self._dispatcher.waiting_count,
-            limited_upstreams=self._dispatcher.limited_count(job.service),
+            limited_upstreams=limiter.limited_count(upstreams),
             out_of_service_upstreams=evacuated_upstreams.count(
                 self._dispatcher.known_upstreams, job.service
             ),
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -23,6 +23,7 @@
 from nutmegtrail.gateway import request_handler as request_handlers
 from nutmegtrail.gateway import settings
 from nutmegtrail.gateway import store_watcher
+from nutmegtrail.host_limits import monitor as host_monitoring
 from nutmegtrail.observability import logs
 from nutmegtrail.observability import metrics
 
@@ -65,6 +66,7 @@
     mark_replicas: tuple[mark_replica.MarkReplica, ...]
     detector: crash_detector.CrashDetector
     limit_prober: limit_prober.LimitProber
+    host_monitor: host_monitoring.HostMonitor
     clients: tuple[Closeable, ...]
 
 
@@ -128,6 +130,7 @@
                 components.order_relay_server.run,
                 components.detector.run,
                 components.limit_prober.run,
+                components.host_monitor.run,
             )
         )
         background_tasks.extend(
@@ -182,10 +185,13 @@
     async def _serve_metrics(self, exchange: server.Exchange) -> None:
         """Respond with all metrics."""
         components = self._components
-        components.metrics_registry.set_gauge(
+        registry = components.metrics_registry
+        registry.set_gauge(
             'cold_upstreams', len(components.dispatcher.limiter.cold.by_id)
         )
-        payload = components.metrics_registry.render().encode()
+        registry.set_gauge('share', components.dispatcher.share)
+        registry.set_gauge('leader', float(components.lease.fence is not None))
+        payload = registry.render().encode()
         await exchange.respond(http.HTTPStatus.OK, _TEXT_HEADERS, payload)
 
     def _server(self, address: str, handler: server.Handler) -> server.Server:
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -12,6 +12,7 @@
 from nutmegtrail.gateway import request_queue
 from nutmegtrail.gateway import selection
 from nutmegtrail.residency import regions
+from nutmegtrail.sharing import demand as demands
 
 
 class _PendingRequest:
@@ -33,6 +34,8 @@
         self.counts = request_counts.Counts()
         self.limiter = request_limiter.RequestLimiter()
         self.entries = 1
+        self.share = 1.0
+        self._demand = demands.Demand()
         self._expected_seconds_by_service: dict[str, float] = {}
         self._preference = selection.Preference(failure_domain, entry)
         self._loads_by_group: dict[str, int] = {}
@@ -47,6 +50,12 @@
         """Return the number of queued requests."""
         return len(self._pending_by_id)
 
+    @property
+    def demand(self) -> float:
+        """Return the recent requests per second and those that wait."""
+        arrivals = demands.per_second(self._demand, anyio.current_time())
+        return arrivals + self.waiting_count
+
     async def acquire(
         self,
         service: str,
@@ -69,6 +78,9 @@
     ) -> selection.Candidate | None:
         """Queue a request until it is assigned to an upstream or refused."""
         pending = _PendingRequest()
+        self._demand = demands.record_arrival(
+            self._demand, anyio.current_time()
+        )
         self._pending_by_id[queued.request_id] = pending
         queue = self._queues_by_service.get(
             service, request_queue.RequestQueue()
@@ -116,24 +128,6 @@
         first_seconds = max(min(available_from, default=now) - now, 0)
         return first_seconds + queue_seconds
 
-    def limited_count(self, service: str) -> int:
-        """Return how many usable upstreams of a service are limited."""
-        return sum(
-            upstream.incarnation in self.limiter.limits
-            for upstream in fleet.usable_upstreams(
-                self.known_upstreams, service
-            )
-        )
-
-    def cold_count(self, service: str) -> int:
-        """Return how many usable upstreams of a service are cold."""
-        return sum(
-            upstream.upstream_id in self.limiter.cold.by_id
-            for upstream in fleet.usable_upstreams(
-                self.known_upstreams, service
-            )
-        )
-
     def record_response_time(self, service: str, seconds: float) -> None:
         """Record the seconds from dispatch to the response or first event."""
         average = self._expected_seconds_by_service.get(service, seconds)
@@ -258,7 +252,7 @@
         slots = selection.slots(context, service, now)
         result = request_queue.shed_load(
             queue,
-            int(slots / self.entries),
+            int(slots * self.share),
             now,
             request_queue.Availability(
                 selection.available_from_by_id(context, service, now),
@@ -317,7 +311,7 @@
             self.known_upstreams,
             self.upstream_health,
             self.counts,
-            self.entries,
+            self.share,
             self._loads_by_group,
             self.limiter.limits,
             self.limiter.sharing,
--- a/nutmegtrail/gateway/request_limiter.py
+++ b/nutmegtrail/gateway/request_limiter.py
@@ -94,6 +94,18 @@
             )
         return is_changed
 
+    def limited_count(self, upstreams: tuple[models.Upstream, ...]) -> int:
+        """Return how many of the upstreams name limits."""
+        return sum(
+            upstream.incarnation in self.limits for upstream in upstreams
+        )
+
+    def cold_count(self, upstreams: tuple[models.Upstream, ...]) -> int:
+        """Return how many of the upstreams are cold."""
+        return sum(
+            upstream.upstream_id in self.cold.by_id for upstream in upstreams
+        )
+
     def reserve(self, upstream: models.Upstream, request_id: str) -> None:
         """Take a token for a request if the upstream is limited or cold."""
         if self.cold.take(upstream.upstream_id):
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -117,7 +117,10 @@
                 await anyio.sleep(0.06)
                 got.append(len(self.outcomes))
             self.assertEqual([0, 0, 1, 1], got)
-            self.assertEqual(1, self.dispatcher.cold_count('drafts'))
+            usable = fleet.usable_upstreams(
+                self.dispatcher.known_upstreams, 'drafts'
+            )
+            self.assertEqual(1, self.dispatcher.limiter.cold_count(usable))
             await anyio.sleep(0.8)
             self.dispatcher.dispatch_all()
             self.assertEqual({}, self.dispatcher.limiter.cold.by_id)
--- a/tests/platform/test_template.py
+++ b/tests/platform/test_template.py
@@ -22,7 +22,13 @@
     'zones': {'kandla-a': 'gujarat', 'kandla-b': 'gujarat'},
     'listen': {'front': '10.1.0.40:8227', 'ready': '10.1.0.40:8220'},
     'port_range': [7340, 7355],
-    'limits': {'link_mbps': 50.0},
+    'limits': {
+        'cpu_share': 0.717,
+        'cores': 3,
+        'memory_mb': 552,
+        'max_fds': 8192,
+        'link_mbps': 50.0,
+    },
     'heartbeat_ms': 1200,
     'bounds': {
         'retry_window_s': 10,
@@ -87,6 +93,15 @@
         self.assertEqual(92, loaded.retries.base)
         self.assertEqual(_FIELDS['zones'], loaded.regions)
         self.assertEqual({}, _load(self.without_regions).regions)
+        self.assertEqual(
+            (3, 0.717, 552, 8192),
+            (
+                loaded.host.cores,
+                loaded.host.core_share,
+                loaded.host.memory_megabytes,
+                loaded.host.descriptors,
+            ),
+        )
         port, _, path = self.metrics.partition('/')
         self.assertEqual(
             (f'10.1.0.40:{port}', 'metrics'),
