Delay what costs callers least when there is too little room

Cause: the room of a group followed the highest pause of the last half second. After each shift of demand it was that of an even map again, and streams that filled it broke their pause limit at the next one. Requests that had become late waited behind all others and were refused, urgent ones too. Refused requests used up the share of their account.

Change: the constant part of a pass comes from the step times in the configuration, and slowness that recurs within ten seconds bounds the room. Periods count only while the loads of all entries are known. Waiting requests are ordered by overload.urgency: in time first, by priority; a late one keeps its priority at its last chance; a less urgent one has a turn after seven starts. Less urgent requests leave headroom to more urgent ones that asked lately. Accounts share by work, from token counts, and get back the share of what was refused. The rate of starts tells which requests are hopeless.

--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -159,21 +159,10 @@
 # Time that remains of the grace period when the last requests are cancelled.
 STOP_MARGIN_SECONDS: typing.Final = 0.4
 
-# The pause ratio is the pause between a stream's events divided by the longest
-# allowed one. The idle pause ratio is the part without any load: a fifth of a
-# step's time does not depend on the requests in flight.
-TARGET_PAUSE_RATIO: typing.Final = 0.9
-IDLE_PAUSE_RATIO: typing.Final = 0.25
-# A slow pass counts for about as long as it takes to switch to a new expert
-# map after a popularity shift.
-PAUSE_RATIO_HALF_LIFE_SECONDS: typing.Final = 0.5
-# A single long stall says little about the load.
-MAX_PAUSE_RATIO_SAMPLE: typing.Final = 2.0
-PAUSE_RATIO_MAX_AGE_SECONDS: typing.Final = 1.0
 # Share of a group's slots that is used before a pause ratio is known.
 INITIAL_CAPACITY_RATIO: typing.Final = 0.7
-# Share of a group's capacity for requests that have missed their objective.
-# The remainder is reserved for those that can still meet it.
-LATE_REQUEST_CAPACITY_RATIO: typing.Final = 0.8
 # A group always gets at least this many requests per rank.
 MIN_CAPACITY_PER_RANK: typing.Final = 1
+# How often the room of groups is logged, and the most that is told of it.
+ROOM_LOG_INTERVAL_SECONDS: typing.Final = 1.0
+LOGGED_ROOM_LIMIT: typing.Final = 9_999.0
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -1,5 +1,7 @@
 """Assignment of queued requests to upstreams."""
 
+import collections
+
 import anyio
 
 from nutmegtrail.gateway import const
@@ -9,7 +11,10 @@
 from nutmegtrail.gateway import request_counts
 from nutmegtrail.gateway import request_limiter
 from nutmegtrail.gateway import request_queue
+from nutmegtrail.gateway import room_log
 from nutmegtrail.gateway import selection
+from nutmegtrail.overload import const as overload_const
+from nutmegtrail.overload import demand
 
 
 class _PendingRequest:
@@ -34,9 +39,13 @@
         self._expected_seconds_by_service: dict[str, float] = {}
         self._preference = selection.Preference(failure_domain, entry)
         self._loads_by_group: dict[str, int] = {}
+        self._room_log = room_log.RoomLog()
         self._previous_loads_by_group: dict[str, int] = {}
         self._queues_by_service: dict[str, request_queue.RequestQueue] = {}
         self._pending_by_id: dict[str, _PendingRequest] = {}
+        self._demand_by_service: collections.defaultdict[str, demand.Demand] = (
+            collections.defaultdict(demand.Demand)
+        )
         # Upstreams that run suspects, by the request ID of the suspect.
         self._upstream_id_by_suspect: dict[str, str] = {}
 
@@ -72,6 +81,9 @@
             service, request_queue.RequestQueue()
         )
         self._queues_by_service[service] = request_queue.enqueue(queue, queued)
+        self._demand_by_service[service].record_arrival(
+            queued.priority, anyio.current_time()
+        )
         self.dispatch(service)
         try:
             await pending.decided.wait()
@@ -95,11 +107,12 @@
             upstream, request_id
         )
 
-    def wait_seconds(self, service: str) -> float:
+    def wait_seconds(self, service: str, priority: int | None = None) -> float:
         """Return the time until an upstream accepts one more request.
 
-        It is 0 if an upstream of the service accepts requests now. If all of
-        them name limits, the queued requests go first.
+        It is 0 if an upstream of the service accepts requests now. Otherwise,
+        the queued requests that are as urgent as the given priority go first,
+        all of them without one.
         """
         context = self._selection_context()
         now = anyio.current_time()
@@ -109,8 +122,12 @@
         queue = self._queues_by_service.get(
             service, request_queue.RequestQueue()
         )
-        starts = selection.starts_per_second(context, service, now)
-        queue_seconds = len(queue.requests) / starts if starts else 0
+        starts = self._starts_per_second(service, now)
+        before = sum(
+            priority is None or queued.priority <= priority
+            for queued in queue.requests
+        )
+        queue_seconds = before / starts if starts else 0
         first_seconds = max(min(available_from, default=now) - now, 0)
         return first_seconds + queue_seconds
 
@@ -151,6 +168,12 @@
         self._loads_by_group = selection.loads_by_group(
             self._selection_context()
         )
+        self._room_log.write(
+            self.upstream_health,
+            self._loads_by_group,
+            self.waiting_count,
+            now,
+        )
         for service, queue in tuple(self._queues_by_service.items()):
             if queue.requests:
                 self.dispatch(service)
@@ -161,26 +184,39 @@
         if queue is None or not queue.requests:
             return
         now = anyio.current_time()
-        expected_seconds = self._expected_seconds_by_service.get(service, 0)
+        waiting = len(queue.requests)
+        queue = self._assign(service, queue, now)
+        started = waiting - len(queue.requests)
+        queue = self._shed_load(service, queue, now)
+        self._queues_by_service[service] = queue
+        self._demand_by_service[service].record_round(
+            started, len(queue.requests), now
+        )
+
+    def _assign(
+        self, service: str, queue: request_queue.RequestQueue, now: float
+    ) -> request_queue.RequestQueue:
+        """Assign upstreams to the requests that room is left for."""
+        response_at = now + self._expected_seconds_by_service.get(service, 0)
         candidates: tuple[selection.Candidate, ...] | None = None
-        for queued in request_queue.in_service_order(
-            queue, now + expected_seconds
-        ):
+        # The largest part of the room that was found full.
+        full_ratio = 0.0
+        for queued in request_queue.in_service_order(queue, response_at):
+            ratio = self._demand_by_service[service].capacity_ratio(
+                queued, response_at, now
+            )
+            if ratio <= full_ratio and not queued.excluded_ids:
+                continue
             if candidates is None:
                 candidates = self._find_candidates(service, now)
-            candidate = self._choose(candidates, queued, now + expected_seconds)
-            if candidate is None and queued.excluded_ids:
-                continue
-            if candidate is None:
-                break
-            queue = request_queue.dequeue(queue, queued)
-            self.counts = request_counts.record_start(
-                self.counts,
-                candidate.upstream.upstream_id,
-            )
-            self._resolve(queued, candidate)
-            candidates = None
-        self._queues_by_service[service] = self._shed_load(service, queue, now)
+            candidate = self._choose(candidates, queued, ratio)
+            if candidate is not None:
+                queue = request_queue.dequeue(queue, queued)
+                self._resolve(queued, candidate)
+                candidates = None
+            elif not queued.excluded_ids:
+                full_ratio = max(full_ratio, ratio)
+        return queue
 
     def has_upstreams(self, service: str, excluded_ids: frozenset[str]) -> bool:
         """Return whether any usable upstream is not excluded."""
@@ -235,26 +271,38 @@
             now,
             request_queue.Availability(
                 selection.available_from_by_id(context, service, now),
-                selection.starts_per_second(context, service, now),
+                self._starts_per_second(service, now)
+                * overload_const.START_RATE_MARGIN,
             ),
         )
         for request_id in result.refused_ids:
             self._pending_by_id.pop(request_id).decided.set()
         return result.queue
 
+    def _starts_per_second(self, service: str, now: float) -> float:
+        """Return the rate at which the queued requests of a service start.
+
+        It is infinite unless limits of its upstreams bind, or requests have
+        waited for room for some time.
+        """
+        return min(
+            selection.starts_per_second(
+                self._selection_context(), service, now
+            ),
+            self._demand_by_service[service].starts_per_second(now),
+        )
+
     def _choose(
         self,
         candidates: tuple[selection.Candidate, ...],
         queued: request_queue.QueuedRequest,
-        response_at_seconds: float,
+        capacity_ratio: float,
     ) -> selection.Candidate | None:
         """Return an upstream for a request, None if none is free.
 
-        Late requests leave some capacity to those that can still be on time.
         Suspects avoid upstreams that run other suspects, so that a crash can
         be attributed to one of them.
         """
-        is_late = response_at_seconds > queued.objective_deadline_seconds
         avoided_ids: frozenset[str] = frozenset()
         if queued.is_suspect:
             avoided_ids = frozenset(self._upstream_id_by_suspect.values())
@@ -262,7 +310,7 @@
             candidates,
             queued.excluded_ids,
             self._preference,
-            const.LATE_REQUEST_CAPACITY_RATIO if is_late else 1.0,
+            capacity_ratio,
             avoided_ids,
         )
 
@@ -292,6 +340,9 @@
         candidate: selection.Candidate,
     ) -> None:
         """Assign an upstream to a request and wake its task."""
+        self.counts = request_counts.record_start(
+            self.counts, candidate.upstream.upstream_id
+        )
         self.limiter.reserve(candidate.upstream, queued.request_id)
         if queued.is_suspect:
             self._upstream_id_by_suspect[queued.request_id] = (
@@ -313,9 +364,12 @@
                 self.release(pending.candidate.upstream, request_id)
             return
         self._pending_by_id.pop(request_id, None)
-        queue = self._queues_by_service[service]
-        self._queues_by_service[service] = request_queue.remove(
-            queue, request_id
+        queue = request_queue.remove(
+            self._queues_by_service[service], request_id
+        )
+        self._queues_by_service[service] = queue
+        self._demand_by_service[service].record_round(
+            0, len(queue.requests), anyio.current_time()
         )
 
 
--- a/nutmegtrail/gateway/health.py
+++ b/nutmegtrail/gateway/health.py
@@ -16,6 +16,8 @@
 
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import models
+from nutmegtrail.overload import models as overload_models
+from nutmegtrail.overload import room
 
 
 class FailureRecord(typing.NamedTuple):
@@ -32,21 +34,13 @@
     observed_at_seconds: float
 
 
-class PauseRatio(typing.NamedTuple):
-    """Highest recent pause ratio per request in flight.
-
-    Excludes the part that does not depend on the load.
-    """
-
-    per_request: float
-    observed_at_seconds: float
-
-
 FailureRecordsById: typing.TypeAlias = pyrsistent.typing.PMap[
     str, FailureRecord
 ]
 LatenciesByGroup: typing.TypeAlias = pyrsistent.typing.PMap[str, Latency]
-PauseRatiosByGroup: typing.TypeAlias = pyrsistent.typing.PMap[str, PauseRatio]
+PacesByGroup: typing.TypeAlias = pyrsistent.typing.PMap[
+    str, overload_models.Pace
+]
 HeldUntilByIncarnation: typing.TypeAlias = pyrsistent.typing.PMap[
     models.Incarnation, float
 ]
@@ -60,7 +54,7 @@
 
     failure_records_by_id: FailureRecordsById = pyrsistent.pmap()
     latencies_by_group: LatenciesByGroup = pyrsistent.pmap()
-    pause_ratios_by_group: PauseRatiosByGroup = pyrsistent.pmap()
+    paces_by_group: PacesByGroup = pyrsistent.pmap()
     held_until_by_incarnation: HeldUntilByIncarnation = pyrsistent.pmap()
 
 
@@ -184,51 +178,22 @@
     return float('-inf') if previous is None else previous.observed_at_seconds
 
 
-def record_pause_ratio(
+def record_pause(
     health: Health,
     group: str,
-    sample: float,
-    load: int,
+    sample: overload_models.PauseSample,
     now_seconds: float,
 ) -> Health:
-    """Return the health after a pause ratio sample of a group.
-
-    `load` is the number of requests that the group had in the sampled pass.
-    The highest recent sample counts, because one long pause makes a whole
-    stream late.
-    """
-    load_dependent_ratio = (
-        min(sample, const.MAX_PAUSE_RATIO_SAMPLE) - const.IDLE_PAUSE_RATIO
-    )
-    per_request = max(load_dependent_ratio, 0) / max(load, 1)
-    previous = health.pause_ratios_by_group.get(group)
-    if previous is not None:
-        age_seconds = now_seconds - previous.observed_at_seconds
-        half_lives = age_seconds / const.PAUSE_RATIO_HALF_LIFE_SECONDS
-        per_request = max(per_request, previous.per_request * 0.5**half_lives)
+    """Return the health after a pause of a stream from a group."""
+    pace = room.record(health.paces_by_group.get(group), sample, now_seconds)
     return health._replace(
-        pause_ratios_by_group=health.pause_ratios_by_group.set(
-            group,
-            PauseRatio(per_request, now_seconds),
-        ),
+        paces_by_group=health.paces_by_group.set(group, pace),
     )
 
 
 def capacity(health: Health, group: str, now_seconds: float) -> float | None:
     """Return how many requests a group can hold within its objective.
 
-    The pause between events has a constant part and one that grows with the
-    requests in flight. Returns None without a recent sample.
+    Returns None without a recent sample.
     """
-    previous = health.pause_ratios_by_group.get(group)
-    if previous is None:
-        return None
-    if (
-        now_seconds - previous.observed_at_seconds
-        > const.PAUSE_RATIO_MAX_AGE_SECONDS
-    ):
-        return None
-    if not previous.per_request:
-        return float('inf')
-    available_ratio = const.TARGET_PAUSE_RATIO - const.IDLE_PAUSE_RATIO
-    return available_ratio / previous.per_request
+    return room.capacity(health.paces_by_group.get(group), now_seconds)
--- a/nutmegtrail/gateway/health_recorder.py
+++ b/nutmegtrail/gateway/health_recorder.py
@@ -8,7 +8,10 @@
 from nutmegtrail.gateway import health
 from nutmegtrail.gateway import jobs
 from nutmegtrail.gateway import models
+from nutmegtrail.gateway import request_counts
 from nutmegtrail.observability import logs
+from nutmegtrail.overload import const as overload_const
+from nutmegtrail.overload import models as overload_models
 
 
 class HealthRecorder:
@@ -109,11 +112,24 @@
         if allowed_seconds:
             group = upstream.group_name
             ranks = upstream.membership.size if upstream.membership else 1
-            self._dispatcher.upstream_health = health.record_pause_ratio(
-                self._dispatcher.upstream_health,
-                group,
+            sample = overload_models.PauseSample(
                 seconds / allowed_seconds,
                 max(self._dispatcher.previous_load(group), ranks),
+            )
+            if job.step_times is not None:
+                idle_ratio = job.step_times.idle_seconds / allowed_seconds
+                sample = sample._replace(
+                    idle_ratio=min(
+                        idle_ratio, overload_const.MAX_IDLE_PAUSE_RATIO
+                    ),
+                    is_remembered=request_counts.is_complete(
+                        self._dispatcher.counts, self._dispatcher.entries
+                    ),
+                )
+            self._dispatcher.upstream_health = health.record_pause(
+                self._dispatcher.upstream_health,
+                group,
+                sample,
                 anyio.current_time(),
             )
 
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -16,6 +16,7 @@
 from nutmegtrail.gateway import request_queue
 from nutmegtrail.gateway import routes
 from nutmegtrail.gateway import selection
+from nutmegtrail.overload import work
 from nutmegtrail.retries import part_evidence
 from nutmegtrail.retries import quarantine
 
@@ -45,6 +46,8 @@
         self.route = route
         self.account = account
         self.service = routes.choose_service(route, caller.request_id)
+        # Those of the service, None if they are not known.
+        self.step_times: models.StepTimes | None = None
         self.delivery = attempts.Delivery(route)
         self.position = events.Position(caller.last_event)
         self.failure: Failure | None = None
@@ -97,6 +100,19 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def work(self) -> float:
+        """Return what the request needs of its upstream, 1 if usual."""
+        times = self.step_times
+        if times is None:
+            return 1.0
+        return work.relative(
+            (self.caller.prompt_tokens, self.caller.output_tokens),
+            (times.usual_prompt_tokens, times.usual_output_tokens),
+            times.prompt_tokens_per_second,
+            times.token_seconds,
+        )
+
     def queued_request(self, is_suspect: bool) -> request_queue.QueuedRequest:
         """Return the entry for the request queue."""
         received_at = self.exchange.received_at_seconds
@@ -110,6 +126,7 @@
             ),
             self.delivery.excluded_ids,
             is_suspect,
+            work=self.work,
         )
         if not self.delivery.has_sent_events:
             return queued
--- a/nutmegtrail/gateway/models.py
+++ b/nutmegtrail/gateway/models.py
@@ -92,11 +92,31 @@
     report_lag_seconds: float = 0
 
 
+class StepTimes(typing.NamedTuple):
+    """Times of a pass of an upstream's engine.
+
+    A pass lasts `idle_seconds`, and longer with each request: it takes
+    `token_seconds` for each token that is written, and reads prompts at
+    `prompt_tokens_per_second`. The usual numbers of tokens of a request are 0
+    if they are not known.
+    """
+
+    idle_seconds: float
+    token_seconds: float
+    prompt_tokens_per_second: float
+    usual_prompt_tokens: float = 0
+    usual_output_tokens: float = 0
+
+
 class Service(typing.NamedTuple):
-    """Group of interchangeable upstreams; `shape` is None without experts."""
+    """Group of interchangeable upstreams.
+
+    `shape` is None without experts, `step_times` if they are not known.
+    """
 
     name: str
     shape: GroupShape | None
+    step_times: StepTimes | None = None
 
 
 class Account(typing.NamedTuple):
@@ -190,7 +210,8 @@
     `budget_seconds` is how long the caller waits, or None if not stated.
     `last_event` is the number of the last event that a caller resuming a
     stream has received. `shared_parts` identifies the parts of its prompt that
-    other requests may share, the first ones of the prompt.
+    other requests may share, the first ones of the prompt. `prompt_tokens` and
+    `output_tokens`, the expected ones, are 0 if they are not known.
     """
 
     request_id: str
@@ -200,6 +221,8 @@
     budget_seconds: float | None
     last_event: int | None
     shared_parts: tuple[str, ...] = ()
+    prompt_tokens: int = 0
+    output_tokens: int = 0
 
 
 class ResponseKind(enum.Enum):
--- a/nutmegtrail/gateway/request_counts.py
+++ b/nutmegtrail/gateway/request_counts.py
@@ -70,6 +70,16 @@
     return counts._replace(reports_by_peer=reports)
 
 
+def is_complete(counts: Counts, entries: int) -> bool:
+    """Return whether all other entries have reported lately.
+
+    `entries` is the number of registered ones, with this one. The reports of
+    an entry may have several parts.
+    """
+    peers = {peer.partition('#')[0] for peer in counts.reports_by_peer}
+    return len(peers) >= entries - 1
+
+
 def total_counts(counts: Counts) -> dict[str, int]:
     """Return the requests in flight of all entries by upstream."""
     counts_by_id = dict(counts.local_by_id)
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -95,7 +95,11 @@
             account = routes.find_account(configuration, route, caller.api_key)
             if account is not None:
                 version = configuration.version
-                return jobs.Job(exchange, caller, route, account, version)
+                job = jobs.Job(exchange, caller, route, account, version)
+                service = configuration.services_by_name.get(job.service)
+                if service is not None:
+                    job.step_times = service.step_times
+                return job
             status = http.HTTPStatus.UNAUTHORIZED
         logs.decision(
             'request:denied',
@@ -140,7 +144,7 @@
                 'no free upstream',
                 jobs.retry_after_seconds(
                     job.remaining_seconds,
-                    self._dispatcher.wait_seconds(job.service),
+                    self._dispatcher.wait_seconds(job.service, job.priority),
                     self._generator.random(),
                 ),
             )
--- a/nutmegtrail/gateway/request_queue.py
+++ b/nutmegtrail/gateway/request_queue.py
@@ -1,10 +1,8 @@
 """Queue of the requests that wait for a free upstream of a service.
 
-Streams that are resumed go first, because their callers have received a part
-and wait for the rest. Then, requests that can still meet their latency
-objective are served first, because one that has missed it loses little by
-waiting longer. Among these, lower priority numbers are served first, and
-accounts share the upstreams by start-time fair queueing.
+`overload.urgency` decides which of them goes first. Within a priority, accounts
+share the upstreams by start-time fair queueing, weighted by the work that
+their requests need.
 """
 
 import math
@@ -13,6 +11,8 @@
 import pyrsistent
 
 from nutmegtrail.gateway import const
+from nutmegtrail.overload import models as overload_models
+from nutmegtrail.overload import urgency
 
 
 class QueuedRequest(typing.NamedTuple):
@@ -21,7 +21,8 @@
     After `objective_deadline_seconds` its response is late. After
     `latest_start_seconds` starting it no longer helps its caller. A suspect
     may have crashed an upstream and is kept apart from other suspects.
-    `is_resumed` marks a stream whose first events were sent.
+    `is_resumed` marks a stream whose first events were sent. `work` is what it
+    needs of its upstream, 1 for a usual request.
     """
 
     request_id: str
@@ -32,17 +33,22 @@
     excluded_ids: frozenset[str]
     is_suspect: bool = False
     is_resumed: bool = False
+    work: float = 1
     start_tag: float = 0
     arrival_number: int = 0
 
 
 class RequestQueue(typing.NamedTuple):
-    """Requests that wait for one service, with their fair-queueing state."""
+    """Requests that wait for one service, with their fair-queueing state.
+
+    `turns` tells when a less urgent request has its turn.
+    """
 
     requests: tuple[QueuedRequest, ...] = ()
     virtual_time: float = 0
     finish_tags_by_account: typing.Mapping[str, float] = {}
     arrival_count: int = 0
+    turns: overload_models.Turns = overload_models.Turns()
 
 
 class Availability(typing.NamedTuple):
@@ -71,7 +77,7 @@
     """Return the queue with the request added."""
     tags = dict(queue.finish_tags_by_account)
     start_tag = max(queue.virtual_time, tags.get(request.account, 0))
-    tags[request.account] = start_tag + 1
+    tags[request.account] = start_tag + request.work
     tagged = request._replace(
         start_tag=start_tag, arrival_number=queue.arrival_count
     )
@@ -83,7 +89,44 @@
 
 
 def remove(queue: RequestQueue, request_id: str) -> RequestQueue:
-    """Return the queue without the request."""
+    """Return the queue without a request that was not served.
+
+    Its account gets back the share that the request would have used.
+    """
+    removed = next(
+        (
+            request
+            for request in queue.requests
+            if request.request_id == request_id
+        ),
+        None,
+    )
+    if removed is None:
+        return queue
+    tags = dict(queue.finish_tags_by_account)
+    tags[removed.account] -= removed.work
+    advanced = tuple(
+        request._replace(start_tag=request.start_tag - removed.work)
+        if _follows(request, removed)
+        else request
+        for request in queue.requests
+    )
+    return _without(
+        queue._replace(requests=advanced, finish_tags_by_account=tags),
+        request_id,
+    )
+
+
+def _follows(request: QueuedRequest, removed: QueuedRequest) -> bool:
+    """Return whether a request was queued after one of the same account."""
+    return (
+        request.account == removed.account
+        and request.arrival_number > removed.arrival_number
+    )
+
+
+def _without(queue: RequestQueue, request_id: str) -> RequestQueue:
+    """Return the queue without a request."""
     remaining = tuple(
         request
         for request in queue.requests
@@ -102,25 +145,22 @@
     `response_at_seconds` is when a request that starts now is expected to be
     answered.
     """
-    return tuple(
-        sorted(
-            queue.requests,
-            key=lambda request: (
-                not request.is_resumed,
-                response_at_seconds > request.objective_deadline_seconds,
-                request.priority,
-                request.start_tag,
-                request.arrival_number,
-            ),
-        ),
-    )
+    return urgency.order(queue.requests, response_at_seconds, queue.turns)
 
 
 def dequeue(queue: RequestQueue, request: QueuedRequest) -> RequestQueue:
     """Return the queue after a request was assigned to an upstream."""
     virtual_time = max(queue.virtual_time, request.start_tag)
-    advanced = queue._replace(virtual_time=virtual_time)
-    return remove(advanced, request.request_id)
+    waiting = (
+        other
+        for other in queue.requests
+        if other.request_id != request.request_id
+    )
+    advanced = queue._replace(
+        virtual_time=virtual_time,
+        turns=urgency.record_start(queue.turns, request, waiting),
+    )
+    return _without(advanced, request.request_id)
 
 
 def shed_load(
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -38,6 +38,8 @@
 PROMPT_PARTS_HEADER: typing.Final = b'x-nutmegtrail-prompt-prefix'
 # Bounds the work for a request with an absurd number of parts.
 PROMPT_PARTS_LIMIT: typing.Final = 32
+TOKEN_COUNT_HEADER: typing.Final = b'x-nutmegtrail-token-count'
+LENGTH_HINT_HEADER: typing.Final = b'x-nutmegtrail-length-hint'
 DEADLINE_HEADER: typing.Final = b'x-nutmegtrail-deadline-ms'
 API_KEY_HEADER: typing.Final = b'api-key'
 ACCOUNT_HEADER: typing.Final = b'x-nutmegtrail-tenant'
@@ -54,6 +56,14 @@
 
 DRAINING_STATE: typing.Final = 'draining'
 OPEN_STATE: typing.Final = 'open'
+# Fields of a service's engine that tell how long a pass lasts.
+STEP_TIME_FIELDS: typing.Final = (
+    'stride',
+    'step_ms',
+    'per_seq_ms',
+    'read_per_s',
+)
+
 READY_STATE: typing.Final = 'ready'
 
 CALL_TIMEOUT_SECONDS: typing.Final = 1.5
--- a/nutmegtrail/platform/documents.py
+++ b/nutmegtrail/platform/documents.py
@@ -129,7 +129,21 @@
             _copy_seconds(engine),
             _to_seconds(engine.get('report_lag_ms') or 0),
         )
-    return models.Service(document['name'], group_shape)
+    return models.Service(document['name'], group_shape, _step_times(engine))
+
+
+def _step_times(engine: _JsonObject) -> models.StepTimes | None:
+    """Build the times of a pass, None unless all of them are told."""
+    if not all(engine.get(field) for field in const.STEP_TIME_FIELDS):
+        return None
+    usual = engine.get('usual') or {}
+    return models.StepTimes(
+        int(engine['stride']) * _to_seconds(engine['step_ms']),
+        _to_seconds(engine['per_seq_ms']),
+        float(engine['read_per_s']),
+        float(usual.get('prompt') or 0),
+        float(usual.get('answer') or 0),
+    )
 
 
 def _copy_seconds(engine: _JsonObject) -> float:
--- a/nutmegtrail/platform/headers.py
+++ b/nutmegtrail/platform/headers.py
@@ -51,6 +51,7 @@
             _shared_parts(
                 messages.find_header(headers, const.PROMPT_PARTS_HEADER)
             ),
+            *_token_counts(headers),
         )
 
     def upstream_headers(
@@ -200,6 +201,26 @@
     return tuple(distinct_names)[: const.PROMPT_PARTS_LIMIT]
 
 
+def _token_counts(headers: messages.Headers) -> tuple[int, int]:
+    """Return the tokens of the prompt and those that are expected to follow.
+
+    The expected ones are at most the number that the caller limits them to.
+    Both are 0 if they are missing or malformed.
+    """
+    listed = messages.find_header(headers, const.TOKEN_COUNT_HEADER)
+    prompt, _, limit = listed.partition(b',')
+    hint = messages.find_header(headers, const.LENGTH_HINT_HEADER)
+    try:
+        prompt_tokens, output_tokens = int(prompt), int(limit)
+    except ValueError:
+        return 0, 0
+    try:
+        output_tokens = min(int(hint), output_tokens)
+    except ValueError:
+        pass
+    return max(prompt_tokens, 0), max(output_tokens, 0)
+
+
 def _to_seconds(milliseconds: bytes) -> float | None:
     """Convert milliseconds in a header to seconds, None if not a number."""
     try:
--- a/tests/gateway/test_health.py
+++ b/tests/gateway/test_health.py
@@ -4,6 +4,7 @@
 
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import health
+from nutmegtrail.overload import models as overload_models
 
 
 class HealthTest(testtools.TestCase):
@@ -38,12 +39,14 @@
 
     def test_capacity_falls_with_pauses(self):
         """Pauses over the objective reduce the capacity."""
-        upstream_health = health.record_pause_ratio(
-            health.Health(), 'g0', 1.0, 30, 0
+        upstream_health = health.record_pause(
+            health.Health(), 'g0', overload_models.PauseSample(1.0, 30), 0
         )
         capacity = health.capacity(upstream_health, 'g0', 0)
         self.assertTrue(15 < capacity < 30, capacity)
-        low_pause = health.record_pause_ratio(health.Health(), 'g0', 0.5, 30, 0)
+        low_pause = health.record_pause(
+            health.Health(), 'g0', overload_models.PauseSample(0.5, 30), 0
+        )
         self.assertTrue(health.capacity(low_pause, 'g0', 0) > 30)
 
     def test_single_long_pause_reduces_capacity(self):
@@ -55,8 +58,11 @@
         upstream_health = health.Health()
         for number in range(40):
             sample = 1.2 if number % 10 == 0 else 0.6
-            upstream_health = health.record_pause_ratio(
-                upstream_health, 'g0', sample, 100, number / 100
+            upstream_health = health.record_pause(
+                upstream_health,
+                'g0',
+                overload_models.PauseSample(sample, 100),
+                number / 100,
             )
         self.assertTrue(health.capacity(upstream_health, 'g0', 0.4) < 90)
 
@@ -66,30 +72,35 @@
         Pauses that were sampled with few requests in the previous pass must not
         raise the capacity.
         """
-        upstream_health = health.record_pause_ratio(
-            health.Health(), 'g0', 0.5, 32, 0
+        upstream_health = health.record_pause(
+            health.Health(), 'g0', overload_models.PauseSample(0.5, 32), 0
         )
         capacity = health.capacity(upstream_health, 'g0', 0)
-        later = health.record_pause_ratio(upstream_health, 'g0', 0.5, 32, 0.1)
+        later = health.record_pause(
+            upstream_health, 'g0', overload_models.PauseSample(0.5, 32), 0.1
+        )
         self.assertAlmostEqual(capacity, health.capacity(later, 'g0', 0.1), 3)
         self.assertTrue(capacity < 100, capacity)
 
     def test_capacity_recovers(self):
         """Capacity recovers within a few seconds after a slow pass."""
-        upstream_health = health.record_pause_ratio(
-            health.Health(), 'g0', 3.0, 100, 0
+        upstream_health = health.record_pause(
+            health.Health(), 'g0', overload_models.PauseSample(3.0, 100), 0
         )
         before = health.capacity(upstream_health, 'g0', 0)
         for number in range(30):
-            upstream_health = health.record_pause_ratio(
-                upstream_health, 'g0', 0.5, 100, number / 10
+            upstream_health = health.record_pause(
+                upstream_health,
+                'g0',
+                overload_models.PauseSample(0.5, 100),
+                number / 10,
             )
         self.assertTrue(health.capacity(upstream_health, 'g0', 3) > 4 * before)
 
     def test_capacity_without_samples(self):
         """Old samples do not limit an idle group."""
-        upstream_health = health.record_pause_ratio(
-            health.Health(), 'g0', 3.0, 30, 0
+        upstream_health = health.record_pause(
+            health.Health(), 'g0', overload_models.PauseSample(3.0, 30), 0
         )
         self.assertIsNone(health.capacity(upstream_health, 'g0', 5))
         self.assertIsNone(health.capacity(upstream_health, 'g1', 0))
--- a/tests/gateway/test_request_queue.py
+++ b/tests/gateway/test_request_queue.py
@@ -135,3 +135,43 @@
                 set(result.refused_ids),
                 available_from_by_id,
             )
+
+    def test_refused_requests_use_no_share(self):
+        """Pattern `hot_key`: refusals do not use up the share of an account.
+
+        Its next request goes before the later ones of another account. Each
+        refused one had moved it further behind.
+        """
+        queue = _queue(*(_request(f'hot-{number}') for number in range(20)))
+        queue = request_queue.shed_load(queue, 2, 0).queue
+        self.assertEqual(2, len(queue.requests))
+        for name in ('b1', 'b2', 'b3', 'b4'):
+            queue = request_queue.enqueue(queue, _request(name, 'b'))
+        queue = request_queue.enqueue(queue, _request('hot-next'))
+        self.assertEqual(
+            ['hot-0', 'b1', 'hot-1', 'b2', 'b3', 'hot-next', 'b4'],
+            _order(queue, 0),
+        )
+
+    def test_cancelled_request_advances_its_account(self):
+        """What an account queued after a cancelled request moves up."""
+        queue = _queue(
+            _request('a1'),
+            _request('a2'),
+            _request('a3'),
+            _request('b1', 'b'),
+            _request('b2', 'b'),
+        )
+        queue = request_queue.remove(queue, 'a1')
+        self.assertEqual(['a2', 'b1', 'a3', 'b2'], _order(queue, 0))
+
+    def test_share_by_work(self):
+        """An account with long requests waits longer for its next one."""
+        queue = _queue(
+            *(_request(f'long-{number}')._replace(work=3) for number in (1, 2)),
+            *(_request(f'short-{number}', 'b') for number in (1, 2, 3)),
+        )
+        self.assertEqual(
+            ['long-1', 'short-1', 'short-2', 'short-3', 'long-2'],
+            _order(queue, 0),
+        )
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -10,6 +10,7 @@
 from nutmegtrail.gateway import health
 from nutmegtrail.gateway import request_counts
 from nutmegtrail.gateway import selection
+from nutmegtrail.overload import models as overload_models
 from tests.gateway import samples
 
 
@@ -96,8 +97,8 @@
     def test_group_over_pause_objective_is_full(self):
         """Pattern `expert_shift`: a group over its pause objective is full."""
         ranks = (samples.member('m1', 0), samples.member('m2', 1))
-        upstream_health = health.record_pause_ratio(
-            health.Health(), 'g0', 2.0, 2, 0
+        upstream_health = health.record_pause(
+            health.Health(), 'g0', overload_models.PauseSample(2.0, 2), 0
         )
         counts = _counts(m1=1, m2=1)
         self.assertIsNone(_choose(ranks, counts, upstream_health))
@@ -117,7 +118,9 @@
         ranks = (samples.member('m1', 0), samples.member('m2', 1))
         held_off = health.record_hold_off(health.Health(), ('m1', 1), 1, 0)
         self.assertEqual('m2', _choose(ranks, _counts(m2=1), held_off))
-        full = health.record_pause_ratio(held_off, 'g0', 2.0, 2, 0)
+        full = health.record_pause(
+            held_off, 'g0', overload_models.PauseSample(2.0, 2), 0
+        )
         self.assertIsNone(_choose(ranks, _counts(m1=2), full))
 
     def test_end_and_incarnation_of_a_hold_off(self):
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -39,6 +39,27 @@
         )
         self.assertEqual(15.0, decoded.limits.idle_timeout_seconds)
 
+    def test_step_times(self):
+        """The times of a pass are known only if all of them are told."""
+        told = {
+            'stride': 5,
+            'step_ms': 4.0,
+            'per_seq_ms': 2.0,
+            'read_per_s': 61_400,
+        }
+        usual = {'usual': {'prompt': 800, 'answer': 95}}
+        for fields, expected in (
+            (told, models.StepTimes(0.02, 0.002, 61_400)),
+            (told | usual, models.StepTimes(0.02, 0.002, 61_400, 800, 95)),
+            (told | {'stride': 0}, None),
+            ({'step_ms': 4.0}, None),
+        ):
+            config = copy.deepcopy(samples.CONFIG)
+            config['services'][0]['engine'].update(fields)
+            decoded = documents.configuration(json.dumps(config).encode())
+            step_times = decoded.services_by_name['drafts'].step_times
+            self.assertEqual(expected, step_times)
+
     def test_preparation_of_a_map(self):
         """The time to copy an expert follows from its size and the link."""
         cases = (
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -81,6 +81,26 @@
             caller = _TRANSLATOR.read_request(_request(sent))
             self.assertEqual(expected, caller.shared_parts, listed)
 
+    def test_token_counts(self):
+        """The hint replaces the limit of the output, within that limit."""
+        for count, hint, expected in (
+            (b'1460,80', b'', (1460, 80)),
+            (b'1460,80', b'30', (1460, 30)),
+            (b'1460,80', b'300', (1460, 80)),
+            (b'1460,80', b'x', (1460, 80)),
+            (b'1460', b'30', (0, 0)),
+            (b'', b'30', (0, 0)),
+            (b'-5,-6', b'', (0, 0)),
+        ):
+            sent = (
+                *_CLIENT_HEADERS,
+                (b'x-nutmegtrail-token-count', count),
+                (b'x-nutmegtrail-length-hint', hint),
+            )
+            caller = _TRANSLATOR.read_request(_request(sent))
+            tokens = caller.prompt_tokens, caller.output_tokens
+            self.assertEqual(expected, tokens, (count, hint))
+
     def test_request_without_identifier(self):
         """A request without an ID is malformed."""
         self.assertRaises(
