Tell refused callers when there is room, and count by priority

Log lines and metrics did not tell priorities.

Callers come back over half of it at least. request:rejected and request:ended tell priority and work, explain names them with room and load. Counters by priority: in time, late, refused, delayed.

Tests of retry times and of explain failed before.

--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -130,6 +130,8 @@
 RETRY_AFTER_RATIO: typing.Final = 0.125
 # Part of the delay that differs between callers.
 RETRY_AFTER_SPREAD_RATIO: typing.Final = 0.4
+# Part of the wait for room by which the delay differs at least.
+RETRY_AFTER_WAIT_SPREAD_RATIO: typing.Final = 0.5
 MIN_RETRY_AFTER_SECONDS: typing.Final = 0.1
 MAX_RETRY_AFTER_SECONDS: typing.Final = 2.0
 
@@ -166,3 +168,5 @@
 # How often the room of groups is logged, and the most that is told of it.
 ROOM_LOG_INTERVAL_SECONDS: typing.Final = 1.0
 LOGGED_ROOM_LIMIT: typing.Final = 9_999.0
+# A request that waits longer for room counts as delayed.
+DELAYED_SECONDS: typing.Final = 0.05
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -113,6 +113,29 @@
             times.token_seconds,
         )
 
+    @property
+    def waited_seconds(self) -> float:
+        """Return how long the first attempt waited for room."""
+        if not self.choices:
+            return 0.0
+        return typing.cast(float, self.choices[0]['after_seconds'])
+
+    def is_late(self, seconds: float) -> bool:
+        """Return whether a response after some seconds missed its objective.
+
+        A stream misses it with its first event or with a long pause.
+        """
+        if self.route.kind is not models.RouteKind.STREAM:
+            return seconds > self.route.objective_seconds
+        first_event_seconds = self.first_event_seconds
+        if first_event_seconds is None:
+            return True
+        pause_limit = self.route.pause_objective_seconds or math.inf
+        return (
+            first_event_seconds > self.route.objective_seconds
+            or self.longest_pause_seconds > pause_limit
+        )
+
     def queued_request(self, is_suspect: bool) -> request_queue.QueuedRequest:
         """Return the entry for the request queue."""
         received_at = self.exchange.received_at_seconds
@@ -166,7 +189,11 @@
     delay_seconds = usual_seconds - spread_seconds
     if wait_seconds:
         # Callers that come back before the end of the wait are refused again.
-        delay_seconds = wait_seconds + spread_seconds
+        # The longer it is, the more callers are refused in this time.
+        delay_seconds = wait_seconds + max(
+            spread_seconds,
+            wait_seconds * spread * const.RETRY_AFTER_WAIT_SPREAD_RATIO,
+        )
     bounded_seconds = max(delay_seconds, const.MIN_RETRY_AFTER_SECONDS)
     return min(bounded_seconds, const.MAX_RETRY_AFTER_SECONDS)
 
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -138,15 +138,21 @@
             )
             return
         if action.outcome is attempts.Outcome.NOT_RUN:
+            wait_seconds = self._dispatcher.wait_seconds(
+                job.service, job.priority
+            )
             await self._reject(
                 job.exchange,
                 job.caller,
                 'no free upstream',
                 jobs.retry_after_seconds(
                     job.remaining_seconds,
-                    self._dispatcher.wait_seconds(job.service, job.priority),
+                    wait_seconds,
                     self._generator.random(),
                 ),
+                priority=job.priority,
+                work=round(job.work, 2),
+                expected_wait_seconds=round(wait_seconds, 3),
             )
             return
         status = http.HTTPStatus.BAD_GATEWAY
@@ -160,7 +166,7 @@
         caller: models.CallerRequest,
         reason: str,
         retry_after_seconds: float,
-        **details: int,
+        **details: float,
     ) -> None:
         """Respond that the request has not run and when to retry it."""
         logs.decision(
@@ -204,6 +210,7 @@
             reason=job.failure_reason,
         )
         self._metrics.observe_seconds('request', seconds)
+        self._count_by_priority(job, outcome, seconds)
         logs.decision(
             'request:ended',
             request_id=job.caller.request_id,
@@ -215,8 +222,25 @@
             entries=self._dispatcher.entries,
             outcome=outcome,
             reason=job.failure_reason,
+            priority=job.priority,
+            work=round(job.work, 2),
             status=job.exchange.status,
             seconds=round(seconds, 4),
             first_event_seconds=job.first_event_seconds,
             longest_pause_seconds=round(job.longest_pause_seconds, 4),
         )
+
+    def _count_by_priority(
+        self, job: jobs.Job, outcome: str, seconds: float
+    ) -> None:
+        """Count which priorities were delayed, refused or late."""
+        priority = str(job.priority)
+        if job.waited_seconds > const.DELAYED_SECONDS:
+            self._metrics.count('delayed_requests', priority=priority)
+        if job.failure_reason == attempts.Outcome.NOT_RUN.value:
+            outcome = 'refused'
+        elif outcome == 'answered' and job.is_late(seconds):
+            outcome = 'late'
+        self._metrics.count(
+            'requests_by_priority', priority=priority, outcome=outcome
+        )
--- a/nutmegtrail/observability/explain.py
+++ b/nutmegtrail/observability/explain.py
@@ -204,6 +204,10 @@
             f'{line.get("crashes")} crashes of upstreams'
         )
     text = f'{line.get("reason")}; {line.get("waiting")} requests waited'
+    if line.get('priority') is not None:
+        text = f'{text}; priority {line["priority"]}'
+    if line.get('expected_wait_seconds'):
+        text = f'{text}, room expected in {line["expected_wait_seconds"]} s'
     return f'{text}; before that {_as_text(failures)}' if failures else text
 
 
@@ -264,6 +268,18 @@
     return (
         f'answered with {end_line.get("status")}; most time passed {phase}: '
         f'{seconds_by_phase[phase]:.3f} s at {choices[-1].get("upstream")}'
+        f'{_describe_room(choices[-1], end_line)}'
+    )
+
+
+def _describe_room(choice: _Line, end_line: _Line) -> str:
+    """Return the load and room that a request of some urgency found."""
+    if choice.get('group_room') is None:
+        return ''
+    return (
+        f' (priority {end_line.get("priority")}, '
+        f'{choice.get("group_in_flight")} requests in its group, '
+        f'room for {choice["group_room"]})'
     )
 
 
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -40,6 +40,20 @@
         self.assertEqual(sorted(set(delays), reverse=True), delays)
         self.assertAlmostEqual(0.6, delays[-1])
 
+    def test_spread_over_a_long_wait(self):
+        """Load pattern `burst`: callers do not come back in one wave.
+
+        The longer the wait for room, the longer the time over which they come
+        back.
+        """
+        for wait_seconds in (0.6, 1.2):
+            delays = [
+                jobs.retry_after_seconds(4, wait_seconds, number / 9)
+                for number in range(10)
+            ]
+            self.assertEqual(wait_seconds, delays[0])
+            self.assertAlmostEqual(1.5 * wait_seconds, delays[-1])
+
     def test_end_of_hold_offs(self):
         """Without an upstream that takes requests, callers return when one does.
 
@@ -91,3 +105,42 @@
             job.queued_request(is_suspect=False).request_id for _ in range(3)
         }
         self.assertEqual(3, len(queue_ids))
+
+
+class LatenessTest(testtools.TestCase):
+    """What counts as late, by the objectives of the route."""
+
+    def test_streams(self):
+        """A stream is late with its first event or with a long pause."""
+        for first_event, pause, expected in (
+            (0.3, 0.1, False),
+            (0.5, 0.1, True),
+            (0.3, 0.2, True),
+            (None, 0, True),
+        ):
+            job = _job()
+            job.first_event_seconds = first_event
+            job.longest_pause_seconds = pause
+            self.assertEqual(expected, job.is_late(9))
+
+    def test_responses(self):
+        """Another response is late after its objective."""
+        job = _job()
+        job.route = samples.route()
+        self.assertFalse(job.is_late(0.3))
+        self.assertTrue(job.is_late(0.5))
+
+
+class WorkTest(testtools.TestCase):
+    """Work of a request, from its token counts and the step times."""
+
+    def test_work(self):
+        """Without step times or token counts, a request is usual."""
+        times = models.StepTimes(0.02, 0.002, 61_400, 800, 95)
+        job = _job()
+        self.assertEqual(1, job.queued_request(is_suspect=False).work)
+        job.step_times = times
+        self.assertEqual(1, job.queued_request(is_suspect=False).work)
+        job.caller = job.caller._replace(prompt_tokens=1_600, output_tokens=190)
+        queued = job.queued_request(is_suspect=False)
+        self.assertAlmostEqual(2, queued.work)
--- a/tests/observability/test_explain.py
+++ b/tests/observability/test_explain.py
@@ -81,6 +81,37 @@
             self._cause(rejected, _end_line(1.2, status=503)),
         )
 
+    def test_refused_by_urgency(self):
+        """The cause of a refusal names the priority and the expected wait."""
+        rejected = _line(
+            1.2,
+            'request:rejected',
+            request_id='r1',
+            reason='no free upstream',
+            waiting=31,
+            priority=2,
+            expected_wait_seconds=0.8,
+        )
+        self.assertEqual(
+            'no free upstream; 31 requests waited; priority 2, '
+            'room expected in 0.8 s',
+            self._cause(rejected, _end_line(1.2, status=503)),
+        )
+
+    def test_room_of_a_slow_request(self):
+        """The cause of a slow response names the load and room of its group."""
+        choices = [
+            {
+                'upstream': 'i-1',
+                'after_seconds': 1.2,
+                'group_in_flight': 96,
+                'group_room': 80.5,
+            }
+        ]
+        cause = self._cause(_end_line(4, choices=choices, priority=1))
+        self.assertIn('(priority 1, 96 requests in its group, ', cause)
+        self.assertIn('room for 80.5)', cause)
+
     def test_lost_booking_response(self):
         """The failed attempt is the cause if it must not be repeated."""
         failed = _line(
