Let a less urgent request's turn use the whole room

Cause: a group that urgent requests keep full never has the smaller room that less urgent ones may use, so their turn after seven starts came to nothing. Change: a turn uses all of the room. The test of the turn in a full group failed before.

--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -202,9 +202,11 @@
         # The largest part of the room that was found full.
         full_ratio = 0.0
         for queued in request_queue.in_service_order(queue, response_at):
-            ratio = self._demand_by_service[service].capacity_ratio(
-                queued, response_at, now
-            )
+            ratio = 1.0
+            if not request_queue.has_turn(queue, queued):
+                ratio = self._demand_by_service[service].capacity_ratio(
+                    queued, response_at, now
+                )
             if ratio <= full_ratio and not queued.excluded_ids:
                 continue
             if candidates is None:
--- a/nutmegtrail/gateway/request_queue.py
+++ b/nutmegtrail/gateway/request_queue.py
@@ -148,6 +148,12 @@
     return urgency.order(queue.requests, response_at_seconds, queue.turns)
 
 
+def has_turn(queue: RequestQueue, request: QueuedRequest) -> bool:
+    """Return whether it is the turn of a less urgent request's priority."""
+    due = urgency.due_priority(queue.requests, queue.turns)
+    return due == request.priority and not request.is_resumed
+
+
 def dequeue(queue: RequestQueue, request: QueuedRequest) -> RequestQueue:
     """Return the queue after a request was assigned to an upstream."""
     virtual_time = max(queue.virtual_time, request.start_tag)
--- a/nutmegtrail/overload/urgency.py
+++ b/nutmegtrail/overload/urgency.py
@@ -64,8 +64,7 @@
         requests, key=lambda request: rank(request, response_at_seconds)
     )
     waiting = [request for request in ordered if not request.is_resumed]
-    is_due = turns.passed_over >= const.PASSED_OVER_LIMIT
-    priority = _next_priority(waiting, turns) if is_due else None
+    priority = due_priority(waiting, turns)
     if priority is None:
         return tuple(ordered)
     turn = next(request for request in waiting if request.priority == priority)
@@ -93,17 +92,17 @@
     return turns._replace(passed_over=passed_over)
 
 
-def _next_priority(
-    waiting: collections.abc.Sequence[models.WaitingRequest],
+def due_priority(
+    requests: collections.abc.Iterable[models.WaitingRequest],
     turns: models.Turns,
 ) -> int | None:
     """Return the less urgent priority whose turn it is, None without one."""
-    most_urgent = min((request.priority for request in waiting), default=0)
-    less_urgent = {
-        request.priority
-        for request in waiting
-        if request.priority > most_urgent
+    if turns.passed_over < const.PASSED_OVER_LIMIT:
+        return None
+    priorities = {
+        request.priority for request in requests if not request.is_resumed
     }
+    less_urgent = priorities - {min(priorities, default=0)}
     following = {
         priority for priority in less_urgent if priority > turns.last_priority
     }
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -11,13 +11,13 @@
 from tests.gateway import samples
 
 
-def _queued_request(name, excluded_ids=()):
+def _queued_request(name, excluded_ids=(), priority=1):
     """Return a request that can wait for one second."""
     now = anyio.current_time()
     return request_queue.QueuedRequest(
         name,
         'a',
-        1,
+        priority,
         now + 1,
         now + 1,
         frozenset(excluded_ids),
@@ -65,11 +65,11 @@
             ),
         )
 
-    async def _acquire(self, name, excluded_ids=()):
+    async def _acquire(self, name, excluded_ids=(), priority=1):
         """Record the candidate that a request was assigned to."""
         self.outcomes[name] = await self.dispatcher.acquire(
             'drafts',
-            _queued_request(name, excluded_ids),
+            _queued_request(name, excluded_ids, priority),
         )
 
     def test_release_dispatches_the_next_request(self):
@@ -242,6 +242,70 @@
 
         self._run(_scenario)
 
+    def test_urgent_request_uses_the_headroom(self):
+        """Load pattern `burst`: the last room is left to the most urgent.
+
+        Only while such requests have been asking. A less urgent one that waits
+        does not block them.
+        """
+
+        async def _scenario(tasks):
+            ranks = tuple(
+                samples.member(f'm{rank}', rank, size=20)._replace(slots=1)
+                for rank in range(20)
+            )
+            self.dispatcher.known_upstreams = fleet.decide(
+                fleet.SnapshotReceived(ranks), fleet.Fleet(), 0
+            )
+            for number in range(19):
+                tasks.start_soon(self._acquire, f'r{number}')
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual(19, len(self.outcomes))
+            tasks.start_soon(self._acquire, 'urgent', (), 0)
+            await anyio.wait_all_tasks_blocked()
+            self.dispatcher.release(self.outcomes['urgent'].upstream, 'urgent')
+            tasks.start_soon(self._acquire, 'less')
+            await anyio.wait_all_tasks_blocked()
+            self.assertNotIn('less', self.outcomes)
+            tasks.start_soon(self._acquire, 'urgent again', (), 0)
+            await anyio.wait_all_tasks_blocked()
+            self.assertIn('urgent again', self.outcomes)
+            self.assertNotIn('less', self.outcomes)
+
+        self._run(_scenario)
+
+    def test_turn_uses_the_whole_room(self):
+        """Load pattern `burst` of the most urgent, in a group that is full.
+
+        After seven starts, a less urgent request takes the next place. The
+        room that it may use otherwise is never free.
+        """
+
+        async def _scenario(tasks):
+            ranks = tuple(
+                samples.member(f'm{rank}', rank, size=20)._replace(slots=1)
+                for rank in range(20)
+            )
+            self.dispatcher.known_upstreams = fleet.decide(
+                fleet.SnapshotReceived(ranks), fleet.Fleet(), 0
+            )
+            for number in range(20):
+                tasks.start_soon(self._acquire, f'r{number}', (), 0)
+            await anyio.wait_all_tasks_blocked()
+            tasks.start_soon(self._acquire, 'less')
+            for number in range(9):
+                self.assertNotIn('less', self.outcomes)
+                tasks.start_soon(self._acquire, f's{number}', (), 0)
+                await anyio.wait_all_tasks_blocked()
+                name = f'r{number}'
+                self.dispatcher.release(self.outcomes[name].upstream, name)
+                await anyio.wait_all_tasks_blocked()
+                if 'less' in self.outcomes:
+                    break
+            self.assertEqual(7, number)
+
+        self._run(_scenario)
+
     def test_refused_over_the_limit(self):
         """Pattern `burst`: requests over the queue limit are refused at once."""
 
