--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -16,6 +16,7 @@
 from nutmegtrail.gateway import request_queue
 from nutmegtrail.gateway import routes
 from nutmegtrail.gateway import selection
+from nutmegtrail.overload import work
 from nutmegtrail.retries import part_evidence
 from nutmegtrail.retries import quarantine
 
@@ -48,6 +49,8 @@
         self.route = route
         self.account = account
         self.service = routes.choose_service(route, caller.request_id)
+        # Those of the service, None if they are not known.
+        self.step_times: models.StepTimes | None = None
         self.delivery = attempts.Delivery(route)
         self.position = events.Position(caller.last_event)
         self.failure: Failure | None = None
@@ -100,6 +103,42 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def work(self) -> float:
+        """Return what the request needs of its upstream, 1 if usual."""
+        times = self.step_times
+        if times is None:
+            return 1.0
+        return work.relative(
+            (self.caller.prompt_tokens, self.caller.output_tokens),
+            (times.usual_prompt_tokens, times.usual_output_tokens),
+            times.prompt_tokens_per_second,
+            times.token_seconds,
+        )
+
+    @property
+    def waited_seconds(self) -> float:
+        """Return how long the first attempt waited for room."""
+        if not self.choices:
+            return 0.0
+        return typing.cast(float, self.choices[0]['after_seconds'])
+
+    def is_late(self, seconds: float) -> bool:
+        """Return whether a response after some seconds missed its objective.
+
+        A stream misses it with its first event or with a long pause.
+        """
+        if self.route.kind is not models.RouteKind.STREAM:
+            return seconds > self.route.objective_seconds
+        first_event_seconds = self.first_event_seconds
+        if first_event_seconds is None:
+            return True
+        pause_limit = self.route.pause_objective_seconds or math.inf
+        return (
+            first_event_seconds > self.route.objective_seconds
+            or self.longest_pause_seconds > pause_limit
+        )
+
     def queued_request(self, is_suspect: bool) -> request_queue.QueuedRequest:
         """Return the entry for the request queue."""
         received_at = self.exchange.received_at_seconds
@@ -114,6 +153,7 @@
             self.delivery.excluded_ids,
             is_suspect,
             allowed_domains=self.allowed_domains,
+            work=self.work,
         )
         if not self.delivery.has_sent_events:
             return queued
@@ -153,7 +193,11 @@
     delay_seconds = usual_seconds - spread_seconds
     if wait_seconds:
         # Callers that come back before the end of the wait are refused again.
-        delay_seconds = wait_seconds + spread_seconds
+        # The longer it is, the more callers are refused in this time.
+        delay_seconds = wait_seconds + max(
+            spread_seconds,
+            wait_seconds * spread * const.RETRY_AFTER_WAIT_SPREAD_RATIO,
+        )
     bounded_seconds = max(delay_seconds, const.MIN_RETRY_AFTER_SECONDS)
     return min(bounded_seconds, const.MAX_RETRY_AFTER_SECONDS)
 
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -128,17 +128,8 @@
                 await self._refuse_at_limit(exchange, caller)
                 return None
             if account is not None:
-                return jobs.Job(
-                    exchange,
-                    caller,
-                    route,
-                    account,
-                    configuration.version,
-                    regions.allowed_domains(
-                        self._region_by_domain,
-                        route.allowed_regions,
-                        account.allowed_regions,
-                    ),
+                return self._create_job(
+                    exchange, caller, route, account, configuration
                 )
             status = http.HTTPStatus.UNAUTHORIZED
         logs.decision(
@@ -168,6 +159,32 @@
             ),
         )
 
+    def _create_job(
+        self,
+        exchange: server.Exchange,
+        caller: models.CallerRequest,
+        route: models.Route,
+        account: models.Account,
+        configuration: models.Configuration,
+    ) -> jobs.Job:
+        """Return the job of an admitted request."""
+        job = jobs.Job(
+            exchange,
+            caller,
+            route,
+            account,
+            configuration.version,
+            regions.allowed_domains(
+                self._region_by_domain,
+                route.allowed_regions,
+                account.allowed_regions,
+            ),
+        )
+        service = configuration.services_by_name.get(job.service)
+        if service is not None:
+            job.step_times = service.step_times
+        return job
+
     async def _send_final_response(
         self, job: jobs.Job, action: attempts.GiveUp
     ) -> None:
@@ -200,16 +217,22 @@
             )
             if evacuated:
                 self._metrics.increment('evacuated_requests', 'refused')
+            wait_seconds = self._dispatcher.wait_seconds(
+                job.service, job.priority
+            )
             await self._reject(
                 job.exchange,
                 job.caller,
                 'no free upstream',
                 jobs.retry_after_seconds(
                     job.remaining_seconds,
-                    self._dispatcher.wait_seconds(job.service),
+                    wait_seconds,
                     self._generator.random(),
                 ),
                 out_of_service_upstreams=evacuated,
+                priority=job.priority,
+                work=round(job.work, 2),
+                expected_wait_seconds=round(wait_seconds, 3),
             )
             return
         status = http.HTTPStatus.BAD_GATEWAY
@@ -223,7 +246,7 @@
         caller: models.CallerRequest,
         reason: str,
         retry_after_seconds: float,
-        **details: int,
+        **details: float,
     ) -> None:
         """Respond that the request has not run and when to retry it."""
         logs.decision(
@@ -267,6 +290,7 @@
             reason=job.failure_reason,
         )
         self._metrics.observe_seconds('request', seconds)
+        self._count_by_priority(job, outcome, seconds)
         logs.decision(
             'request:ended',
             request_id=job.caller.request_id,
@@ -278,8 +302,25 @@
             entries=self._dispatcher.entries,
             outcome=outcome,
             reason=job.failure_reason,
+            priority=job.priority,
+            work=round(job.work, 2),
             status=job.exchange.status,
             seconds=round(seconds, 4),
             first_event_seconds=job.first_event_seconds,
             longest_pause_seconds=round(job.longest_pause_seconds, 4),
         )
+
+    def _count_by_priority(
+        self, job: jobs.Job, outcome: str, seconds: float
+    ) -> None:
+        """Count which priorities were delayed, refused or late."""
+        priority = str(job.priority)
+        if job.waited_seconds > const.DELAYED_SECONDS:
+            self._metrics.count('delayed_requests', priority=priority)
+        if job.failure_reason == attempts.Outcome.NOT_RUN.value:
+            outcome = 'refused'
+        elif outcome == 'answered' and job.is_late(seconds):
+            outcome = 'late'
+        self._metrics.count(
+            'requests_by_priority', priority=priority, outcome=outcome
+        )
