Hold a group before the next step that can begin

Reports are 0.2 s old. Four steps from the newest reported one was right for steps of 0.05 s; after a shift of demand a step lasts 0.13 to 0.2 s, so that a finished map waited two or three steps of the old one. The margin can now follow the duration of steps. A hold that comes too late is refused and sent for a later step, as before; nothing but the time of the hold depends on it.

--- a/nutmegtrail/expert_map/switch.py
+++ b/nutmegtrail/expert_map/switch.py
@@ -23,6 +23,7 @@
 # Used when orders get lost, since arming all ranks then takes some retries.
 HOLD_MARGIN_LOSSY_STEPS: typing.Final = 7
 HOLD_ATTEMPTS: typing.Final = 10
+MIN_HOLD_MARGIN_STEPS: typing.Final = 1
 
 
 class Operation(enum.Enum):
@@ -164,6 +165,7 @@
     version: int,
     layers: layer_placement.Layers,
     last_held_step: int = 0,
+    hold_margin_steps: int = HOLD_MARGIN_STEPS,
 ) -> Decision:
     """Start a switch by ordering every rank to prepare the map.
 
@@ -177,6 +179,7 @@
         layers,
         Phase.PREPARING,
         newest_step=last_held_step,
+        hold_margin_steps=hold_margin_steps,
     )
     order = Order(Operation.PREPARE, epoch, version, layers=layers)
     return Decision(
@@ -185,6 +188,21 @@
     )
 
 
+def expected_hold_margin_steps(
+    report_lag_seconds: float, step_seconds: float
+) -> int:
+    """Return the steps from the newest reported one to the next to begin.
+
+    Returns `HOLD_MARGIN_STEPS` if the age of reports or the duration of steps
+    is 0, which means unknown. A hold that comes too late is refused and sent
+    again for a later step.
+    """
+    if not report_lag_seconds or not step_seconds:
+        return HOLD_MARGIN_STEPS
+    begun_steps = int(report_lag_seconds / step_seconds)
+    return min(begun_steps + MIN_HOLD_MARGIN_STEPS, HOLD_MARGIN_STEPS)
+
+
 def resume(
     member_ids: tuple[str, ...],
     reports_by_id: typing.Mapping[str, Report],
@@ -314,16 +332,28 @@
     """Hold the group before a future step."""
     if switch.hold_attempts >= HOLD_ATTEMPTS:
         return Decision(switch._replace(phase=Phase.ABANDONED))
-    base_step = switch.held_step if switch.hold_attempts else switch.newest_step
+    held_step = switch.newest_step + switch.hold_margin_steps
+    if switch.hold_attempts:
+        held_step = switch.held_step + _retry_margin_steps(switch)
     holding = switch._replace(
         phase=Phase.HOLDING,
         hold_attempts=switch.hold_attempts + 1,
-        held_step=base_step + switch.hold_margin_steps,
+        held_step=held_step,
     )
     order = Order(Operation.HOLD, holding.epoch, step=holding.held_step)
     return Decision(holding, (OutgoingOrder(holding.holding_member_id, order),))
 
 
+def _retry_margin_steps(switch: Switch) -> int:
+    """Return the steps from a step that has begun to the next to hold.
+
+    A margin shorter than the default grows with each attempt.
+    """
+    if switch.hold_margin_steps < HOLD_MARGIN_STEPS:
+        return min(switch.hold_attempts, HOLD_MARGIN_STEPS)
+    return switch.hold_margin_steps
+
+
 def _arm(switch: Switch) -> Decision:
     """Arm every rank for the held step."""
     order = Order(
--- a/tests/expert_map/test_switch.py
+++ b/tests/expert_map/test_switch.py
@@ -38,15 +38,18 @@
 class World:
     """Simulated group, its leaders and the orders in flight."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, hold_margin_steps=switch.HOLD_MARGIN_STEPS):
         """Initialize the group with one leader that switches to map 1."""
+        self.hold_margin_steps = hold_margin_steps
         self.generator = random.Random(seed)
         self.engines_by_id = {name: rank.Rank() for name in _MEMBERS}
         self.step = 10
         self.delayed_orders = []
         self.copying_ids = set()
         self.version = 1
-        decision = switch.begin(_MEMBERS, 1, 1, _MAP)
+        decision = switch.begin(
+            _MEMBERS, 1, 1, _MAP, hold_margin_steps=hold_margin_steps
+        )
         self.leaders = [Leader(decision, 1)]
 
     def advance(self):
@@ -122,6 +125,7 @@
                 self.version,
                 _MAP,
                 held_step,
+                self.hold_margin_steps,
             )
         self.leaders.append(Leader(decision, fence))
 
@@ -246,6 +250,43 @@
             for maps_agree in world.act_with_faults_for(_ROUNDS):
                 self.assertTrue(maps_agree, f'seed {seed}')
 
+    def test_one_map_with_the_shortest_hold_margin(self):
+        """Holds of the next step, many of which are refused, change nothing."""
+        for seed in range(_SEEDS):
+            world = World(seed, switch.MIN_HOLD_MARGIN_STEPS)
+            for maps_agree in world.act_with_faults_for(_ROUNDS):
+                self.assertTrue(maps_agree, f'seed {seed}')
+
+    def test_expected_hold_margins(self):
+        """The held step is the next to begin, at most four steps away.
+
+        Steps are slow after a popularity shift, and reports 0.2 s old.
+        """
+        margins = [
+            switch.expected_hold_margin_steps(0.2, step_seconds)
+            for step_seconds in (0.02, 0.07, 0.13, 0.25)
+        ]
+        self.assertEqual([4, 3, 2, 1], margins)
+        for unknown in ((0, 0.13), (0.2, 0)):
+            self.assertEqual(
+                switch.HOLD_MARGIN_STEPS,
+                switch.expected_hold_margin_steps(*unknown),
+            )
+
+    def test_refused_holds_of_slow_steps(self):
+        """A short margin grows by one step with each refused hold."""
+        state = switch.begin(_MEMBERS, 1, 1, _MAP, hold_margin_steps=2).switch
+        decision = switch.Decision(self._after_preparation(state, step=20))
+        held_steps = [decision.switch.held_step]
+        for _ in range(3):
+            order = switch.Order(
+                switch.Operation.HOLD, 1, step=decision.switch.held_step
+            )
+            refused = switch.Refused(_MEMBERS[0], order)
+            decision = switch.decide(refused, decision.switch)
+            held_steps.append(decision.switch.held_step)
+        self.assertEqual([22, 23, 25, 28], held_steps)
+
     def test_late_leader_after_a_take_over(self):
         """Ranks with different prepared versions are fenced before the release.
 
