Notice a shift of demand from one rank that is read often

Counters of 4 of 72 ranks were read each 0.5 s, and not during a switch, so that a shift was noticed 0.4 to 0.7 s late and half of what was counted was from before. In recorded counters (2 trials, 0.1 s apart) one reading of one rank shows a shift: its cosine to the earlier choices falls from 0.96 (median) to 0.5 to 0.65. One rank is now read each 0.2 s, the others each 2 s and after a shift. Choices that a rank counted from before the shift are left out.

With few sampled ranks all are read as before.

--- a/nutmegtrail/expert_balancing/const.py
+++ b/nutmegtrail/expert_balancing/const.py
@@ -25,7 +25,23 @@
 # them restarts.
 RANKS_PER_SAMPLED_RANK: typing.Final = 16
 MIN_SAMPLED_RANKS: typing.Final = 2
+# With more sampled ranks than the minimum, one of them is read this often to
+# notice shifts, and all of them less often.
+WATCH_INTERVAL_SECONDS: typing.Final = 0.2
+SAMPLE_INTERVAL_SECONDS: typing.Final = 2.0
+# After a shift, all sampled ranks are read again for this long.
+SHIFT_SAMPLING_SECONDS: typing.Final = 1.0
+MIN_SAMPLE_INTERVAL_SECONDS: typing.Final = 0.15
+# Similarity of the latest choices to the earlier ones, relative to its usual
+# value, below which a popularity shift is assumed. It must also be this many
+# usual deviations below.
+SHIFT_SIMILARITY_RATIO: typing.Final = 0.75
+SHIFT_DEVIATIONS: typing.Final = 4
+SIMILARITY_SMOOTHING_FACTOR: typing.Final = 0.1
 POPULARITY_HALF_LIFE_SECONDS: typing.Final = 0.6
+# A watched rank shows shifts by itself, so that older choices need not fade as
+# fast.
+WATCHED_HALF_LIFE_SECONDS: typing.Final = 1.5
 # Slowness of the current map under the latest expert choices, relative to
 # that under the decayed ones, from which a popularity shift is assumed.
 # Without a shift the two differ by a tenth.
@@ -38,6 +54,9 @@
 # every rank copies. Ranks copy in parallel, so that a smaller reduction
 # justifies a copy if there are more ranks.
 MIN_MAP_GAIN_RATIO_PER_COPY: typing.Final = 0.64
+# A map is in force this long after its orders, plus a few steps. What needs
+# more copies follows in further maps, so that the first one helps early.
+MAX_COPY_SECONDS: typing.Final = 0.25
 
 REPORT_LAG_SECONDS: typing.Final = 0.4
 # Between two reads of the report of a rank that still copies experts.
--- a/nutmegtrail/expert_balancing/popularity.py
+++ b/nutmegtrail/expert_balancing/popularity.py
@@ -1,5 +1,7 @@
 """Popularity of the experts of a service, from the counters of its ranks."""
 
+import math
+import operator
 import typing
 
 from nutmegtrail.expert_balancing import const
@@ -11,46 +13,111 @@
 
     incarnation: int
     choices: tuple[int, ...]
+    read_at_seconds: float = 0
 
 
 class Popularity(typing.NamedTuple):
     """Exponentially decayed choices per expert, and each rank's last reading.
 
     `latest_choices` are the choices between the last two readings.
+    `usual_similarity` is the moving average of the similarity of the latest
+    choices to the earlier ones, 0 if unknown, and `usual_deviation` that of
+    the distance from it.
     """
 
     choices: tuple[float, ...] = ()
     latest_choices: tuple[float, ...] = ()
     updated_at_seconds: float = 0
     readings_by_id: typing.Mapping[str, Reading] = {}
+    shifted_at_seconds: float = float('-inf')
+    usual_similarity: float = 0
+    usual_deviation: float = 0
 
 
 def observe(
     popularity: Popularity,
     readings_by_id: typing.Mapping[str, Reading],
     now_seconds: float,
+    half_life_seconds: float = const.POPULARITY_HALF_LIFE_SECONDS,
 ) -> Popularity:
-    """Return the popularity updated with new readings of some ranks."""
+    """Return the popularity updated with new readings of some ranks.
+
+    Choices counted from before the last shift are left out.
+    """
     age_seconds = now_seconds - popularity.updated_at_seconds
-    decay = 0.5 ** (age_seconds / const.POPULARITY_HALF_LIFE_SECONDS)
+    decay = 0.5 ** (age_seconds / half_life_seconds)
     latest_choices: list[float] = []
     for upstream_id, reading in readings_by_id.items():
-        added = _choices_since(
-            popularity.readings_by_id.get(upstream_id), reading
-        )
+        previous = popularity.readings_by_id.get(upstream_id)
+        if previous is not None:
+            if previous.read_at_seconds < popularity.shifted_at_seconds:
+                previous = None
+        added = _choices_since(previous, reading)
         latest_choices = _add_choices(latest_choices, added)
     decayed = [count * decay for count in popularity.choices]
-    return Popularity(
-        tuple(_add_choices(decayed, latest_choices)),
-        tuple(latest_choices),
-        now_seconds,
-        {**popularity.readings_by_id, **readings_by_id},
+    return popularity._replace(
+        choices=tuple(_add_choices(decayed, latest_choices)),
+        latest_choices=tuple(latest_choices),
+        updated_at_seconds=now_seconds,
+        readings_by_id={**popularity.readings_by_id, **readings_by_id},
     )
 
 
 def reset_to_latest(popularity: Popularity) -> Popularity:
     """Return the popularity based on the latest choices only."""
-    return popularity._replace(choices=popularity.latest_choices)
+    return popularity._replace(
+        choices=popularity.latest_choices,
+        shifted_at_seconds=popularity.updated_at_seconds,
+    )
+
+
+def similarity(popularity: Popularity) -> float | None:
+    """Return the cosine of the latest choices and the earlier ones.
+
+    None if there are no latest or no earlier choices.
+    """
+    latest = popularity.latest_choices
+    if len(latest) != len(popularity.choices):
+        return None
+    earlier = tuple(
+        count - new
+        for count, new in zip(popularity.choices, latest, strict=True)
+    )
+    product_of_lengths = math.hypot(*latest) * math.hypot(*earlier)
+    if not product_of_lengths:
+        return None
+    return math.fsum(map(operator.mul, latest, earlier)) / product_of_lengths
+
+
+def has_shifted(popularity: Popularity) -> bool:
+    """Return whether the latest choices are unusually different.
+
+    Few choices are less similar by chance, so that the usual similarity
+    counts.
+    """
+    latest_similarity = similarity(popularity)
+    if latest_similarity is None:
+        return False
+    usual = popularity.usual_similarity
+    return latest_similarity < min(
+        usual * const.SHIFT_SIMILARITY_RATIO,
+        usual - popularity.usual_deviation * const.SHIFT_DEVIATIONS,
+    )
+
+
+def record_similarity(popularity: Popularity) -> Popularity:
+    """Return the popularity after the latest choices without a shift."""
+    latest_similarity = similarity(popularity)
+    if latest_similarity is None:
+        return popularity
+    usual = popularity.usual_similarity or latest_similarity
+    difference = latest_similarity - usual
+    deviation_change = abs(difference) - popularity.usual_deviation
+    return popularity._replace(
+        usual_similarity=usual + const.SIMILARITY_SMOOTHING_FACTOR * difference,
+        usual_deviation=popularity.usual_deviation
+        + const.SIMILARITY_SMOOTHING_FACTOR * deviation_change,
+    )
 
 
 def split_by_layer(
--- a/tests/expert_balancing/test_popularity.py
+++ b/tests/expert_balancing/test_popularity.py
@@ -1,5 +1,7 @@
 """Popularity computed from the counters of ranks, across rank restarts."""
 
+import random
+
 import testtools
 
 from nutmegtrail.expert_balancing import popularity
@@ -14,6 +16,15 @@
     return popularity.observe(updated, readings, now)
 
 
+def _read_at(updated, now, **choices_by_id):
+    """Return the popularity after readings with their time."""
+    readings = {
+        name: popularity.Reading(1, choices, now)
+        for name, choices in choices_by_id.items()
+    }
+    return popularity.observe(updated, readings, now)
+
+
 class PopularityTest(testtools.TestCase):
     """Choices counted between readings."""
 
@@ -58,3 +69,56 @@
             ((1.0, 2.0), (3.0, 4.0)),
             popularity.split_by_layer((1.0, 2.0, 3.0, 4.0), 2),
         )
+
+    def test_choices_from_before_a_shift(self):
+        """What a rank counted before the shift was noticed is left out.
+
+        One rank shows the shift first; the other was last read before it.
+        """
+        updated = popularity.Popularity()
+        updated = _read_at(updated, 0, m1=(0, 0), m2=(0, 0))
+        updated = _read_at(updated, 0.2, m1=(10, 90))
+        updated = popularity.reset_to_latest(updated)
+        updated = _read_at(updated, 0.21, m2=(500, 100))
+        self.assertEqual((0.0, 0.0), updated.latest_choices)
+        updated = _read_at(updated, 0.4, m1=(20, 180), m2=(510, 190))
+        self.assertEqual((20.0, 180.0), updated.latest_choices)
+
+    def test_shift_is_noticed_at_the_first_reading(self):
+        """Choices of other experts than usual are a shift."""
+        updated = self._after_usual_readings()
+        updated = _read_at(updated, 3, m1=(2_000, 1_020, 130))
+        self.assertTrue(popularity.has_shifted(updated))
+
+    def test_noise_is_no_shift(self):
+        """Choices that differ as usual are no shift, nor are none."""
+        updated = self._after_usual_readings()
+        for choices in ((2_080, 1_000, 20), (2_000, 1_000, 20)):
+            latest = _read_at(updated, 3, m1=choices)
+            self.assertFalse(popularity.has_shifted(latest))
+
+    def test_few_choices_are_less_similar(self):
+        """With few requests, each reading differs from the others.
+
+        After the first few readings, this is known.
+        """
+        generator = random.Random(1)
+        updated = popularity.Popularity()
+        counts = [0, 0, 0, 0, 0, 0]
+        shifts = 0
+        for number in range(200):
+            for expert in generator.choices(range(6), k=3):
+                counts[expert] += 5
+            updated = _read_at(updated, number * 0.2, m1=tuple(counts))
+            shifts += number > 20 and popularity.has_shifted(updated)
+            updated = popularity.record_similarity(updated)
+        self.assertEqual(0, shifts)
+
+    def _after_usual_readings(self):
+        """Return the popularity after readings in which it did not change."""
+        updated = popularity.Popularity()
+        for number in range(11):
+            choices = (200 * number, 100 * number, 2 * number)
+            updated = _read_at(updated, number * 0.2, m1=choices)
+            updated = popularity.record_similarity(updated)
+        return updated
