--- a/nutmegtrail/expert_balancing/const.py
+++ b/nutmegtrail/expert_balancing/const.py
@@ -33,11 +33,12 @@
 SHIFT_SAMPLING_SECONDS: typing.Final = 1.0
 MIN_SAMPLE_INTERVAL_SECONDS: typing.Final = 0.15
 # Similarity of the latest choices to the earlier ones, relative to its usual
-# value, below which a popularity shift is assumed. It must also be this many
-# usual deviations below.
+# value, below which a popularity shift is assumed.
 SHIFT_SIMILARITY_RATIO: typing.Final = 0.75
-SHIFT_DEVIATIONS: typing.Final = 4
-SIMILARITY_SMOOTHING_FACTOR: typing.Final = 0.1
+SIMILARITY_SMOOTHING_FACTOR: typing.Final = 0.2
+# With less similar choices than this, all sampled ranks are read as often as
+# in small fleets.
+MIN_USUAL_SIMILARITY: typing.Final = 0.85
 POPULARITY_HALF_LIFE_SECONDS: typing.Final = 0.6
 # A watched rank shows shifts by itself, so that older choices need not fade as
 # fast.
--- a/nutmegtrail/expert_balancing/counter_reader.py
+++ b/nutmegtrail/expert_balancing/counter_reader.py
@@ -27,21 +27,28 @@
         self._sampled_at_seconds = float('-inf')
         self._failed_watches = 0
 
+    def is_watching(self, members: typing.Sequence[models.Upstream]) -> bool:
+        """Return whether one rank is read often instead of all sampled."""
+        return can_watch(members) and popularity.is_steady(self.popularity)
+
     async def read_sample(self, members: list[models.Upstream]) -> None:
         """Read all sampled ranks."""
         self._sampled_at_seconds = anyio.current_time()
         await self._read(
-            rank_groups.sample_members(members), _half_life_seconds(members)
+            rank_groups.sample_members(members), self.is_watching(members)
         )
 
     async def read_due_sample(self, members: list[models.Upstream]) -> None:
         """Read all sampled ranks unless the watched rank is enough."""
+        if not self.is_watching(members):
+            await self.read_sample(members)
+            self.popularity = popularity.record_similarity(self.popularity)
+            return
         now = anyio.current_time()
-        is_due = is_sample_due(
+        if is_sample_due(
             now - self._sampled_at_seconds,
             now - self.popularity.shifted_at_seconds,
-        )
-        if is_due or not can_watch(members):
+        ):
             await self.read_sample(members)
 
     async def watch(self, members: list[models.Upstream]) -> bool:
@@ -53,8 +60,7 @@
         """
         sampled = rank_groups.sample_members(members)
         watched = sampled[self._failed_watches % len(sampled)]
-        half_life_seconds = const.WATCHED_HALF_LIFE_SECONDS
-        if not await self._read([watched], half_life_seconds):
+        if not await self._read([watched], is_watching=True):
             self._failed_watches += 1
             return False
         if not popularity.has_shifted(self.popularity):
@@ -72,7 +78,7 @@
         return True
 
     async def _read(
-        self, ranks: list[models.Upstream], half_life_seconds: float
+        self, ranks: list[models.Upstream], is_watching: bool
     ) -> bool:
         """Read the counters of ranks; return whether any could be read."""
         choices_by_id = await rank_groups.query_all(
@@ -89,7 +95,12 @@
             if rank.upstream_id in choices_by_id
         }
         self.popularity = popularity.observe(
-            self.popularity, readings_by_id, now, half_life_seconds
+            self.popularity,
+            readings_by_id,
+            now,
+            const.WATCHED_HALF_LIFE_SECONDS
+            if is_watching
+            else const.POPULARITY_HALF_LIFE_SECONDS,
         )
         return bool(readings_by_id)
 
@@ -104,13 +115,6 @@
     )
 
 
-def _half_life_seconds(members: typing.Sequence[models.Upstream]) -> float:
-    """Return the half-life of the choices of experts."""
-    if can_watch(members):
-        return const.WATCHED_HALF_LIFE_SECONDS
-    return const.POPULARITY_HALF_LIFE_SECONDS
-
-
 def is_sample_due(
     since_sample_seconds: float, since_shift_seconds: float
 ) -> bool:
--- a/nutmegtrail/expert_balancing/expert_balancer.py
+++ b/nutmegtrail/expert_balancing/expert_balancer.py
@@ -102,7 +102,7 @@
             if service is None or not (is_leading and self._has_traffic()):
                 continue
             members = _members(self._groups(service.name))
-            if counter_reader.can_watch(members):
+            if self._counters.is_watching(members):
                 if await self._counters.watch(members):
                     self._shift_noticed.set()
                     await self._counters.read_sample(members)
@@ -162,7 +162,7 @@
         """Return the load of each expert by layer, from current counters."""
         members = _members(groups)
         await self._counters.read_due_sample(members)
-        if not counter_reader.can_watch(members):
+        if not self._counters.is_watching(members):
             self._reset_after_shift(shape)
         return popularity.split_by_layer(
             self._counters.popularity.choices, shape.experts
--- a/nutmegtrail/expert_balancing/popularity.py
+++ b/nutmegtrail/expert_balancing/popularity.py
@@ -21,8 +21,7 @@
 
     `latest_choices` are the choices between the last two readings.
     `usual_similarity` is the moving average of the similarity of the latest
-    choices to the earlier ones, 0 if unknown, and `usual_deviation` that of
-    the distance from it.
+    choices to the earlier ones, 0 if unknown.
     """
 
     choices: tuple[float, ...] = ()
@@ -31,7 +30,6 @@
     readings_by_id: typing.Mapping[str, Reading] = {}
     shifted_at_seconds: float = float('-inf')
     usual_similarity: float = 0
-    usual_deviation: float = 0
 
 
 def observe(
@@ -90,19 +88,20 @@
 
 
 def has_shifted(popularity: Popularity) -> bool:
-    """Return whether the latest choices are unusually different.
-
-    Few choices are less similar by chance, so that the usual similarity
-    counts.
-    """
+    """Return whether the latest choices are unusually different."""
     latest_similarity = similarity(popularity)
     if latest_similarity is None:
         return False
-    usual = popularity.usual_similarity
-    return latest_similarity < min(
-        usual * const.SHIFT_SIMILARITY_RATIO,
-        usual - popularity.usual_deviation * const.SHIFT_DEVIATIONS,
-    )
+    limit = popularity.usual_similarity * const.SHIFT_SIMILARITY_RATIO
+    return latest_similarity < limit
+
+
+def is_steady(popularity: Popularity) -> bool:
+    """Return whether a shift would be told from noise.
+
+    The choices of few requests are never similar.
+    """
+    return popularity.usual_similarity >= const.MIN_USUAL_SIMILARITY
 
 
 def record_similarity(popularity: Popularity) -> Popularity:
@@ -112,11 +111,8 @@
         return popularity
     usual = popularity.usual_similarity or latest_similarity
     difference = latest_similarity - usual
-    deviation_change = abs(difference) - popularity.usual_deviation
     return popularity._replace(
-        usual_similarity=usual + const.SIMILARITY_SMOOTHING_FACTOR * difference,
-        usual_deviation=popularity.usual_deviation
-        + const.SIMILARITY_SMOOTHING_FACTOR * deviation_change,
+        usual_similarity=usual + const.SIMILARITY_SMOOTHING_FACTOR * difference
     )
 
 
--- a/tests/expert_balancing/test_counter_reader.py
+++ b/tests/expert_balancing/test_counter_reader.py
@@ -98,6 +98,31 @@
         self.assertEqual(1, len(set(later)))
         self.assertNotIn(first, later)
 
+    def test_light_traffic_is_sampled(self):
+        """Until the choices are steady, all sampled ranks are read."""
+
+        async def _read():
+            for number in range(6):
+                self.engines.count(*((0, 9, 1, 0), (9, 0, 0, 1))[number % 2])
+                await self.reader.read_due_sample(_MEMBERS)
+
+        simulated_time.run(_read)
+        self.assertFalse(self.reader.is_watching(_MEMBERS))
+        self.assertEqual(24, len(self.engines.reads))
+
+    def test_steady_choices_are_watched(self):
+        """Once the choices are steady, the sample is read rarely."""
+
+        async def _read():
+            for _ in range(6):
+                self.engines.count(900, 300, 10, 10)
+                await self.reader.read_due_sample(_MEMBERS)
+
+        simulated_time.run(_read)
+        self.assertTrue(self.reader.is_watching(_MEMBERS))
+        # Two readings and a third that compares them.
+        self.assertEqual(12, len(self.engines.reads))
+
     def test_small_fleets_are_sampled(self):
         """With few ranks, one alone counts too few requests."""
         self.assertFalse(counter_reader.can_watch(_MEMBERS[:16]))
--- a/tests/expert_balancing/test_popularity.py
+++ b/tests/expert_balancing/test_popularity.py
@@ -97,22 +97,38 @@
             latest = _read_at(updated, 3, m1=choices)
             self.assertFalse(popularity.has_shifted(latest))
 
-    def test_few_choices_are_less_similar(self):
+    def test_few_choices_are_not_steady(self):
         """With few requests, each reading differs from the others.
 
-        After the first few readings, this is known.
+        This is the light traffic of a large fleet.
         """
         generator = random.Random(1)
         updated = popularity.Popularity()
         counts = [0, 0, 0, 0, 0, 0]
-        shifts = 0
         for number in range(200):
             for expert in generator.choices(range(6), k=3):
                 counts[expert] += 5
             updated = _read_at(updated, number * 0.2, m1=tuple(counts))
-            shifts += number > 20 and popularity.has_shifted(updated)
             updated = popularity.record_similarity(updated)
-        self.assertEqual(0, shifts)
+            if number > 5:
+                self.assertFalse(popularity.is_steady(updated), number)
+
+    def test_shift_soon_after_the_start(self):
+        """The few choices of the first readings do not hide a shift."""
+        updated = popularity.Popularity()
+        counts = [0, 0, 0]
+        for number in range(20):
+            first_choices = ((9, 1, 0), (1, 9, 0), (5, 5, 0))[number % 3]
+            added = first_choices if number < 10 else (200, 100, 2)
+            counts = [
+                count + new for count, new in zip(counts, added, strict=True)
+            ]
+            updated = _read_at(updated, number * 0.2, m1=tuple(counts))
+            updated = popularity.record_similarity(updated)
+        self.assertTrue(popularity.is_steady(updated))
+        shifted = (counts[0] + 150, counts[1] + 60, counts[2] + 200)
+        updated = _read_at(updated, 4, m1=shifted)
+        self.assertTrue(popularity.has_shifted(updated))
 
     def _after_usual_readings(self):
         """Return the popularity after readings in which it did not change."""
