--- a/nutmegtrail/expert_balancing/expert_balancer.py
+++ b/nutmegtrail/expert_balancing/expert_balancer.py
@@ -104,6 +104,7 @@
             members = _members(self._groups(service.name))
             if self._counters.is_watching(members):
                 if await self._counters.watch(members):
+                    self._metrics.increment('popularity_shifts')
                     self._shift_noticed.set()
                     await self._counters.read_sample(members)
 
@@ -271,6 +272,7 @@
             self._distributor,
             _preparation(group, copies, shape),
         )
+        started_at_seconds = anyio.current_time()
         switched = await executor.run()
         self._held_step_by_group[group.name] = executor.held_step
         if switched:
@@ -281,6 +283,9 @@
             )
             self._switch_count += 1
             self._metrics.increment('map_switches')
+            self._metrics.observe_seconds(
+                'map_switch', anyio.current_time() - started_at_seconds
+            )
         else:
             # A rank may have refused because of orders from another leader.
             self._switch_recovery.mark_for_recovery(group)
