Preview where a request would go now

Operators asked for a command that explains where a request would go now, and why, without sending it.

--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -42,6 +42,7 @@
 from nutmegtrail.platform import engines as platform_engines
 from nutmegtrail.platform import headers
 from nutmegtrail.platform import store as platform_store
+from nutmegtrail.preview import endpoint
 
 
 class _SharedComponents(typing.NamedTuple):
@@ -163,6 +164,9 @@
                 shared.metrics_registry,
             ),
             (engines, balancing.relay_client, shared.store),
+            endpoint.PreviewEndpoint(
+                request_handler, shared.dispatcher, configured.regions
+            ),
         ),
     )
 
--- a/nutmegtrail/cli/main.py
+++ b/nutmegtrail/cli/main.py
@@ -18,6 +18,8 @@
 from nutmegtrail.configuration import settings
 from nutmegtrail.contracts import credentials
 from nutmegtrail.observability import explain
+from nutmegtrail.preview import const as preview_const
+from nutmegtrail.preview import requests
 
 application = typer.Typer(
     help='Load balancer for expert-parallel model groups.',
@@ -127,6 +129,37 @@
         typer.echo(explain.describe(timeline))
 
 
+@application.command('preview')
+def preview_request(
+    address: str,
+    host: str,
+    path: str,
+    account: typing.Annotated[
+        str, typer.Option(help='Name of the client account.')
+    ] = '',
+    as_json: options.AsJson = False,
+) -> None:
+    """Show where an entry would send a request now, and why.
+
+    The address is that of the metrics of an entry. Nothing is sent to upstreams.
+
+    Example: nutmegtrail preview 10.1.0.40:9464 example.org /drafts/ --account a
+    """
+    try:
+        models.parse_address(address)
+        response = httpx.get(
+            f'http://{address}{preview_const.PATH}',
+            params={'host': host, 'path': path, 'account': account},
+            timeout=_TIMEOUT_SECONDS,
+        )
+        response.raise_for_status()
+    except (httpx.HTTPError, ValueError) as error:
+        typer.echo(f'error: {address}: {error}', err=True)
+        raise typer.Exit(const.EXIT_UNAVAILABLE) from error
+    preview = response.json()
+    output.show(preview, as_json=as_json, text=requests.describe(preview))
+
+
 def _open_log(path: pathlib.Path) -> typing.TextIO:
     """Open a log file; exit if it cannot be read."""
     try:
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -26,6 +26,7 @@
 from nutmegtrail.host_limits import monitor as host_monitoring
 from nutmegtrail.observability import logs
 from nutmegtrail.observability import metrics
+from nutmegtrail.preview import endpoint
 
 # Used until the first configuration is read.
 _DEFAULT_LIMITS: typing.Final = server.ConnectionLimits(
@@ -68,6 +69,7 @@
     limit_prober: limit_prober.LimitProber
     host_monitor: host_monitoring.HostMonitor
     clients: tuple[Closeable, ...]
+    preview: endpoint.PreviewEndpoint
 
 
 class Gateway:
@@ -183,8 +185,11 @@
         await exchange.respond(status, (), b'')
 
     async def _serve_metrics(self, exchange: server.Exchange) -> None:
-        """Respond with all metrics."""
+        """Respond with all metrics, or with the preview of a request."""
         components = self._components
+        if components.preview.matches(exchange.request.target):
+            await components.preview.serve(exchange)
+            return
         registry = components.metrics_registry
         registry.set_gauge(
             'cold_upstreams', len(components.dispatcher.limiter.cold.by_id)
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -16,6 +16,7 @@
 from nutmegtrail.gateway import selection
 from nutmegtrail.overload import const as overload_const
 from nutmegtrail.overload import demand
+from nutmegtrail.preview import models as preview_models
 from nutmegtrail.residency import regions
 from nutmegtrail.sharing import demand as demands
 
@@ -216,7 +217,9 @@
             if ratio <= full_ratio and not queued.is_restricted:
                 continue
             if candidates is None:
-                candidates = self._find_candidates(service, now)
+                candidates = selection.find_candidates(
+                    self._selection_context(), service, now
+                )
             candidate = self._choose(candidates, queued, ratio)
             if candidate is not None:
                 queue = request_queue.dequeue(queue, queued)
@@ -226,6 +229,28 @@
                 full_ratio = max(full_ratio, ratio)
         return queue
 
+    def situation(
+        self, service: str, queued: request_queue.QueuedRequest
+    ) -> preview_models.Situation:
+        """Return the state that would decide on a request, without queueing."""
+        now = anyio.current_time()
+        demand_of_service = self._demand_by_service[service]
+        response_at = now + self._expected_seconds_by_service.get(service, 0)
+        queue = self._queues_by_service.get(
+            service, request_queue.RequestQueue()
+        )
+        return preview_models.Situation(
+            self._selection_context(),
+            queued,
+            self._preference,
+            demand_of_service.capacity_ratio(queued, response_at, now),
+            sum(
+                waiting.priority <= queued.priority
+                for waiting in queue.requests
+            ),
+            self.wait_seconds(service, queued.priority),
+        )
+
     def has_upstreams(
         self,
         service: str,
@@ -338,14 +363,6 @@
             queued.allowed_domains,
         )
 
-    def _find_candidates(
-        self, service: str, now: float
-    ) -> tuple[selection.Candidate, ...]:
-        """Return the current candidates of a service."""
-        return selection.find_candidates(
-            self._selection_context(), service, now
-        )
-
     def _selection_context(self) -> selection.SelectionContext:
         """Return the current state that a choice depends on."""
         return selection.SelectionContext(
--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -103,7 +103,7 @@
     upstreams = tuple(
         upstream
         for upstream in fleet.usable_upstreams(context.known_upstreams, service)
-        if not _is_ejected(context.upstream_health, upstream, now_seconds)
+        if not is_ejected(context.upstream_health, upstream, now_seconds)
     )
     whole_groups = _sum_by_group(
         fleet.registered_upstreams(context.known_upstreams, service),
@@ -164,6 +164,18 @@
     ) and now_seconds >= _available_from(context, upstream, now_seconds)
 
 
+def is_ejected(
+    upstream_health: health.Health,
+    upstream: models.Upstream,
+    now_seconds: float,
+) -> bool:
+    """Return whether an upstream or its rank group is ejected."""
+    if health.is_ejected(upstream_health, upstream.upstream_id, now_seconds):
+        return True
+    group = upstream.group_name
+    return health.is_ejected(upstream_health, group, now_seconds)
+
+
 def available_from_by_id(
     context: SelectionContext, service: str, now_seconds: float
 ) -> dict[str, float]:
@@ -385,18 +397,6 @@
     return position, upstream_id
 
 
-def _is_ejected(
-    upstream_health: health.Health,
-    upstream: models.Upstream,
-    now_seconds: float,
-) -> bool:
-    """Return whether an upstream or its rank group is ejected."""
-    if health.is_ejected(upstream_health, upstream.upstream_id, now_seconds):
-        return True
-    group = upstream.group_name
-    return health.is_ejected(upstream_health, group, now_seconds)
-
-
 def _available_from(
     context: SelectionContext, upstream: models.Upstream, now_seconds: float
 ) -> float:
--- /dev/null
+++ b/tests/preview/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of nutmegtrail.preview."""
