Leave usable ranks their least room beside busy others

Since requests at all ranks of a group count, those at ranks that take no more could fill a room that was made of the usable ranks alone: with two of three domains out and their ranks full, the idle third got nothing until they ended, and much too little where no pause had been measured.

What runs elsewhere no longer takes from the least of each usable rank, nor from the first room unless the group as a whole is above it.

--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -447,8 +447,8 @@
     Guard(
         'requests of all ranks of a group',
         'nutmegtrail/gateway/selection.py',
-        'fleet.registered_upstreams(context.known_upstreams, service),',
-        'upstreams,',
+        'if len(registered) > len(upstreams):',
+        'if False:',
         _EVACUATION_TESTS,
     ),
     Guard(
--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -102,10 +102,12 @@
         for upstream in fleet.usable_upstreams(context.known_upstreams, service)
         if not _is_ejected(context.upstream_health, upstream, now_seconds)
     )
-    whole_groups = _sum_by_group(
-        fleet.registered_upstreams(context.known_upstreams, service),
-        counts_by_id,
-    )
+    is_ramping = bool(context.known_upstreams.returned_at_by_domain)
+    loads_by_name = _sum_by_group(upstreams, counts_by_id)
+    whole_groups = loads_by_name
+    registered = fleet.registered_upstreams(context.known_upstreams, service)
+    if len(registered) > len(upstreams):
+        whole_groups = _sum_by_group(registered, counts_by_id)
     states_by_group = {
         group: _GroupState(
             whole_groups[group].ranks,
@@ -113,11 +115,13 @@
             context.reported_loads_by_group.get(
                 group, whole_groups[group].in_flight
             ),
-            _group_capacity(context, group, group_load, now_seconds),
+            _group_capacity(
+                context, group, group_load, whole_groups[group], now_seconds
+            ),
             context.entries if group_load.is_rank_group else 1,
             health.latency(context.upstream_health, group, now_seconds),
         )
-        for group, group_load in _sum_by_group(upstreams, counts_by_id).items()
+        for group, group_load in loads_by_name.items()
     }
     return tuple(
         Candidate(
@@ -125,7 +129,8 @@
             counts_by_id.get(upstream.upstream_id, 0),
             context.counts.local_by_id.get(upstream.upstream_id, 0),
             *states_by_group[upstream.group_name],
-            is_beyond_ramp=evacuated_upstreams.is_beyond_ramp(
+            is_beyond_ramp=is_ramping
+            and evacuated_upstreams.is_beyond_ramp(
                 context.known_upstreams,
                 upstream,
                 counts_by_id.get(upstream.upstream_id, 0),
@@ -270,16 +275,25 @@
     context: SelectionContext,
     group: str,
     group_load: _GroupLoad,
+    whole_group: _GroupLoad,
     now_seconds: float,
 ) -> float:
-    """Return the number of requests that a group can hold."""
+    """Return the number of requests that a group can hold.
+
+    `group_load` has its usable ranks. What runs at its other ranks takes
+    nothing from the least that each usable one gets.
+    """
+    elsewhere = whole_group.in_flight - group_load.in_flight
     capacity = health.capacity(context.upstream_health, group, now_seconds)
     if capacity is None:
         ratio = (
             const.INITIAL_CAPACITY_RATIO if group_load.is_rank_group else 1.0
         )
-        capacity = group_load.slots * ratio
-    return max(capacity, group_load.ranks * const.MIN_CAPACITY_PER_RANK)
+        capacity = min(
+            whole_group.slots * ratio, group_load.slots * ratio + elsewhere
+        )
+    least = group_load.ranks * const.MIN_CAPACITY_PER_RANK
+    return max(capacity, least + elsewhere)
 
 
 def _entry_share(free_capacity: float, entries: int) -> float:
