Test cold engines and regions with a running entry

With the rule of cold upstreams and the check of regions removed, both tests of the running entry fail, as do the ones of the dispatcher and of the shares.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -37,6 +37,7 @@
                 'base': retry_base,
             },
             'stop': {'grace_seconds': 8},
+            'regions': {'kandla-a': 'gujarat', 'kandla-b': 'sindh'},
         },
     )
 
@@ -135,6 +136,77 @@
         for engine in engines:
             engine.scripts = list(scripts)
 
+    async def _register_elsewhere(self, engine):
+        """Move an engine to the other region."""
+        self.store.put(
+            f'servers/{engine.name}',
+            samples.registration(
+                service=engine.service,
+                address=str(engine.address),
+                zone='kandla-b',
+                group=None,
+                born=engine.started_at_ms,
+            ),
+        )
+        await anyio.sleep(0.5)
+
+    def test_allowed_regions(self):
+        """The regions of the route and of the account both bind."""
+        bound = json.loads(json.dumps(samples.CONFIG))
+        bound['routes'][0]['allowed_regions'] = ['sindh']
+        accounts = json.loads(json.dumps(samples.CONFIG['tenants']))
+        accounts[0]['allowed_regions'] = ['gujarat']
+
+        async def _scenario():
+            elsewhere, near = self.desk
+            await self._register_elsewhere(elsewhere)
+            self.configure(version=8, routes=bound['routes'])
+            await anyio.sleep(0.5)
+            for _ in range(4):
+                status, _, _ = await self._request(b'/long/b')
+                self.assertEqual(200, status)
+            self.assertEqual(
+                (4, 0), (len(elsewhere.requests), len(near.requests))
+            )
+            self.configure(version=9, routes=bound['routes'], tenants=accounts)
+            await self._request_until(503, b'/long/b')
+            begun_at = anyio.current_time()
+            status, _, _ = await self._request(b'/long/b')
+            self.assertEqual(503, status)
+            self.assertTrue(anyio.current_time() - begun_at < 0.3)
+            self.assertEqual(0, len(near.requests))
+
+        self._run(_scenario)
+
+    def test_cold_engine(self):
+        """A cold engine gets no more requests than it bears."""
+        services = json.loads(json.dumps(samples.CONFIG['services']))
+        services[1].update(cold_s=5.0, cold_per_s=2.0)
+
+        async def _scenario():
+            self.configure(version=8, services=services)
+            for engine in self.desk:
+                content = engine.registration(cold_left_ms=0)
+                self.store.put(f'servers/{engine.name}', content)
+            await anyio.sleep(0.5)
+            await self._request(b'/long/b')
+            # The one that is preferred becomes cold.
+            warm, cold = sorted(
+                self.desk, key=lambda engine: len(engine.requests)
+            )
+            cold.requests.clear()
+            content = cold.registration(cold_left_ms=5_000)
+            self.store.put(f'servers/{cold.name}', content)
+            await anyio.sleep(0.5)
+            for _ in range(20):
+                status, _, _ = await self._request(b'/long/b')
+                self.assertEqual(200, status)
+            # It bears two requests in the second that these may take.
+            self.assertTrue(len(cold.requests) <= 4, len(cold.requests))
+            self.assertTrue(len(warm.requests) >= 16, len(warm.requests))
+
+        self._run(_scenario)
+
     def test_stream(self):
         """A client receives all events with the seal of the engine."""
 
