Keep the cold upstreams in a dictionary, and tell a restart at once

The choice of an upstream looks each one up, mostly in an empty collection. An upstream that started again while it was cold was told to the other entries with the next repetition only; one that was gone could be forgotten before its cold time ended.

--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -81,7 +81,7 @@
     reported_loads_by_group: typing.Mapping[str, int] = {}
     limits: request_limits.LimitsByIncarnation = pyrsistent.pmap()
     sharing: request_limits.Sharing = request_limits.Sharing()
-    cold_by_id: shares.ColdById = pyrsistent.pmap()
+    cold_by_id: shares.ColdById = {}
 
 
 def find_candidates(
--- a/nutmegtrail/warmup/cold_upstreams.py
+++ b/nutmegtrail/warmup/cold_upstreams.py
@@ -16,7 +16,7 @@
 
     def __init__(self) -> None:
         """Initialize without any service whose upstreams may be cold."""
-        self.by_id: shares.ColdById = pyrsistent.pmap()
+        self.by_id: dict[str, shares.ColdUpstream] = {}
         self._sightings: sightings.SightingsById = pyrsistent.pmap()
         self._rules_by_service: typing.Mapping[str, shares.Rule] = {}
 
@@ -33,16 +33,19 @@
     def record(self, event: sightings.Event, source: str) -> bool:
         """Record how long an upstream stays cold.
 
-        `source` is for the log. Returns whether it becomes cold.
+        `source` is for the log. Returns whether this incarnation becomes cold.
         """
         self._sightings = sightings.decide(
             event, self._sightings, anyio.current_time()
         )
         if event.upstream_id not in self._sightings:
             return False
-        was_cold = event.upstream_id in self.by_id
+        before = self.by_id.get(event.upstream_id)
         self._update(event.upstream_id, source)
-        return not was_cold and event.upstream_id in self.by_id
+        after = self.by_id.get(event.upstream_id)
+        if after is None:
+            return False
+        return before is None or before.started_at_ms != after.started_at_ms
 
     def registrations(self) -> tuple[sightings.Registered, ...]:
         """Return the registrations of cold upstreams, as of now."""
@@ -63,9 +66,8 @@
         cold = self.by_id.get(upstream_id)
         if cold is None:
             return False
-        self.by_id = self.by_id.set(
-            upstream_id,
-            cold._replace(last_sent_at_seconds=anyio.current_time()),
+        self.by_id[upstream_id] = cold._replace(
+            last_sent_at_seconds=anyio.current_time()
         )
         return True
 
@@ -81,12 +83,14 @@
     def refresh(self, registered_ids: typing.AbstractSet[str]) -> None:
         """End cold times that are over, and forget upstreams that are gone."""
         now = anyio.current_time()
-        for upstream_id, cold in self.by_id.items():
+        for upstream_id, cold in tuple(self.by_id.items()):
             if now >= cold.until_seconds:
                 self._end(upstream_id, 'elapsed')
         # Those that are not registered are few, so that this is rare.
         if len(self._sightings) > 2 * len(registered_ids):
-            self._sightings = sightings.forget(self._sightings, registered_ids)
+            self._sightings = sightings.forget(
+                self._sightings, registered_ids | self.by_id.keys()
+            )
 
     def _update(self, upstream_id: str, source: str) -> None:
         """Decide whether an upstream is cold, and log if that changes."""
@@ -118,18 +122,14 @@
                 cold_seconds=round(until_seconds - now, 4),
                 requests_per_second=rule.requests_per_second,
             )
-        self.by_id = self.by_id.set(
-            upstream_id,
-            known._replace(
-                until_seconds=until_seconds,
-                requests_per_second=rule.requests_per_second,
-            ),
+        self.by_id[upstream_id] = known._replace(
+            until_seconds=until_seconds,
+            requests_per_second=rule.requests_per_second,
         )
 
     def _end(self, upstream_id: str, source: str) -> None:
         """Treat an upstream as warm."""
-        cold = self.by_id[upstream_id]
-        self.by_id = self.by_id.remove(upstream_id)
+        cold = self.by_id.pop(upstream_id)
         logs.decision(
             'upstream:warm',
             upstream=upstream_id,
--- a/nutmegtrail/warmup/shares.py
+++ b/nutmegtrail/warmup/shares.py
@@ -8,7 +8,6 @@
 import functools
 import typing
 
-import pyrsistent.typing
 import xxhash
 
 from nutmegtrail.gateway import request_limits
@@ -46,7 +45,7 @@
     last_sent_at_seconds: float | None = None
 
 
-ColdById: typing.TypeAlias = pyrsistent.typing.PMap[str, ColdUpstream]
+ColdById: typing.TypeAlias = typing.Mapping[str, ColdUpstream]
 
 
 class Share(typing.NamedTuple):
