--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -418,6 +418,68 @@
         'tests/gateway/test_fleet.py',
     ),
 )
+_SHARES: typing.Final = 'nutmegtrail/warmup/shares.py'
+_SIGHTINGS: typing.Final = 'nutmegtrail/warmup/sightings.py'
+_WARMUP_TESTS: typing.Final = 'tests/warmup'
+_DISPATCHER_TESTS: typing.Final = 'tests/gateway/test_dispatcher.py'
+_WARMUP_GUARDS: typing.Final = (
+    Guard(
+        'few entries at a cold upstream that bears little',
+        _SHARES,
+        'place if place < entries else None',
+        'place',
+        _WARMUP_TESTS,
+    ),
+    Guard(
+        'no request of an entry that others have dropped',
+        _SHARES,
+        'if share.place is None or sharing.is_isolated:',
+        'if share.place is None:',
+        _WARMUP_TESTS,
+    ),
+    Guard(
+        'entries begin in turn',
+        _SHARES,
+        'cold.since_seconds + (share.place + 1) / rate',
+        'cold.since_seconds',
+        _WARMUP_TESTS,
+    ),
+    Guard(
+        'cold time does not begin again with a repeated registration',
+        _SIGHTINGS,
+        'if known is None or event.revision <= known.revision:',
+        'if known is None:',
+        _WARMUP_TESTS,
+    ),
+    Guard(
+        'registration of an incarnation that has ended',
+        _SIGHTINGS,
+        'return known if known.started_at_ms == event.started_at_ms else None',
+        'return known',
+        _WARMUP_TESTS,
+    ),
+    Guard(
+        'cold upstream checked again before a request is sent',
+        'nutmegtrail/gateway/request_limiter.py',
+        'if not self._confirm_cold(upstream, request_id):',
+        'if False:',
+        _DISPATCHER_TESTS,
+    ),
+    Guard(
+        'no upstream outside the regions of a request',
+        'nutmegtrail/residency/regions.py',
+        'return domains is None or failure_domain in domains',
+        'return True',
+        _DISPATCHER_TESTS,
+    ),
+    Guard(
+        'request that is bound to regions holds up no other',
+        'nutmegtrail/gateway/request_queue.py',
+        'bool(self.excluded_ids) or self.allowed_domains is not None',
+        'bool(self.excluded_ids)',
+        _DISPATCHER_TESTS,
+    ),
+)
 
 
 def main() -> int:
@@ -436,6 +498,7 @@
             *_PART_GUARDS,
             *_HEDGING_GUARDS,
             *_ERA_GUARDS,
+            *_WARMUP_GUARDS,
         )
         if filter_word in guard.tests
     ]
--- a/tests/warmup/test_sightings.py
+++ b/tests/warmup/test_sightings.py
@@ -48,8 +48,10 @@
     def test_restart_in_any_order(self):
         """What was read or told of an incarnation that ended is ignored."""
         ended = _registered(5, 0)
+        # An earlier copy of the store has later revisions.
+        copied = _registered(20, 0)
         restarted = _registered(9, 3, started_at_ms=2)
-        for order in itertools.permutations((ended, restarted, ended)):
+        for order in itertools.permutations((ended, restarted, copied)):
             events_at = tuple(enumerate(order, start=10))
             first_at = min(at for at, event in events_at if event is restarted)
             self.assertEqual(first_at + 3, _cold_until(*events_at), order)
