--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -156,7 +156,7 @@
             fleet.TimeElapsed(), self.known_upstreams, now
         )
         self.limiter.forget(self._is_registered)
-        self.limiter.cold.refresh(self.known_upstreams.upstreams_by_id.keys())
+        self.limiter.cold.refresh(self.known_upstreams.upstreams_by_id)
         self.counts = request_counts.drop_stale_reports(self.counts, now)
         self._previous_loads_by_group = self._loads_by_group
         self._loads_by_group = selection.loads_by_group(
--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -306,14 +306,13 @@
     Those outside the allowed failure domains are never chosen. Avoided upstreams are chosen only if no other is free. Ties are broken by
     the given preference.
     """
+    if allowed_domains is not None:
+        candidates = _within(candidates, allowed_domains)
     available = [
         candidate
         for candidate in candidates
         if candidate.has_capacity(capacity_ratio)
         and candidate.upstream.upstream_id not in excluded_ids
-        and regions.is_allowed(
-            candidate.upstream.failure_domain, allowed_domains
-        )
     ]
     if not available:
         return None
@@ -331,6 +330,20 @@
     return min(available, key=expected_work)
 
 
+def _within(
+    candidates: typing.Iterable[Candidate],
+    allowed_domains: typing.AbstractSet[str],
+) -> list[Candidate]:
+    """Return the candidates in the allowed failure domains."""
+    return [
+        candidate
+        for candidate in candidates
+        if regions.is_allowed(
+            candidate.upstream.failure_domain, allowed_domains
+        )
+    ]
+
+
 def _expected_work(
     candidate: Candidate,
     typical_latency: float,
@@ -379,13 +392,18 @@
     context: SelectionContext, upstream: models.Upstream, now_seconds: float
 ) -> float:
     """Return from when on an upstream takes a request of this entry."""
-    return max(
+    available_from = max(
         health.held_until(context.upstream_health, upstream.incarnation),
         request_limits.available_from(
             context.limits.get(upstream.incarnation),
             context.sharing,
             now_seconds,
         ),
+    )
+    if not context.cold_by_id:
+        return available_from
+    return max(
+        available_from,
         shares.available_from(
             context.cold_by_id.get(upstream.upstream_id),
             context.sharing,
--- a/nutmegtrail/warmup/cold_upstreams.py
+++ b/nutmegtrail/warmup/cold_upstreams.py
@@ -80,16 +80,16 @@
             self.by_id.get(upstream_id), sharing, now
         )
 
-    def refresh(self, registered_ids: typing.AbstractSet[str]) -> None:
+    def refresh(self, registered_by_id: typing.Mapping[str, object]) -> None:
         """End cold times that are over, and forget upstreams that are gone."""
         now = anyio.current_time()
         for upstream_id, cold in tuple(self.by_id.items()):
             if now >= cold.until_seconds:
                 self._end(upstream_id, 'elapsed')
         # Those that are not registered are few, so that this is rare.
-        if len(self._sightings) > 2 * len(registered_ids):
+        if len(self._sightings) > 2 * len(registered_by_id):
             self._sightings = sightings.forget(
-                self._sightings, registered_ids | self.by_id.keys()
+                self._sightings, {*registered_by_id, *self.by_id}
             )
 
     def _update(self, upstream_id: str, source: str) -> None:
--- a/tests/warmup/test_cold_upstreams.py
+++ b/tests/warmup/test_cold_upstreams.py
@@ -46,10 +46,10 @@
             # Another incarnation is cold for as long again.
             self.assertTrue(self.cold.record(_registered(6, 3, 2), 'c'))
             await anyio.sleep(2.9)
-            self.cold.refresh({'u1'})
+            self.cold.refresh({'u1': None})
             self.assertEqual(['u1'], list(self.cold.by_id))
             await anyio.sleep(0.2)
-            self.cold.refresh({'u1'})
+            self.cold.refresh({'u1': None})
             self.assertEqual({}, self.cold.by_id)
             self.assertFalse(self.cold.record(_registered(7, 0, 2), 'd'))
 
@@ -95,10 +95,10 @@
         async def _scenario():
             for number in range(5):
                 self.cold.record(_registered(5, 3, name=f'u{number}'), 'a')
-            self.cold.refresh({'u0'})
+            self.cold.refresh({'u0': None})
             self.assertEqual(5, len(self.cold.registrations()))
             await anyio.sleep(3)
-            self.cold.refresh({'u0'})
+            self.cold.refresh({'u0': None})
             self.assertEqual((), self.cold.registrations())
 
         self._run(_scenario)
