--- a/nutmegtrail/gateway/selection.py
+++ b/nutmegtrail/gateway/selection.py
@@ -85,7 +85,7 @@
     reported_loads_by_group: typing.Mapping[str, int] = {}
     limits: request_limits.LimitsByIncarnation = pyrsistent.pmap()
     sharing: request_limits.Sharing = request_limits.Sharing()
-    cold_by_id: shares.ColdById = pyrsistent.pmap()
+    cold_by_id: shares.ColdById = {}
 
 
 def find_candidates(
@@ -351,14 +351,13 @@
     chosen only if no other is free. Ties are broken by
     the given preference.
     """
+    if allowed_domains is not None:
+        candidates = _within(candidates, allowed_domains)
     available = [
         candidate
         for candidate in candidates
         if candidate.has_capacity(capacity_ratio)
         and candidate.upstream.upstream_id not in excluded_ids
-        and regions.is_allowed(
-            candidate.upstream.failure_domain, allowed_domains
-        )
     ]
     if not available:
         return None
@@ -376,6 +375,20 @@
     return min(available, key=expected_work)
 
 
+def _within(
+    candidates: typing.Iterable[Candidate],
+    allowed_domains: typing.AbstractSet[str],
+) -> list[Candidate]:
+    """Return the candidates in the allowed failure domains."""
+    return [
+        candidate
+        for candidate in candidates
+        if regions.is_allowed(
+            candidate.upstream.failure_domain, allowed_domains
+        )
+    ]
+
+
 def _expected_work(
     candidate: Candidate,
     typical_latency: float,
@@ -415,13 +428,18 @@
     context: SelectionContext, upstream: models.Upstream, now_seconds: float
 ) -> float:
     """Return from when on an upstream takes a request of this entry."""
-    return max(
+    available_from = max(
         health.held_until(context.upstream_health, upstream.incarnation),
         request_limits.available_from(
             context.limits.get(upstream.incarnation),
             context.sharing,
             now_seconds,
         ),
+    )
+    if not context.cold_by_id:
+        return available_from
+    return max(
+        available_from,
         shares.available_from(
             context.cold_by_id.get(upstream.upstream_id),
             context.sharing,
