--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -1,5 +1,6 @@
 """Deployment under test: entry processes, simulated platform and clients."""
 
+import itertools
 import json
 import os
 import pathlib
@@ -51,6 +52,8 @@
 )
 # On such a slow link the leader lets the other entries send maps, too.
 _LINK_MEGABITS_PER_SECOND = 0.1
+# The leadership moves between hosts of different size.
+_CORES = (4, 1, 2)
 _SETTINGS_TEMPLATE = """
 [process]
 host = "entry-{name}"
@@ -64,6 +67,8 @@
 address = "{store}"
 [link]
 megabits_per_second = {link_megabits}
+[host]
+cores = {cores}
 [retries]
 window_seconds = 10
 share = 0.2
@@ -156,7 +161,7 @@
 class Entry:
     """Entry process that can be restarted with the same settings."""
 
-    def __init__(self, name, folder, store):
+    def __init__(self, name, folder, store, cores):
         """Write the settings without starting the process."""
         self.callers = loopback.free_address()
         self.readiness = loopback.free_address()
@@ -170,6 +175,7 @@
                 metrics=loopback.free_address(),
                 store=store,
                 link_megabits=_LINK_MEGABITS_PER_SECOND,
+                cores=cores,
             ),
         )
         self._log_path = pathlib.Path(folder) / f'{name}.log'
@@ -232,8 +238,10 @@
             relay.Relay(self.store.address) for _ in range(entry_count)
         ]
         self.entries = [
-            Entry(name, self.folder, store_relay.address)
-            for name, store_relay in enumerate(self.store_relays)
+            Entry(name, self.folder, store_relay.address, cores)
+            for name, (store_relay, cores) in enumerate(
+                zip(self.store_relays, itertools.cycle(_CORES), strict=False)
+            )
         ]
         self.responses_by_id = {}
         self.cut_while_stopping = []
