--- a/tests/sharing/test_shares.py
+++ b/tests/sharing/test_shares.py
@@ -144,6 +144,20 @@
             entries.demand_by_entry[changed] = generator.uniform(0, 40)
         self._assert_within_one(entries)
 
+    def test_borrowers_by_turns(self):
+        """Pattern: bursts at one entry after the other, faster than loans end.
+
+        What one borrower may still use is not lent to the next one, also if an
+        entry lends nearly all of its part.
+        """
+        self.patch(const, 'FLOOR_RATIO', 0.1)
+        entries = _Entries({entry: 0.0 for entry in range(6)})
+        for number in range(30):
+            entries.demand_by_entry.update({entry: 0.0 for entry in range(6)})
+            entries.demand_by_entry[number % 5] = 50.0
+            entries.run(const.OFFER_SECONDS)
+        self._assert_within_one(entries)
+
     def test_silent_borrower(self):
         """Pattern: an entry that has borrowed is cut off from all others."""
         entries = _Entries({'a': 1.0, 'b': 40.0, 'c': 1.0})
