Refuse as hopeless only what twice the rate of starts cannot serve

Cause: the rate of the last second is low right after a stall, and rises again. Change: twice the rate instead of one and a half times.

--- a/nutmegtrail/overload/const.py
+++ b/nutmegtrail/overload/const.py
@@ -40,7 +40,7 @@
 START_RATE_SECONDS: typing.Final = 1.0
 REMEMBERED_STARTS: typing.Final = 512
 # A request is hopeless if it starts too late also at this multiple of the rate.
-START_RATE_MARGIN: typing.Final = 1.5
+START_RATE_MARGIN: typing.Final = 2.0
 
 # Bounds of the work of a request, relative to the usual one.
 MIN_WORK: typing.Final = 0.1
