Forget the counters of an earlier leadership

An instance that led before kept its last readings. When it led again, all choices since then counted as the latest ones, with those of any shift in between. It now starts with new readings.

--- a/nutmegtrail/expert_balancing/counter_reader.py
+++ b/nutmegtrail/expert_balancing/counter_reader.py
@@ -31,6 +31,14 @@
         """Return whether one rank is read often instead of all sampled."""
         return can_watch(members) and popularity.is_steady(self.popularity)
 
+    async def restart(self, members: list[models.Upstream]) -> None:
+        """Read all sampled ranks and forget what was counted before.
+
+        Demand may have shifted several times since this instance last led.
+        """
+        self.popularity = popularity.Popularity()
+        await self.read_sample(members)
+
     async def read_sample(self, members: list[models.Upstream]) -> None:
         """Read all sampled ranks."""
         self._sampled_at_seconds = anyio.current_time()
--- a/nutmegtrail/expert_balancing/expert_balancer.py
+++ b/nutmegtrail/expert_balancing/expert_balancer.py
@@ -117,7 +117,7 @@
         self._current_map_by_group.clear()
         groups = self._groups(service.name)
         self._switch_recovery.start(groups)
-        await self._counters.read_sample(_members(groups))
+        await self._counters.restart(_members(groups))
         async with anyio.create_task_group() as tasks:
             for group in groups:
                 tasks.start_soon(self._recover, group)
--- a/tests/expert_balancing/test_counter_reader.py
+++ b/tests/expert_balancing/test_counter_reader.py
@@ -83,6 +83,19 @@
             (10.0, 10.0, 300.0, 900.0), self.reader.popularity.choices
         )
 
+    def test_leading_again(self):
+        """What was counted while another instance led is left out."""
+
+        async def _lead_again():
+            await self.reader.restart(_MEMBERS)
+            self.engines.count(9_000, 0, 0, 0)
+            await self.reader.restart(_MEMBERS)
+            self.engines.count(0, 0, 5, 3)
+            await self.reader.read_sample(_MEMBERS)
+
+        simulated_time.run(_lead_again)
+        self.assertEqual((0.0, 0.0, 20.0, 12.0), self.reader.popularity.choices)
+
     def test_unreadable_rank(self):
         """Another rank is watched if the first does not answer."""
 
