--- a/nutmegtrail/expert_balancing/const.py
+++ b/nutmegtrail/expert_balancing/const.py
@@ -28,10 +28,10 @@
 # With more sampled ranks than the minimum, one of them is read this often to
 # notice shifts, and all of them less often.
 WATCH_INTERVAL_SECONDS: typing.Final = 0.2
-SAMPLE_INTERVAL_SECONDS: typing.Final = 2.0
+SAMPLE_INTERVAL_SECONDS: typing.Final = 3.0
 # After a shift, all sampled ranks are read again for this long.
-SHIFT_SAMPLING_SECONDS: typing.Final = 1.0
-MIN_SAMPLE_INTERVAL_SECONDS: typing.Final = 0.15
+SHIFT_SAMPLING_SECONDS: typing.Final = 0.75
+MIN_SAMPLE_INTERVAL_SECONDS: typing.Final = 0.25
 # Similarity of the latest choices to the earlier ones, relative to its usual
 # value, below which a popularity shift is assumed.
 SHIFT_SIMILARITY_RATIO: typing.Final = 0.75
