--- a/nutmegtrail/expert_balancing/const.py
+++ b/nutmegtrail/expert_balancing/const.py
@@ -51,6 +51,8 @@
 # Relative reduction of a step's expert time that outweighs the copying of a
 # map switch.
 MIN_MAP_GAIN_RATIO: typing.Final = 0.1
+# The same for groups of large fleets, in which a map is orders to many ranks.
+LARGE_FLEET_MIN_MAP_GAIN_RATIO: typing.Final = 0.15
 # Reduction of a layer's time, relative to its mean, for each expert that
 # every rank copies. Ranks copy in parallel, so that a smaller reduction
 # justifies a copy if there are more ranks.
--- a/nutmegtrail/expert_balancing/expert_balancer.py
+++ b/nutmegtrail/expert_balancing/expert_balancer.py
@@ -42,6 +42,7 @@
     current: CurrentMap
     planned_layers: layer_placement.Layers
     loads_by_layer: tuple[layer_placement.Loads, ...]
+    is_large_fleet: bool
 
 
 class ExpertBalancer:
@@ -152,6 +153,7 @@
                     current,
                     planned_by_layers[current.layers],
                     loads_by_layer,
+                    counter_reader.can_watch(_members(groups)),
                 )
                 if self._is_worthwhile(planned_switch, shape):
                     tasks.start_soon(self._switch_to, planned_switch, shape)
@@ -180,7 +182,10 @@
         skew_after = layer_placement.skew(
             planned_switch.planned_layers, planned_switch.loads_by_layer
         )
-        is_worthwhile = skew_before / skew_after - 1 >= const.MIN_MAP_GAIN_RATIO
+        is_worthwhile = outweighs_copies(
+            skew_before / skew_after - 1,
+            is_large_fleet=planned_switch.is_large_fleet,
+        )
         copies_by_rank = layer_placement.copies_by_rank(
             current.layers, planned_switch.planned_layers
         )
@@ -252,7 +257,7 @@
         self, planned_switch: _PlannedSwitch, shape: models.GroupShape
     ) -> None:
         """Switch a group to a new map and record the result."""
-        group, current, layers, _ = planned_switch
+        group, current, layers, *_ = planned_switch
         last_version = self._last_version_by_group.get(group.name, 0)
         version = max(current.version, last_version) + 1
         self._last_version_by_group[group.name] = version
@@ -306,6 +311,13 @@
         )
 
 
+def outweighs_copies(gain_ratio: float, *, is_large_fleet: bool) -> bool:
+    """Return whether a reduction of a step's time is worth a switch."""
+    if is_large_fleet:
+        return gain_ratio >= const.LARGE_FLEET_MIN_MAP_GAIN_RATIO
+    return gain_ratio >= const.MIN_MAP_GAIN_RATIO
+
+
 def _skew(
     current: CurrentMap,
     choices: tuple[float, ...],
--- a/tests/expert_balancing/test_shift.py
+++ b/tests/expert_balancing/test_shift.py
@@ -7,6 +7,7 @@
 import testtools
 
 from nutmegtrail.expert_balancing import const
+from nutmegtrail.expert_balancing import expert_balancer
 from nutmegtrail.expert_map import switch
 from tests.expert_balancing import simulated_groups
 
@@ -47,3 +48,28 @@
             self.engines.longest_copy_seconds <= limit,
             self.engines.longest_copy_seconds,
         )
+
+
+class GainTest(testtools.TestCase):
+    """Gains that are worth orders to all ranks of a group."""
+
+    def test_small_gains_in_large_fleets(self):
+        """A gain of 0.12 is worth orders to 8 ranks, but not to 72.
+
+        Steps vary by that much without a shift, and the next stage of a map
+        gains more.
+        """
+        for gain_ratio, worth_by_size in (
+            (0.08, (False, False)),
+            (0.12, (True, False)),
+            (0.2, (True, True)),
+        ):
+            self.assertEqual(
+                worth_by_size,
+                tuple(
+                    expert_balancer.outweighs_copies(
+                        gain_ratio, is_large_fleet=is_large_fleet
+                    )
+                    for is_large_fleet in (False, True)
+                ),
+            )
