--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -210,7 +210,9 @@
             if ratio <= full_ratio and not queued.excluded_ids:
                 continue
             if candidates is None:
-                candidates = self._find_candidates(service, now)
+                candidates = selection.find_candidates(
+                    self._selection_context(), service, now
+                )
             candidate = self._choose(candidates, queued, ratio)
             if candidate is not None:
                 queue = request_queue.dequeue(queue, queued)
@@ -316,14 +318,6 @@
             avoided_ids,
         )
 
-    def _find_candidates(
-        self, service: str, now: float
-    ) -> tuple[selection.Candidate, ...]:
-        """Return the current candidates of a service."""
-        return selection.find_candidates(
-            self._selection_context(), service, now
-        )
-
     def _selection_context(self) -> selection.SelectionContext:
         """Return the current state that a choice depends on."""
         return selection.SelectionContext(
