Keep the priority of late requests

Cause: a late request went behind less urgent ones until its last chance. The most urgent, whose objective is short, were refused as hopeless while less urgent ones with a longer objective started.

Change: priority goes before lateness in the order. Late requests still leave room to those in time.

--- a/nutmegtrail/overload/urgency.py
+++ b/nutmegtrail/overload/urgency.py
@@ -2,9 +2,9 @@
 
 What waiting costs a caller depends on its priority and on what is left to its
 objective: a response in time is worth more to it than a late one, and a late
-one is worth the same until its latest start. So requests that can still be in
-time go before late ones, the most urgent first. A late request waits for
-those, but only up to its last chance; from then on it keeps its priority.
+one is worth the same until its latest start. So the most urgent go first,
+and within a priority those that can still be in time. A late request leaves
+part of the room to those in time, of any priority, up to its last chance.
 """
 
 import collections.abc
@@ -19,12 +19,11 @@
 class Rank(typing.NamedTuple):
     """Sort key of a waiting request, the lowest to go first.
 
-    Late requests that can wait are deferred. Among equals, accounts share by
-    the work of their requests; the size of a request does not delay itself.
+    Among equals, accounts share by the work of their requests; the size of a
+    request does not delay itself.
     """
 
     is_new: bool
-    is_deferred: bool
     priority: int
     is_late: bool
     start_tag: float
@@ -41,7 +40,6 @@
     is_late = response_at_seconds > request.objective_deadline_seconds
     return Rank(
         not request.is_resumed,
-        is_late and not _is_last_chance(request, response_at_seconds),
         request.priority,
         is_late,
         request.start_tag,
