Spread returns over the queue, not over hold-offs

Cause: the wider spread of refused callers took half of the whole wait, also of the part in which an upstream holds requests off. That part does not depend on how many callers wait, so they returned later than they need to. Now only the wait in the queue widens the spread. test_spread_over_a_hold_off fails before.

--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import typing
+
 import anyio
 
 from nutmegtrail.gateway import const
@@ -30,6 +32,18 @@
         self.candidate: selection.Candidate | None = None
 
 
+class Wait(typing.NamedTuple):
+    """Expected wait: until an upstream takes requests, then in the queue."""
+
+    upstream_seconds: float
+    queue_seconds: float
+
+    @property
+    def total_seconds(self) -> float:
+        """Return the whole wait."""
+        return self.upstream_seconds + self.queue_seconds
+
+
 class Dispatcher:
     """Queues requests by service and assigns them to upstreams."""
 
@@ -122,7 +136,7 @@
             upstream, request_id
         )
 
-    def wait_seconds(self, service: str, priority: int | None = None) -> float:
+    def expected_wait(self, service: str, priority: int | None = None) -> Wait:
         """Return the time until an upstream accepts one more request.
 
         It is 0 if an upstream of the service accepts requests now. Otherwise,
@@ -144,7 +158,7 @@
         )
         queue_seconds = before / starts if starts else 0
         first_seconds = max(min(available_from, default=now) - now, 0)
-        return first_seconds + queue_seconds
+        return Wait(first_seconds, queue_seconds)
 
     def record_response_time(self, service: str, seconds: float) -> None:
         """Record the seconds from dispatch to the response or first event."""
@@ -248,7 +262,7 @@
                 waiting.priority <= queued.priority
                 for waiting in queue.requests
             ),
-            self.wait_seconds(service, queued.priority),
+            self.expected_wait(service, queued.priority).total_seconds,
         )
 
     def has_upstreams(
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -181,11 +181,12 @@
     remaining_seconds: float,
     wait_seconds: float = 0,
     spread: float = 0,
+    queue_seconds: float = 0,
 ) -> float:
     """Return the seconds after which a refused caller should retry.
 
     `wait_seconds` is the time until an upstream accepts a request, 0 if one
-    does. `spread` is a random number from 0 to 1, by which callers that are
+    does, and `queue_seconds` its part in the queue. `spread` is a random number from 0 to 1, by which callers that are
     refused together come back at different times.
     """
     usual_seconds = remaining_seconds * const.RETRY_AFTER_RATIO
@@ -193,10 +194,10 @@
     delay_seconds = usual_seconds - spread_seconds
     if wait_seconds:
         # Callers that come back before the end of the wait are refused again.
-        # The longer it is, the more callers are refused in this time.
+        # The longer the queue, the more callers are refused meanwhile.
         delay_seconds = wait_seconds + max(
             spread_seconds,
-            wait_seconds * spread * const.RETRY_AFTER_WAIT_SPREAD_RATIO,
+            queue_seconds * spread * const.RETRY_AFTER_WAIT_SPREAD_RATIO,
         )
     bounded_seconds = max(delay_seconds, const.MIN_RETRY_AFTER_SECONDS)
     return min(bounded_seconds, const.MAX_RETRY_AFTER_SECONDS)
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -217,22 +217,21 @@
             )
             if evacuated:
                 self._metrics.increment('evacuated_requests', 'refused')
-            wait_seconds = self._dispatcher.wait_seconds(
-                job.service, job.priority
-            )
+            wait = self._dispatcher.expected_wait(job.service, job.priority)
             await self._reject(
                 job.exchange,
                 job.caller,
                 'no free upstream',
                 jobs.retry_after_seconds(
                     job.remaining_seconds,
-                    wait_seconds,
+                    wait.total_seconds,
                     self._generator.random(),
+                    wait.queue_seconds,
                 ),
                 out_of_service_upstreams=evacuated,
                 priority=job.priority,
                 work=round(job.work, 2),
-                expected_wait_seconds=round(wait_seconds, 3),
+                expected_wait_seconds=round(wait.total_seconds, 3),
             )
             return
         status = http.HTTPStatus.BAD_GATEWAY
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -256,16 +256,16 @@
             for name in ('r1', 'r2', 'r3'):
                 tasks.start_soon(self._acquire, name)
             await anyio.wait_all_tasks_blocked()
-            self.assertEqual(0, self.dispatcher.wait_seconds('drafts'))
+            self.assertEqual((0, 0), self.dispatcher.expected_wait('drafts'))
             self._signal(samples.upstream('u1'), hold_off_seconds=5)
             tasks.start_soon(self._acquire, 'r4')
             await anyio.wait_all_tasks_blocked()
             self.assertIsNone(self.outcomes['r3'])
             self.assertIsNone(self.outcomes['r4'])
-            seconds = self.dispatcher.wait_seconds('drafts')
+            seconds = self.dispatcher.expected_wait('drafts').total_seconds
             self.assertTrue(4 < seconds <= 5, seconds)
             self._register(samples.upstream('u2'))
-            self.assertEqual(0, self.dispatcher.wait_seconds('drafts'))
+            self.assertEqual((0, 0), self.dispatcher.expected_wait('drafts'))
             await self._acquire('r5')
             self.assertEqual('u2', self.outcomes['r5'].upstream.upstream_id)
 
--- a/tests/gateway/test_jobs.py
+++ b/tests/gateway/test_jobs.py
@@ -48,12 +48,20 @@
         """
         for wait_seconds in (0.6, 1.2):
             delays = [
-                jobs.retry_after_seconds(4, wait_seconds, number / 9)
+                jobs.retry_after_seconds(
+                    4, wait_seconds, number / 9, wait_seconds
+                )
                 for number in range(10)
             ]
             self.assertEqual(wait_seconds, delays[0])
             self.assertAlmostEqual(1.5 * wait_seconds, delays[-1])
 
+    def test_spread_over_a_hold_off(self):
+        """Nobody waits longer because an upstream holds requests off longer."""
+        for wait_seconds in (0.6, 1.2):
+            latest = jobs.retry_after_seconds(4, wait_seconds, spread=1)
+            self.assertAlmostEqual(wait_seconds + 0.2, latest)
+
     def test_end_of_hold_offs(self):
         """Without an upstream that takes requests, callers return when one does.
 
