Let the test of leaving engines wait for its answers

test_leaving_engine failed once beside load. It checks what answers tell, but the client gave up after 0.03 s of real time for an order. Shown with answers that come after 0.04 s: it fails each time, and passes with the timeouts of the test. The checks are as before; the timeouts of the product are unchanged.

--- a/tests/platform/test_engine_condition.py
+++ b/tests/platform/test_engine_condition.py
@@ -4,11 +4,13 @@
 import testtools
 
 from nutmegtrail.expert_map import switch
+from nutmegtrail.platform import const
 from nutmegtrail.platform import engines
 from nutmegtrail.ports import upstream_probe
 from tests import loopback
 from tests.gateway import samples
 
+_ANSWER_TIMEOUT_SECONDS = 5.0
 _RUNNING = upstream_probe.Condition.RUNNING
 _ENDED = upstream_probe.Condition.ENDED
 _HEAD = (
@@ -87,8 +89,15 @@
     def test_leaving_engine(self):
         """Every answer of the control API tells that its engine leaves.
 
-        One of another engine or of a later start says nothing about it.
+        One of another engine or of a later start says nothing about it. The
+        answers count, not how long a busy machine takes for them.
         """
+        self.patch(
+            const, 'ENGINE_ORDER_TIMEOUT_SECONDS', _ANSWER_TIMEOUT_SECONDS
+        )
+        self.patch(
+            const, 'ENGINE_READ_TIMEOUT_SECONDS', _ANSWER_TIMEOUT_SECONDS
+        )
         cases = (
             (b'200 OK', b'{"born":5}', True),
             (b'200 OK', b'{}', True),
