Name the contention for room apart from the demand at an entry

Two modules were called demand, one of which the dispatcher had to import under another name. No behaviour changes; tests/overload, gateway, preview and sharing pass.

--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -17,10 +17,10 @@
 from nutmegtrail.gateway import room_log
 from nutmegtrail.gateway import selection
 from nutmegtrail.overload import const as overload_const
-from nutmegtrail.overload import demand
+from nutmegtrail.overload import contention
 from nutmegtrail.preview import models as preview_models
 from nutmegtrail.residency import regions
-from nutmegtrail.sharing import demand as demands
+from nutmegtrail.sharing import demand
 
 
 class _PendingRequest:
@@ -55,7 +55,7 @@
         self.limiter = request_limiter.RequestLimiter()
         self.entries = 1
         self.share = 1.0
-        self._demand = demands.Demand()
+        self._demand = demand.Demand()
         self._expected_seconds_by_service: dict[str, float] = {}
         self._preference = selection.Preference(failure_domain, entry)
         self._loads_by_group: dict[str, int] = {}
@@ -63,9 +63,9 @@
         self._previous_loads_by_group: dict[str, int] = {}
         self._queues_by_service: dict[str, request_queue.RequestQueue] = {}
         self._pending_by_id: dict[str, _PendingRequest] = {}
-        self._demand_by_service: collections.defaultdict[str, demand.Demand] = (
-            collections.defaultdict(demand.Demand)
-        )
+        self._contention_by_service: collections.defaultdict[
+            str, contention.Contention
+        ] = collections.defaultdict(contention.Contention)
         # Upstreams that run suspects, by the request ID of the suspect.
         self._upstream_id_by_suspect: dict[str, str] = {}
 
@@ -77,7 +77,7 @@
     @property
     def demand(self) -> float:
         """Return the recent requests per second and those that wait."""
-        arrivals = demands.per_second(self._demand, anyio.current_time())
+        arrivals = demand.per_second(self._demand, anyio.current_time())
         return arrivals + self.waiting_count
 
     async def acquire(
@@ -102,15 +102,13 @@
     ) -> selection.Candidate | None:
         """Queue a request until it is assigned to an upstream or refused."""
         pending = _PendingRequest()
-        self._demand = demands.record_arrival(
-            self._demand, anyio.current_time()
-        )
+        self._demand = demand.record_arrival(self._demand, anyio.current_time())
         self._pending_by_id[queued.request_id] = pending
         queue = self._queues_by_service.get(
             service, request_queue.RequestQueue()
         )
         self._queues_by_service[service] = request_queue.enqueue(queue, queued)
-        self._demand_by_service[service].record_arrival(
+        self._contention_by_service[service].record_arrival(
             queued.priority, anyio.current_time()
         )
         self.dispatch(service)
@@ -210,7 +208,7 @@
         started = waiting - len(queue.requests)
         queue = self._shed_load(service, queue, now)
         self._queues_by_service[service] = queue
-        self._demand_by_service[service].record_round(
+        self._contention_by_service[service].record_round(
             started, len(queue.requests), now
         )
 
@@ -225,7 +223,7 @@
         for queued in request_queue.in_service_order(queue, response_at):
             ratio = 1.0
             if not request_queue.has_turn(queue, queued):
-                ratio = self._demand_by_service[service].capacity_ratio(
+                ratio = self._contention_by_service[service].capacity_ratio(
                     queued, response_at, now
                 )
             if ratio <= full_ratio and not queued.is_restricted:
@@ -248,7 +246,7 @@
     ) -> preview_models.Situation:
         """Return the state that would decide on a request, without queueing."""
         now = anyio.current_time()
-        demand_of_service = self._demand_by_service[service]
+        contention_of_service = self._contention_by_service[service]
         response_at = now + self._expected_seconds_by_service.get(service, 0)
         queue = self._queues_by_service.get(
             service, request_queue.RequestQueue()
@@ -257,7 +255,7 @@
             self._selection_context(),
             queued,
             self._preference,
-            demand_of_service.capacity_ratio(queued, response_at, now),
+            contention_of_service.capacity_ratio(queued, response_at, now),
             sum(
                 waiting.priority <= queued.priority
                 for waiting in queue.requests
@@ -351,7 +349,7 @@
             selection.starts_per_second(
                 self._selection_context(), service, now
             ),
-            self._demand_by_service[service].starts_per_second(now),
+            self._contention_by_service[service].starts_per_second(now),
         )
 
     def _choose(
@@ -424,7 +422,7 @@
             self._queues_by_service[service], request_id
         )
         self._queues_by_service[service] = queue
-        self._demand_by_service[service].record_round(
+        self._contention_by_service[service].record_round(
             0, len(queue.requests), anyio.current_time()
         )
 
--- a/nutmegtrail/overload/demand.py
+++ b/nutmegtrail/overload/contention.py
@@ -1,11 +1,11 @@
-"""Demand for the room of a service, as one entry sees it."""
+"""Contention for the room of a service, as one entry sees it."""
 
 from nutmegtrail.overload import models
 from nutmegtrail.overload import start_rate
 from nutmegtrail.overload import urgency
 
 
-class Demand:
+class Contention:
     """Remembers which priorities asked for room, and when requests started."""
 
     def __init__(self) -> None:
--- a/tests/overload/test_demand.py
+++ b/tests/overload/test_contention.py
@@ -5,7 +5,7 @@
 import testtools
 
 from nutmegtrail.gateway import request_queue
-from nutmegtrail.overload import demand
+from nutmegtrail.overload import contention
 
 
 def _waiting(name, priority=0, latest_start=10.0):
@@ -20,28 +20,28 @@
 
     def test_rate_while_requests_wait(self):
         """Load pattern `burst`: 20 starts per second while some wait."""
-        room_demand = demand.Demand()
+        contention_for_room = contention.Contention()
         for number in range(21):
             now = number / 20
-            room_demand.record_round(1, 5, now)
-        self.assertEqual(20, room_demand.starts_per_second(1))
+            contention_for_room.record_round(1, 5, now)
+        self.assertEqual(20, contention_for_room.starts_per_second(1))
 
     def test_unknown_rate(self):
         """Without a queue, or right after it began, the rate is not known."""
-        room_demand = demand.Demand()
-        self.assertEqual(math.inf, room_demand.starts_per_second(0))
-        room_demand.record_round(3, 5, 0)
-        self.assertEqual(math.inf, room_demand.starts_per_second(0.9))
-        room_demand.record_round(3, 0, 0.95)
-        room_demand.record_round(3, 1, 0.99)
-        self.assertEqual(math.inf, room_demand.starts_per_second(1.5))
+        contention_for_room = contention.Contention()
+        self.assertEqual(math.inf, contention_for_room.starts_per_second(0))
+        contention_for_room.record_round(3, 5, 0)
+        self.assertEqual(math.inf, contention_for_room.starts_per_second(0.9))
+        contention_for_room.record_round(3, 0, 0.95)
+        contention_for_room.record_round(3, 1, 0.99)
+        self.assertEqual(math.inf, contention_for_room.starts_per_second(1.5))
 
     def test_stalled_upstreams(self):
         """Pattern of a group with a broken rank: a stall refuses nobody."""
-        room_demand = demand.Demand()
+        contention_for_room = contention.Contention()
         for number in range(40):
-            room_demand.record_round(0, 5, number / 20)
-        self.assertEqual(math.inf, room_demand.starts_per_second(2))
+            contention_for_room.record_round(0, 5, number / 20)
+        self.assertEqual(math.inf, contention_for_room.starts_per_second(2))
 
     def test_hopeless_by_rate(self):
         """Load pattern `burst`: what cannot start in time is refused at once.
