Forget slow times that lasted once they have ended

At 15 s the recent slowness of the group was back at 0.002, but its room stayed at 31 requests of 63 ranks until 23 s, because the memory of slow times held 0.0196 for ten seconds; about 1,000 attempts were refused in that time. The memory is for slow times that recur, as after shifts of demand. Now a slow time of more than ten periods (2.5 s) is left out once it has ended. test_upstreams_that_were_slow_for_seconds fails before: room for 42 requests of 24 ranks.

--- a/nutmegtrail/overload/const.py
+++ b/nutmegtrail/overload/const.py
@@ -21,6 +21,10 @@
 SLOW_PERIOD_SECONDS: typing.Final = 0.25
 REMEMBERED_PERIODS: typing.Final = 40
 RECURRING_PERIODS: typing.Final = 4
+# A slow time of more periods than this is not one of a shift of demand. Its
+# pauses are at least this many times the usual ones.
+LASTING_PERIODS: typing.Final = 10
+SLOW_TIME_RATIO: typing.Final = 1.5
 
 # Part of the room that is left to each more urgent priority which asked within
 # the time, for this many of them at most.
--- a/nutmegtrail/overload/room.py
+++ b/nutmegtrail/overload/room.py
@@ -8,6 +8,9 @@
 is therefore that of the slow times.
 """
 
+import functools
+import itertools
+
 from nutmegtrail.overload import const
 from nutmegtrail.overload import models
 
@@ -58,12 +61,9 @@
     It is 0 unless enough of the remembered periods have samples.
     """
     oldest = _period(now_seconds) - const.REMEMBERED_PERIODS
+    recent = [period for period in pace.slow_periods if period.number > oldest]
     highest = sorted(
-        (
-            period.per_request
-            for period in pace.slow_periods
-            if period.number > oldest
-        ),
+        (period.per_request for period in _without_lasting(recent)),
         reverse=True,
     )
     if len(highest) < const.RECURRING_PERIODS:
@@ -71,6 +71,37 @@
     return highest[const.RECURRING_PERIODS - 1]
 
 
+def _without_lasting(
+    periods: list[models.SlowPeriod],
+) -> list[models.SlowPeriod]:
+    """Return the periods without slow times that lasted and have ended.
+
+    Upstreams that are slow for longer than a shift of demand takes are not
+    slow again at the next shift. What is usual is told by the quickest quarter
+    of the periods.
+    """
+    ordered = sorted(period.per_request for period in periods)
+    usual = ordered[len(ordered) // 4] if ordered else 0
+    slow_from = const.SLOW_TIME_RATIO * usual
+    is_slow_by_spell = itertools.groupby(
+        periods, key=functools.partial(_is_slow, slow_from)
+    )
+    spells = [(is_slow, tuple(spell)) for is_slow, spell in is_slow_by_spell]
+    return [
+        period
+        for is_slow, spell in spells
+        for period in spell
+        if not is_slow
+        or len(spell) <= const.LASTING_PERIODS
+        or spell is spells[-1][1]
+    ]
+
+
+def _is_slow(slow_from: float, period: models.SlowPeriod) -> bool:
+    """Return whether the pauses of a period reach a limit."""
+    return period.per_request >= slow_from
+
+
 def _remember(
     slow_periods: tuple[models.SlowPeriod, ...],
     per_request: float,
--- a/tests/overload/test_room.py
+++ b/tests/overload/test_room.py
@@ -97,6 +97,19 @@
         capacity = room.capacity(pace, now)
         self.assertTrue(_sample(int(capacity), 3 * _EVEN).ratio <= 1, capacity)
 
+    def test_upstreams_that_were_slow_for_seconds(self):
+        """Load pattern `srv_slow`: once they have recovered, so has the room.
+
+        The slow time counted as one of a shift for ten seconds, in which
+        callers were refused.
+        """
+        pace, now = _after(
+            _passes(*_SHIFTS, (4 * _EVEN, 15), (4 * _SHIFTED, 8))
+            + _passes((4 * _EVEN, 20), (_EVEN, 20))
+        )
+        capacity = room.capacity(pace, now)
+        self.assertTrue(capacity > 3 * _RANKS, capacity)
+
     def test_memory_is_bounded(self):
         """Only the periods that count are kept."""
         pace, _ = _after(_passes((_EVEN, 2_000)))
