Count the requests that go first in one place

The expected wait and the preview counted the queued requests of a priority each by itself; both call request_queue.count_before now. An import stood apart from its block.

--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -1,7 +1,6 @@
 """Assignment of queued requests to upstreams."""
 
 import collections
-
 import typing
 
 import anyio
@@ -150,10 +149,7 @@
             service, request_queue.RequestQueue()
         )
         starts = self._starts_per_second(service, now)
-        before = sum(
-            priority is None or queued.priority <= priority
-            for queued in queue.requests
-        )
+        before = request_queue.count_before(queue, priority)
         queue_seconds = before / starts if starts else 0
         first_seconds = max(min(available_from, default=now) - now, 0)
         return Wait(first_seconds, queue_seconds)
@@ -256,10 +252,7 @@
             queued,
             self._preference,
             contention_of_service.capacity_ratio(queued, response_at, now),
-            sum(
-                waiting.priority <= queued.priority
-                for waiting in queue.requests
-            ),
+            request_queue.count_before(queue, queued.priority),
             self.expected_wait(service, queued.priority).total_seconds,
         )
 
--- a/nutmegtrail/gateway/request_queue.py
+++ b/nutmegtrail/gateway/request_queue.py
@@ -155,6 +155,14 @@
     return urgency.order(queue.requests, response_at_seconds, queue.turns)
 
 
+def count_before(queue: RequestQueue, priority: int | None) -> int:
+    """Return how many requests are as urgent as a priority, all if None."""
+    return sum(
+        priority is None or request.priority <= priority
+        for request in queue.requests
+    )
+
+
 def has_turn(queue: RequestQueue, request: QueuedRequest) -> bool:
     """Return whether it is the turn of a less urgent request's priority."""
     due = urgency.due_priority(queue.requests, queue.turns)
