Show that started entries refuse a shared part after a zone's engines crash

Cause: an entry without any success takes the part that all requests share for the cause of crashes at one moment, and refuses it for longer with each.

--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -217,7 +217,7 @@
             ('X-Nutmegtrail-Deadline-Ms', deadline_ms),
             ('Api-Key', API_KEY),
         ]
-        method, body = 'POST', b'x' * 600
+        method, body = 'POST', sent.request_id.encode() * 40
         if sent.target == READ_TARGET:
             method, body = 'GET', b''
         if sent.target == STREAM_TARGET:
--- a/review/stand_ins/engines.py
+++ b/review/stand_ins/engines.py
@@ -21,6 +21,9 @@
 EVENTS = 26
 _PICKS_PER_PASS = 240
 _SKEW = 1.6
+_STALL_SECONDS = 1.5
+_FORM_SECONDS = 0.6
+ZONES = ('lj-bezigrad', 'lj-vic', 'lj-moste')
 
 
 def answer_headers(request, engine_id):
@@ -54,6 +57,7 @@
         self._sequence = 0
         self._beaten_at = time.monotonic()
         self.is_ended = False
+        self.is_silent = False
 
     def write(self):
         """Write the entry."""
@@ -75,6 +79,11 @@
             now = time.monotonic()
             if self.is_ended:
                 return
+            if self.is_silent:
+                limit = _HEARTBEAT_SECONDS * _SILENT_HEARTBEATS
+                if now - self._beaten_at > limit:
+                    self._store.remove(self.key)
+                continue
             if self._store.is_down:
                 was_down = True
                 limit = _HEARTBEAT_SECONDS * _SILENT_HEARTBEATS
@@ -164,8 +173,13 @@
     one. `mismatches` has the passes that began with different maps.
     """
 
-    def __init__(self, size, record):
+    def __init__(self, size, record, name='g0', suffix=''):
         """Initialize the group with map 0 and no running request."""
+        self.name = name
+        self.suffix = suffix
+        self.epoch = 1
+        self.is_open = True
+        self.faulty_id = ''
         self.ranks = []
         self.size = size
         self.step = 0
@@ -194,9 +208,36 @@
             await asyncio.sleep(_PASS_SECONDS)
             running = sum(rank.running for rank in self.ranks)
             held = any(rank.held == self.step + 1 for rank in self.ranks)
-            if running and not held:
+            if running and not held and self.is_open:
                 self._begin_pass()
 
+    def break_up(self, crashed):
+        """Stall, and cut off what depends on a rank that has crashed."""
+        if self.is_open:
+            self.is_open = False
+            self.faulty_id = crashed.engine_id
+            asyncio.ensure_future(self._stall())
+
+    async def reopen(self):
+        """Open the group in a new epoch once all ranks are back."""
+        if self.is_open or not all(rank.is_running for rank in self.ranks):
+            return
+        await asyncio.sleep(_FORM_SECONDS)
+        self.epoch += 1
+        self.is_open = True
+        for rank in self.ranks:
+            rank.form()
+        self._record.note(f'{self.name} opens in epoch {self.epoch}')
+
+    async def _stall(self):
+        """Let the ranks that run cut off their work after some time."""
+        await asyncio.sleep(_STALL_SECONDS)
+        self._begun.set()
+        self._begun = asyncio.Event()
+        for rank in self.ranks:
+            if rank.is_running:
+                rank.registration.write()
+
     async def wait_for_pass(self):
         """Wait for the beginning of the next pass."""
         await self._begun.wait()
@@ -232,8 +273,10 @@
 
     def __init__(self, group, number, service, port, store, record):
         """Initialize a rank that is not running."""
-        self.engine_id = f'rank-{number}'
+        self.engine_id = f'rank-{number}{group.suffix}'
         self.number = number
+        self.zone = ZONES[number % len(ZONES)]
+        self.is_running = False
         self.running = 0
         self.counts = [0] * (SETS * EXPERTS)
         self.map_version = 0
@@ -264,9 +307,39 @@
     async def start(self):
         """Listen and register."""
         await self._server.start()
+        self.is_running = True
         self.registration.write()
         asyncio.ensure_future(self.registration.run())
 
+    def crash(self):
+        """End without a word."""
+        self.is_running = False
+        self.registration.is_silent = True
+        self._server.end()
+        self._group.break_up(self)
+
+    async def restart(self):
+        """Start again after a crash, as another incarnation."""
+        self._born = int(time.time() * 1_000)
+        self.counts = [0] * (SETS * EXPERTS)
+        self.fence = 0
+        await self._server.start()
+        self.is_running = True
+        self.registration.is_silent = False
+        self.registration.write()
+        await self._group.reopen()
+
+    def form(self):
+        """Begin an epoch, with map 0."""
+        self.map_version = 0
+        self.map = _first_map(self._group.size)
+        self.armed = None
+        self.held = None
+        self._prepared = None
+        self._newest_version = 0
+        self._remember()
+        self.registration.write()
+
     def begin_pass(self, step):
         """Change the map if the rank is armed for the pass."""
         if self.armed is not None and self._armed_step == step:
@@ -280,7 +353,7 @@
         return {
             'service': self.service,
             'address': f'127.0.0.1:{self._port}',
-            'zone': 'lj-bezigrad',
+            'zone': self.zone,
             'version': 'v1',
             'slots': 12,
             'state': 'ready',
@@ -295,10 +368,10 @@
     def _membership(self):
         """Return the group as the rank reports it."""
         return {
-            'name': 'g0',
-            'epoch': 1,
+            'name': self._group.name,
+            'epoch': self._group.epoch,
             'rank': self.number,
-            'state': 'open',
+            'state': 'open' if self._group.is_open else 'broken',
         }
 
     async def _handle(self, exchange):
@@ -332,6 +405,8 @@
                     )
                 except asyncio.TimeoutError:
                     break
+                if not self._group.is_open:
+                    break
                 if not exchange.has_started:
                     self._record.note(f'run {request_id} at {self.engine_id}')
                     fields = answer_headers(request, self.engine_id)
@@ -347,7 +422,9 @@
         if exchange.has_started:
             exchange.cut()
             return
-        fields = (('X-Nutmegtrail-Not-Executed', '1'), http1.KEEP_ALIVE)
+        fields = [('X-Nutmegtrail-Not-Executed', '1'), http1.KEEP_ALIVE]
+        if not self._group.is_open:
+            fields.append(('At-Server', self._group.faulty_id))
         await exchange.respond(503, fields)
 
     async def _take_order(self, exchange):
@@ -381,7 +458,7 @@
         else:
             self.fence = fence
             status = 409
-            if document.get('epoch', 1) == 1:
+            if document.get('epoch') == self._group.epoch:
                 operation = document['operation']
                 status = getattr(self, f'_{operation}')(document)
         if document['operation'] != 'prepare' or self.number == 0:
@@ -506,11 +583,15 @@
             experts = [layer[self.number] for layer in self.map]
             return {
                 'step': self._group.step,
-                'epoch': 1,
+                'epoch': self._group.epoch,
                 'map': {'version': self.map_version, 'experts': experts},
                 'prepared': None,
             }
-        return {'step': self._group.step, 'epoch': 1, 'counts': self.counts}
+        return {
+            'step': self._group.step,
+            'epoch': self._group.epoch,
+            'counts': self.counts,
+        }
 
 
 def _first_map(size):
--- a/review/stand_ins/http1.py
+++ b/review/stand_ins/http1.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import json
+import socket
+import struct
 import time
 
 KEEP_ALIVE = ('Keep-Alive', 'timeout=5')
@@ -72,7 +74,7 @@
     def cut(self):
         """Reset the connection."""
         self.closes = True
-        self._writer.transport.abort()
+        _reset(self._writer)
 
 
 class Server:
@@ -98,7 +100,7 @@
         """End as a process does: stop listening and reset connections."""
         self._server.close()
         for writer in tuple(self._writers):
-            writer.transport.abort()
+            _reset(writer)
 
     async def _serve(self, reader, writer):
         """Serve the requests of a connection one after the other."""
@@ -232,6 +234,15 @@
         await asyncio.sleep(0.01)
 
 
+def _reset(writer):
+    """Reset a connection; without lingering, closing resets it."""
+    with contextlib.suppress(OSError):
+        writer.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    writer.transport.abort()
+
+
 def _head(status, headers):
     """Return the head of a response."""
     lines = [f'HTTP/1.1 {status} Status']
