--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -1,10 +1,12 @@
 """Deployment on loopback: entry processes, stand-ins and clients."""
 
 import asyncio
+import collections
 import json
 import os
 import pathlib
 import re
+import shutil
 import socket
 import subprocess
 import tempfile
@@ -23,6 +25,19 @@
 READ_TARGET = '/vima118/2f'
 _ZONE = 'lj-bezigrad'
 _READY_SECONDS = 20.0
+# What entries log that tells the cause, and how much of it is kept.
+_TELLING_KINDS = (
+    'daemon:started',
+    'leadership:changed',
+    'expert-map:fenced-off',
+    'store:lost',
+    'store:regained',
+    'upstream:removed',
+    'upstream:crashed',
+    'quarantined',
+)
+_LINES_OF_A_KIND = 12
+_LINE_CHARACTERS = 240
 _SECTION = re.compile(r'\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
 _FIELD = re.compile(r'\{\{([\w.@]+)(\|json)?\}\}')
 # Bounds and limits of the site zbsr-nutmeg.
@@ -83,10 +98,16 @@
             text.replace('127.0.0.1:9464', f'127.0.0.1:{ports[3]}')
         )
 
-    @property
-    def log(self):
-        """Return what the process has logged."""
-        return self._log.read_text()
+    def telling_lines(self):
+        """Return the first log lines of each kind that tells a cause."""
+        counts = collections.Counter()
+        lines = []
+        for line in self._log.read_text().splitlines():
+            for kind in _TELLING_KINDS:
+                if f'"{kind}"' in line and counts[kind] < _LINES_OF_A_KIND:
+                    counts[kind] += 1
+                    lines.append(line[:_LINE_CHARACTERS])
+        return lines
 
     def start(self):
         """Start the process."""
@@ -196,6 +217,10 @@
                 f'{answer.status} whole={answer.is_whole} '
                 f'after {answer.seconds:.3f} s'
             )
+        for entry in self.entries:
+            for line in entry.telling_lines():
+                self.record.note(f'log of {entry.name}: {line}')
+        shutil.rmtree(self._folder)
         self.record.save()
 
     def send(self, number, entry, target, deadline_ms, patience=2.0):
--- a/review/stand_ins/http1.py
+++ b/review/stand_ins/http1.py
@@ -45,9 +45,9 @@
         self._writer.write(_head(status, fields) + body)
         await self._writer.drain()
 
-    async def respond_json(self, status, document):
+    async def respond_json(self, status, document, *added):
         """Send a JSON document and keep the connection."""
-        fields = (('Content-Type', 'application/json'), KEEP_ALIVE)
+        fields = (('Content-Type', 'application/json'), KEEP_ALIVE, *added)
         await self.respond(status, fields, json.dumps(document).encode())
 
     async def start(self, status, headers):
--- a/review/stand_ins/store.py
+++ b/review/stand_ins/store.py
@@ -11,6 +11,7 @@
 _ANSWER_SECONDS = 0.004
 _SWEEP_SECONDS = 0.02
 _PAGE_ITEMS = 500
+_ERA = ('Store-Era', 1)
 
 
 class Store:
@@ -102,7 +103,7 @@
         """Answer a call."""
         await asyncio.sleep(_ANSWER_SECONDS)
         if self.is_down:
-            await exchange.respond_json(503, {})
+            await exchange.respond_json(503, {}, _ERA)
             return
         request = exchange.request
         call, _, argument = request.path.removeprefix('/api/').partition('/')
@@ -120,7 +121,7 @@
             'kv-lease-end': lambda: self._revoke(int(argument)),
         }
         status, document = answers[call]()
-        await exchange.respond_json(status, document)
+        await exchange.respond_json(status, document, _ERA)
 
     def _key(self, query):
         """Return an item."""
@@ -168,10 +169,10 @@
         finally:
             self._watches.pop(exchange, None)
         if self.is_down:
-            await exchange.respond_json(503, {})
+            await exchange.respond_json(503, {}, _ERA)
             return
         document = {'events': events, 'current_rev': self.revision}
-        await exchange.respond_json(200, document)
+        await exchange.respond_json(200, document, _ERA)
 
     def _transact(self, body):
         """Write all or nothing."""
