--- a/review/stand_ins/runner.py
+++ b/review/stand_ins/runner.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import traceback
 
@@ -27,10 +28,18 @@
 async def _run(folder, entry_count, scenario):
     """Run a scenario and return the exit code."""
     deployment = deployments.Deployment(folder, entry_count)
+    task = asyncio.current_task()
+    # The entries are ended too if the case is stopped.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
         async with asyncio.timeout(_LIMIT_SECONDS):
             verdict = await scenario(deployment)
-    except (deployments.CannotRunError, TimeoutError) as error:
+    except (
+        deployments.CannotRunError,
+        TimeoutError,
+        asyncio.CancelledError,
+    ) as error:
         verdict = None
         deployment.record.note(f'cannot run: {error!r}')
         sys.stdout.write(f'cannot run: {error!r}\n')
