Show that a planned stop cuts requests that it took late

Callers of an entry that is stopped had streams and calls cut without an answer at the end of the grace period, 7.6 s of 8 s: those that they sent up to 5.3 s after the signal and that last longer than what was left.

The test opens a connection each 0.2 s, keeps five others until a response announces the close, and stops the entry after 2 s.

--- a/tests/platform/entries.py
+++ b/tests/platform/entries.py
@@ -33,8 +33,9 @@
 class Entry:
     """Gateway that can be killed and started again without any memory.
 
-    `retries` has the settings of its retry budget. Its addresses change with
-    each start unless `keeps_addresses` is set.
+    `retries` has the settings of its retry budget, and `grace_seconds` the
+    grace period of a planned stop. Its addresses change with each start unless
+    `keeps_addresses` is set.
     """
 
     def __init__(self, number, store, tasks):
@@ -45,8 +46,10 @@
         self._scope = anyio.CancelScope()
         self.store_address = store.address
         self.retries = _RETRIES
+        self.grace_seconds = 8
         self.addresses = []
         self.keeps_addresses = False
+        self._daemon = None
         self._ended = anyio.Event()
         self._ended.set()
 
@@ -69,13 +72,12 @@
                 },
                 'store': {'address': str(self.store_address)},
                 'retries': self.retries,
-                'stop': {'grace_seconds': 8},
+                'stop': {'grace_seconds': self.grace_seconds},
             },
         )
         self._scope = anyio.CancelScope()
-        self._tasks.start_soon(
-            self._run, gateway.create_gateway(configured), self._scope
-        )
+        self._daemon = gateway.create_gateway(configured)
+        self._tasks.start_soon(self._run, self._daemon, self._scope)
         while not await self._is_ready():
             await anyio.sleep(0.02)
 
@@ -83,6 +85,14 @@
         """End the gateway without a graceful shutdown."""
         self._scope.cancel()
 
+    async def stop(self):
+        """Stop as planned; kill it if the grace period is over."""
+        self._daemon.close()
+        with anyio.move_on_after(self.grace_seconds):
+            await self._ended.wait()
+        self.kill()
+        await self._ended.wait()
+
     async def metrics(self):
         """Return the metrics as text."""
         _, body = await self._fetch(self.addresses[3])
--- /dev/null
+++ b/tests/platform/lasting_engine.py
@@ -0,0 +1,71 @@
+"""Engine whose responses take as long as their requests say."""
+
+import anyio
+
+from nutmegtrail.adapters.http1 import messages
+from tests.platform import stand_in
+
+EVENT_SECONDS = 0.06
+
+
+class LastingEngine(stand_in.Engine):
+    """Engine that runs a request for the seconds in its body.
+
+    `runs` has the identifiers of the requests that it began to run.
+    """
+
+    def __init__(self, name, service, store, tasks):
+        """Initialize an engine that is not running."""
+        super().__init__(name, service)
+        self.runs = []
+        self._store = store
+        self._tasks = tasks
+
+    async def start(self):
+        """Listen and register."""
+        server = stand_in.create_server(self)
+        await server.start()
+        self._tasks.start_soon(server.serve)
+        self._store.put(f'servers/{self.name}', self.registration(slots=99))
+
+    async def whole(self, exchange, headers):
+        """Send a response, or an event now and then, until the time is over."""
+        request = exchange.request
+        self.runs.append(
+            messages.find_header(
+                request.headers, b'x-nutmegtrail-request-id'
+            ).decode()
+        )
+        seconds = float(request.body)
+        if self.service == 'desk':
+            await anyio.sleep(seconds)
+            await exchange.respond(200, headers, b'booked')
+            return
+        count = event_count(seconds)
+        await exchange.start_chunked(200, headers, _event(1))
+        for number in range(2, count + 1):
+            await anyio.sleep(EVENT_SECONDS)
+            await exchange.write(_event(number))
+        await exchange.finish()
+
+
+def create_engine(number, store, tasks):
+    """Return an engine, the even ones of the service 'drafts'."""
+    service = 'desk' if number % 2 else 'drafts'
+    return LastingEngine(f'i-{number}', service, store, tasks)
+
+
+def event_count(seconds):
+    """Return the number of events of a stream that lasts some seconds."""
+    return int(seconds / EVENT_SECONDS) + 1
+
+
+def stream_body(seconds):
+    """Return the whole body of a stream that lasts some seconds."""
+    count = event_count(seconds)
+    return b''.join(_event(number) for number in range(1, count + 1))
+
+
+def _event(number):
+    """Return an event of a stream."""
+    return b'id: %d\ndata: x\n\n' % number
--- /dev/null
+++ b/tests/platform/test_planned_stop.py
@@ -0,0 +1,148 @@
+"""Entries that are stopped as planned while callers go on."""
+
+import base64
+import json
+
+import anyio
+import testtools
+
+from tests.platform import entries
+from tests.platform import kept_connections
+from tests.platform import lasting_engine
+
+_ENGINES = 4
+_VERSION = 9
+_ROUTE_TIMEOUT_MS = 20_000
+_CONFIGURED_SECONDS = 0.5
+_CALM_SECONDS = 2
+_INTERVAL_SECONDS = 0.2
+_KEPT_CONNECTIONS = 5
+# Callers of a stopped entry go on for longer than its grace period.
+_AFTER_SECONDS = 0.5
+# A request that crosses the close of its connection gets no response.
+_CROSSING_SECONDS = 0.2
+_NOT_RUN = 503
+
+
+def _stream(seconds, **changes):
+    """Return streams that last some seconds."""
+    return kept_connections.Load(
+        kept_connections.STREAM_PATH, seconds, **changes
+    )
+
+
+def _call(seconds, **changes):
+    """Return calls that may run once and last some seconds."""
+    return kept_connections.Load(kept_connections.ONCE_PATH, seconds, **changes)
+
+
+class PlannedStopTest(testtools.TestCase):
+    """Requests that arrive around the signal, on new and kept connections."""
+
+    def _stop(self, *loads, grace_seconds=8):
+        """Stop an entry beside some loads and check all replies.
+
+        Returns the replies of each load.
+        """
+        replies_by_load = {}
+
+        async def _scenario(deployment):
+            entry = deployment.entries[0]
+            await _prepare(deployment, grace_seconds)
+            async with anyio.create_task_group() as tasks:
+                for load in loads:
+                    callers = kept_connections.Callers(entry, tasks, load.name)
+                    replies_by_load[load] = callers.replies_by_id
+                    tasks.start_soon(callers.arrive, load, _INTERVAL_SECONDS)
+                    tasks.start_soon(_keep, callers, load, tasks)
+                await anyio.sleep(_CALM_SECONDS)
+                self.stopped_at = anyio.current_time()
+                await entry.stop()
+                await anyio.sleep(_AFTER_SECONDS)
+                tasks.cancel_scope.cancel()
+            self.runs = [
+                run for engine in deployment.engines for run in engine.runs
+            ]
+
+        entries.run(_scenario, _ENGINES, 1, lasting_engine.create_engine)
+        replies = {
+            load: tuple(replies_by_id.values())
+            for load, replies_by_id in replies_by_load.items()
+        }
+        for replies_of_load in replies.values():
+            self._check(replies_of_load)
+        return replies
+
+    def _check(self, replies):
+        """Check that each request was answered or refused as not run."""
+        for reply in replies:
+            runs = self.runs.count(reply.request_id)
+            moment = round(reply.sent_at_seconds - self.stopped_at, 2)
+            told = (moment, reply)
+            if reply.status == _NOT_RUN:
+                self.assertEqual(0, runs, told)
+            elif reply.status:
+                self.assertEqual(
+                    (200, True), (reply.status, reply.is_whole), told
+                )
+            else:
+                self.assertEqual(0, runs, told)
+                self.assertTrue(reply.seconds < _CROSSING_SECONDS, told)
+
+    def _late(self, replies, after_seconds, status):
+        """Return the replies of a status sent so long after the signal."""
+        return [
+            reply
+            for reply in replies
+            if reply.status == status
+            and reply.sent_at_seconds > self.stopped_at + after_seconds
+        ]
+
+    def test_long_requests_are_not_cut(self):
+        """Requests too long for the rest of the grace period are refused.
+
+        They used to be taken, and cut without an answer at its end.
+        """
+        streams = _stream(6)
+        chunked = _stream(6.5, has_chunks=True)
+        calls = _call(5.4)
+        replies = self._stop(streams, chunked, calls)
+        for replies_of_load in replies.values():
+            self.assertTrue(self._late(replies_of_load, 0, _NOT_RUN))
+
+    def test_short_requests_are_served(self):
+        """Requests that fit into the rest of the grace period are served."""
+        streams = _stream(0.6)
+        calls = _call(0.5)
+        replies = self._stop(streams, calls)
+        for replies_of_load in replies.values():
+            self.assertEqual([], self._late(replies_of_load, -9, _NOT_RUN))
+            self.assertTrue(self._late(replies_of_load, 2, 200))
+
+    def test_short_grace(self):
+        """The grace period may be shorter than the balancer's reaction."""
+        replies = self._stop(_stream(1.2), _call(0.1), grace_seconds=2)
+        for replies_of_load in replies.values():
+            self.assertTrue(self._late(replies_of_load, 0, 200))
+
+
+async def _keep(callers, load, tasks):
+    """Open connections that are kept, one after the other."""
+    for _ in range(_KEPT_CONNECTIONS):
+        tasks.start_soon(callers.keep, load)
+        await anyio.sleep(_INTERVAL_SECONDS)
+
+
+async def _prepare(deployment, grace_seconds):
+    """Configure long timeouts and the grace period of the entry."""
+    deployment.configure(_VERSION)
+    item = deployment.store.items_by_key['op/config']
+    document = json.loads(base64.b64decode(item['value']))
+    for route in document['routes']:
+        route['timeout_ms'] = _ROUTE_TIMEOUT_MS
+    deployment.store.put('op/config', json.dumps(document).encode())
+    entry = deployment.entries[0]
+    entry.kill()
+    entry.grace_seconds = grace_seconds
+    await entry.start()
+    await anyio.sleep(_CONFIGURED_SECONDS)
