Log how long an entry had been stopping when it got a request

The logs could not tell a request that was taken during a planned stop and lasted too long from one that had run before the signal. request:ended has stopping_seconds now, request:cancelled the age of the request and what was read behind it, daemon:draining the grace period.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -399,6 +399,10 @@
             'request:cancelled',
             address=str(self._server.address),
             has_started=exchange.has_started,
+            seconds=round(
+                anyio.current_time() - exchange.received_at_seconds, 4
+            ),
+            pipelined=len(self._reader.ready),
         )
         with anyio.move_on_after(
             const.CANCELLED_RESPONSE_TIMEOUT_SECONDS, shield=True
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -155,9 +155,11 @@
         Requests that are still running at the end of the grace period are
         cancelled.
         """
+        self._components.dispatcher.stopped_at_seconds = anyio.current_time()
         logs.decision(
             'daemon:draining',
             waiting=self._components.dispatcher.waiting_count,
+            grace_seconds=self._settings.stop.grace_seconds,
         )
         self._caller_server.stop()
         await anyio.sleep(const.DRAIN_SECONDS)
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -54,6 +54,8 @@
         self.limiter = request_limiter.RequestLimiter()
         self.entries = 1
         self.share = 1.0
+        # When a planned stop began.
+        self.stopped_at_seconds: float | None = None
         self._demand = demand.Demand()
         self._expected_seconds_by_service: dict[str, float] = {}
         self._preference = selection.Preference(failure_domain, entry)
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -305,10 +305,21 @@
             work=round(job.work, 2),
             status=job.exchange.status,
             seconds=round(seconds, 4),
+            stopping_seconds=self._stopping_seconds(job),
             first_event_seconds=job.first_event_seconds,
             longest_pause_seconds=round(job.longest_pause_seconds, 4),
         )
 
+    def _stopping_seconds(self, job: jobs.Job) -> float | None:
+        """Return for how long the entry stopped when it got a request.
+
+        It is negative for requests from before the stop, None without one.
+        """
+        stopped_at = self._dispatcher.stopped_at_seconds
+        if stopped_at is None:
+            return None
+        return round(job.exchange.received_at_seconds - stopped_at, 4)
+
     def _count_by_priority(
         self, job: jobs.Job, outcome: str, seconds: float
     ) -> None:
