Answer all pipelined requests before a planned stop closes a connection

Callers that sent several requests at once on a connection of an entry that was being stopped got the answers to two of them; the others, though read, ended with the connection (LOST).

The server announced the close on the first response that began after the stop, whatever had been received behind its request. It announces it on the last response now: a request that has arrived, in whole or in part, keeps the connection open until it is answered.

StopTest.test_pipelined_requests stated the old behaviour (the third of three requests is not handled). It states that all are answered and that only the last response announces the close, which is stricter. Before the change it and the new test_pipelined_body failed: two of three responses.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -180,7 +180,7 @@
             await anyio.sleep(const.ACCEPT_RETRY_SECONDS)
 
     def stop(self) -> None:
-        """Close each connection after the next response that starts."""
+        """Close connections after their requests that have been received."""
         self.is_stopping = True
 
     def close(self) -> None:
@@ -358,7 +358,13 @@
         return exchange.is_complete and exchange.keep_alive
 
     def _must_close(self) -> bool:
-        """Return whether a response that starts now announces the close."""
+        """Return whether a response that starts now announces the close.
+
+        It does not if another request has been received, in whole or in part:
+        clients take requests behind the announcement as not read.
+        """
+        if self._reader.ready or self._reader.has_partial_request:
+            return False
         return self._server.is_stopping or self._is_closing
 
     async def _handle(self, exchange: Exchange) -> None:
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -378,22 +378,37 @@
     def test_pipelined_requests(self):
         """Requests that were read behind a stream are answered after it.
 
-        Only the last response announces the close; requests behind that one
-        are not handled.
+        All but the next one used to be dropped. Only the last response
+        announces the close.
         """
-        handled = []
-
-        async def _handle(exchange):
-            handled.append(exchange.request.target)
-            await self._stop_during_stream(exchange)
 
         async def _scenario():
             return await self.exchange(_get(b'/1') + _get(b'/2') + _get(b'/3'))
 
-        response = self.run_scenario(_handle, _scenario)
-        self.assertEqual([b'/1', b'/2'], handled)
-        self.assertTrue(response.endswith(b'\r\n\r\n/2'), response)
+        response = self.run_scenario(self._stop_during_stream, _scenario)
+        self._check_pipelined(response)
+
+    def test_pipelined_body(self):
+        """A request that has arrived in part is answered like whole ones."""
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(_get(b'/1') + _get(b'/2'))
+                await anyio.sleep(0.5)
+                await stream.send(_get(b'/3')[:9])
+                await anyio.sleep(2)
+                await stream.send(_get(b'/3')[9:])
+                return await _receive_all(stream)
+
+        response = self.run_scenario(self._stop_during_stream, _scenario)
+        self._check_pipelined(response)
+
+    def _check_pipelined(self, response):
+        """Check that all requests were answered, the last with the close."""
+        self.assertEqual(3, response.count(b'HTTP/1.1 200 '), response)
         self.assertEqual(1, response.count(b'connection: close'), response)
+        end = b'connection: close\r\n\r\n/3'
+        self.assertTrue(response.endswith(end), response)
 
     async def _stop_during_stream(self, exchange):
         """Respond to `/1` with a stream during which the server stops."""
