Take only what a planned stop can finish

Callers of an entry that was being stopped had streams and calls cut at the end of the grace period, without an answer (LOST), also calls that must not be repeated. Cause: new connections were accepted for 3.5 s after the signal and kept ones took one more request at any later moment, and none was asked whether it fits before the cut; requests in the queue were not either. With a grace period under 3.9 s nothing was ever finished in order: the wait for the balancer was longer.

Now each request is asked when it has arrived, while it waits and before each attempt: it is taken if its deadline, or an upper estimate from the durations of the requests before it, ends before the cut. Otherwise it gets 503 as not run, with the close and a short Retry-After. At the cut, what has not run is refused as such, and a request that has not arrived as a whole gets 408. All times follow from the signal and the grace period.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -137,8 +137,10 @@
         self._listener: anyio.abc.Listener[typing.Any] | None = None
         self._accept_scope: anyio.CancelScope | None = None
         self._idle_scopes: set[anyio.CancelScope] = set()
+        self._partial_scopes: set[anyio.CancelScope] = set()
         self.is_stopping = False
         self.is_closed = False
+        self.is_cut = False
 
     async def start(self) -> None:
         """Start listening; connections are queued until `serve`."""
@@ -192,6 +194,12 @@
         for scope in tuple(self._idle_scopes):
             scope.cancel()
 
+    def cut(self) -> None:
+        """Refuse requests that have not arrived as a whole."""
+        self.is_cut = True
+        for scope in tuple(self._partial_scopes):
+            scope.cancel()
+
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Serve the requests of one connection."""
         try:
@@ -289,15 +297,22 @@
         return await self._receive_arrived()
 
     async def _receive_rest(self) -> bytes:
-        """Return more bytes of a request; refuse it after a timeout."""
+        """Return more bytes of a request; refuse it after a timeout.
+
+        It is refused before the timeout if the server stops without it.
+        """
         waiting_since = anyio.current_time()
         self._request_since_seconds = min(
             self._request_since_seconds, waiting_since
         )
         remaining_seconds = self._rest_deadline(waiting_since) - waiting_since
-        while remaining_seconds > 0:
-            with anyio.move_on_after(remaining_seconds):
-                return await _receive_or_end(self._stream)
+        while remaining_seconds > 0 and not self._server.is_cut:
+            with anyio.move_on_after(remaining_seconds) as scope:
+                self._server._partial_scopes.add(scope)
+                try:
+                    return await _receive_or_end(self._stream)
+                finally:
+                    self._server._partial_scopes.discard(scope)
             deadline = self._rest_deadline(waiting_since)
             remaining_seconds = deadline - anyio.current_time()
         raise errors.RequestRefused(
--- /dev/null
+++ b/nutmegtrail/draining/__init__.py
@@ -0,0 +1,1 @@
+"""Planned stops: which requests still fit before a process ends."""
--- /dev/null
+++ b/nutmegtrail/draining/const.py
@@ -0,0 +1,23 @@
+"""Constants of planned stops."""
+
+import typing
+
+# Load balancers in front remove a host after two failed readiness probes,
+# which they send once per second.
+NOTICE_SECONDS: typing.Final = 3.5
+# Time at the end of the grace period for the final responses. A short grace
+# period leaves a part of it at most.
+MARGIN_SECONDS: typing.Final = 0.4
+MAX_MARGIN_RATIO: typing.Final = 0.25
+
+# Requests that ended within this time tell how long others may take.
+MEMORY_SECONDS: typing.Final = 60.0
+REMEMBERED_DURATIONS: typing.Final = 512
+# A single request that was held up says little about the others.
+DURATION_QUANTILE: typing.Final = 0.99
+# Requests may take longer than those before them.
+DURATION_RATIO: typing.Final = 1.25
+DURATION_RESERVE_SECONDS: typing.Final = 0.1
+REFRESH_SECONDS: typing.Final = 0.1
+# A request that runs for longer than any before it is taken to be half done.
+OVERDUE_RATIO: typing.Final = 2.0
--- /dev/null
+++ b/nutmegtrail/draining/drain.py
@@ -0,0 +1,127 @@
+"""Decides which requests a process takes while it stops."""
+
+import collections
+import collections.abc
+import math
+import typing
+
+from nutmegtrail.draining import const
+from nutmegtrail.draining import estimate
+from nutmegtrail.draining import models
+
+
+class _Outlook(typing.NamedTuple):
+    """What is expected of a kind of request, for a moment."""
+
+    profile: estimate.Profile
+    overdue: float
+    refresh_at_seconds: float
+
+
+class Drain:
+    """Remembers how long requests take; knows when a planned stop ends them.
+
+    A request is taken during a stop if it is over before the end of the grace
+    period, by its own deadline or by the durations of others.
+    """
+
+    def __init__(self) -> None:
+        """Initialize without a stop."""
+        self.signalled_at_seconds: float | None = None
+        self._cut_at_seconds = math.inf
+        self._running_by_key: dict[
+            collections.abc.Hashable, models.Running
+        ] = {}
+        self._durations_by_kind: collections.defaultdict[
+            tuple[str, ...], collections.deque[models.Duration]
+        ] = collections.defaultdict(_remembered)
+        self._outlook_by_kind: dict[tuple[str, ...], _Outlook] = {}
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether the process stops."""
+        return self.signalled_at_seconds is not None
+
+    def begin(self, signalled_at_seconds: float, cut_at_seconds: float) -> None:
+        """Begin a stop that ends the last requests at a time."""
+        self.signalled_at_seconds = signalled_at_seconds
+        self._cut_at_seconds = cut_at_seconds
+
+    def record_start(
+        self,
+        key: collections.abc.Hashable,
+        request: models.Request,
+        now_seconds: float,
+    ) -> None:
+        """Record that a request got an upstream; later ones do not count."""
+        self._running_by_key.setdefault(
+            key, models.Running(request, now_seconds)
+        )
+
+    def record_end(
+        self,
+        key: collections.abc.Hashable,
+        now_seconds: float,
+        first_event_at_seconds: float | None = None,
+        *,
+        is_answered: bool,
+    ) -> None:
+        """Record the end of a request; only whole answers tell durations."""
+        running = self._running_by_key.pop(key, None)
+        if running is None or not is_answered:
+            return
+        started_at = running.started_at_seconds
+        first_at = first_event_at_seconds or started_at
+        self._durations_by_kind[running.request.kind].append(
+            models.Duration(
+                now_seconds,
+                now_seconds - started_at,
+                max(first_at - started_at, 0),
+                running.request.tokens,
+            )
+        )
+
+    def latest_start(
+        self, request: models.Request, now_seconds: float
+    ) -> float:
+        """Return until when a request may be sent to an upstream.
+
+        It is infinity if the request ends before the stop does, or without a
+        stop, and minus infinity if nothing tells how long the request takes.
+        """
+        if request.deadline_seconds <= self._cut_at_seconds:
+            return math.inf
+        outlook = self._outlook_by_kind.get(request.kind)
+        if outlook is None or now_seconds >= outlook.refresh_at_seconds:
+            outlook = self._outlook(request, now_seconds)
+            self._outlook_by_kind[request.kind] = outlook
+        return self._cut_at_seconds - estimate.needed_seconds(
+            request, outlook.profile, outlook.overdue
+        )
+
+    def _outlook(self, request: models.Request, now_seconds: float) -> _Outlook:
+        """Return what the requests of a kind tell of the next ones."""
+        oldest_seconds = now_seconds - const.MEMORY_SECONDS
+        profile = estimate.profile(
+            [
+                duration
+                for duration in self._durations_by_kind[request.kind]
+                if duration.ended_at_seconds >= oldest_seconds
+            ],
+            runs_once=request.runs_once,
+        )
+        running = [
+            other
+            for other in self._running_by_key.values()
+            if other.request.kind == request.kind
+        ]
+        return _Outlook(
+            profile,
+            estimate.overdue_ratio(running, profile, now_seconds),
+            now_seconds + const.REFRESH_SECONDS,
+        )
+
+
+def _remembered() -> collections.deque[models.Duration]:
+    """Return an empty memory of durations."""
+    return collections.deque(maxlen=const.REMEMBERED_DURATIONS)
--- /dev/null
+++ b/nutmegtrail/draining/estimate.py
@@ -0,0 +1,85 @@
+"""Upper estimates of how long requests take."""
+
+import collections.abc
+import math
+import typing
+
+from nutmegtrail.draining import const
+from nutmegtrail.draining import models
+
+
+class Profile(typing.NamedTuple):
+    """Longest usual times of a kind of request, infinite if not known.
+
+    `sized_first_seconds` and `token_seconds` are those of requests whose
+    allowed tokens are known: up to the first event, and for each such token.
+    """
+
+    seconds: float = math.inf
+    sized_first_seconds: float = math.inf
+    token_seconds: float = math.inf
+
+
+def profile(
+    durations: collections.abc.Sequence[models.Duration], *, runs_once: bool
+) -> Profile:
+    """Return the profile of requests that have ended."""
+    quantile = 1 if runs_once else const.DURATION_QUANTILE
+    sized = [duration for duration in durations if duration.tokens]
+    return Profile(
+        _quantile([duration.seconds for duration in durations], quantile),
+        _quantile([duration.first_seconds for duration in sized], quantile),
+        _quantile(
+            [
+                (duration.seconds - duration.first_seconds) / duration.tokens
+                for duration in sized
+            ],
+            quantile,
+        ),
+    )
+
+
+def overdue_ratio(
+    running: collections.abc.Iterable[models.Running],
+    known: Profile,
+    now_seconds: float,
+) -> float:
+    """Return how many times longer than expected requests run already."""
+    return max(
+        (
+            (now_seconds - other.started_at_seconds)
+            / needed_seconds(other.request, known)
+            for other in running
+        ),
+        default=0,
+    )
+
+
+def needed_seconds(
+    request: models.Request, known: Profile, overdue: float = 0
+) -> float:
+    """Return how long a request may take, infinity if nothing tells.
+
+    Requests of its kind that are overdue show that it may take longer than
+    those that have ended.
+    """
+    seconds = known.seconds
+    if request.tokens and not math.isinf(known.token_seconds):
+        seconds = (
+            known.sized_first_seconds + known.token_seconds * request.tokens
+        )
+    needed = seconds * const.DURATION_RATIO + const.DURATION_RESERVE_SECONDS
+    if overdue > 1:
+        needed *= overdue * const.OVERDUE_RATIO
+    return needed
+
+
+def _quantile(samples: list[float], quantile: float) -> float:
+    """Return the smallest sample that is not below a part of all samples.
+
+    It is infinity without samples.
+    """
+    if not samples:
+        return math.inf
+    rank = max(math.ceil(len(samples) * quantile), 1)
+    return sorted(samples)[rank - 1]
--- /dev/null
+++ b/nutmegtrail/draining/models.py
@@ -0,0 +1,37 @@
+"""Requests and their durations, as far as planned stops depend on them."""
+
+import typing
+
+
+class Request(typing.NamedTuple):
+    """Request that a process may take while it stops.
+
+    `kind` is equal for requests that take similar times and may be repeated
+    alike. The request ends at `deadline_seconds` at the latest. It may produce
+    `tokens` at most, 0 if not known. `runs_once` is set if it must not be
+    repeated.
+    """
+
+    kind: tuple[str, ...]
+    deadline_seconds: float
+    tokens: int = 0
+    runs_once: bool = False
+
+
+class Duration(typing.NamedTuple):
+    """How long a request took from when it was first sent to an upstream.
+
+    `first_seconds` is the part up to its first event.
+    """
+
+    ended_at_seconds: float
+    seconds: float
+    first_seconds: float = 0
+    tokens: int = 0
+
+
+class Running(typing.NamedTuple):
+    """Request that has not ended."""
+
+    request: Request
+    started_at_seconds: float
--- /dev/null
+++ b/nutmegtrail/draining/schedule.py
@@ -0,0 +1,28 @@
+"""When a planned stop closes the listener and ends the last requests."""
+
+import typing
+
+from nutmegtrail.draining import const
+
+
+class Schedule(typing.NamedTuple):
+    """Times of a planned stop.
+
+    New connections are accepted until `closed_at_seconds`. Requests that still
+    run at `cut_at_seconds` are given up, and their final responses are sent by
+    `ended_at_seconds`.
+    """
+
+    closed_at_seconds: float
+    cut_at_seconds: float
+    ended_at_seconds: float
+
+
+def plan(signalled_at_seconds: float, grace_seconds: float) -> Schedule:
+    """Return the times of a stop with a grace period."""
+    margin_seconds = min(
+        const.MARGIN_SECONDS, grace_seconds * const.MAX_MARGIN_RATIO
+    )
+    cut_at = signalled_at_seconds + grace_seconds - margin_seconds
+    closed_at = min(signalled_at_seconds + const.NOTICE_SECONDS, cut_at)
+    return Schedule(closed_at, cut_at, cut_at + margin_seconds / 2)
--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -125,6 +125,9 @@
         except errors.GivenUp:
             self._release(assignment)
             raise
+        self._dispatcher.drain.record_start(
+            job, job.stoppable, assignment.assigned_at_seconds
+        )
         job.choices.append(
             jobs.describe_choice(candidate, job, assignment.assigned_at_seconds)
         )
--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -157,13 +157,6 @@
 STORE_RETRY_SECONDS: typing.Final = 0.5
 STORE_RETRY_LIMIT_SECONDS: typing.Final = 1.0
 
-# The load balancer in front removes a host after two failed readiness
-# probes, which it sends once per second.
-DRAIN_SECONDS: typing.Final = 3.5
-
-# Time that remains of the grace period when the last requests are cancelled.
-STOP_MARGIN_SECONDS: typing.Final = 0.4
-
 # Share of a group's slots that is used before a pause ratio is known.
 INITIAL_CAPACITY_RATIO: typing.Final = 0.7
 # A group always gets at least this many requests per rank.
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -1,6 +1,7 @@
 """Gateway process of an entry."""
 
 import http
+import math
 import signal
 import typing
 
@@ -11,6 +12,7 @@
 from nutmegtrail.adapters.http1 import messages
 from nutmegtrail.adapters.http1 import server
 from nutmegtrail.adapters.order_relay import http as order_relay_http
+from nutmegtrail.draining import schedule
 from nutmegtrail.expert_balancing import expert_balancer
 from nutmegtrail.expert_balancing import leader_lease
 from nutmegtrail.gateway import const
@@ -86,6 +88,7 @@
         self._settings = gateway_settings
         self._components = components
         self._stopping = anyio.Event()
+        self._signalled_at_seconds = math.inf
         listen = gateway_settings.listen
         self._caller_server = self._server(
             listen.callers, components.request_handler.serve
@@ -109,7 +112,7 @@
                 callers.start_soon(self._caller_server.serve)
                 await self._stopping.wait()
                 self._components.lease.retire()
-                await self._drain(callers)
+                await self._drain(callers, tasks)
             await self._components.balancer.close()
             tasks.cancel_scope.cancel()
         await self._components.lease.resign()
@@ -146,30 +149,45 @@
         return tuple(background_tasks)
 
     def close(self) -> None:
-        """Begin a graceful shutdown."""
-        self._stopping.set()
+        """Begin a graceful shutdown, unless it has begun."""
+        if not self._stopping.is_set():
+            self._signalled_at_seconds = anyio.current_time()
+            self._stopping.set()
 
-    async def _drain(self, callers: anyio.abc.TaskGroup) -> None:
+    async def _drain(
+        self, callers: anyio.abc.TaskGroup, tasks: anyio.abc.TaskGroup
+    ) -> None:
         """Fail readiness, then stop accepting and close connections.
 
         Requests that are still running at the end of the grace period are
-        cancelled.
+        given up.
         """
-        self._components.dispatcher.stopped_at_seconds = anyio.current_time()
+        grace_seconds = self._settings.stop.grace_seconds
+        planned = schedule.plan(self._signalled_at_seconds, grace_seconds)
         logs.decision(
             'daemon:draining',
             waiting=self._components.dispatcher.waiting_count,
-            grace_seconds=self._settings.stop.grace_seconds,
+            grace_seconds=grace_seconds,
         )
         self._caller_server.stop()
-        await anyio.sleep(const.DRAIN_SECONDS)
-        self._caller_server.close()
-        remaining_seconds = (
-            self._settings.stop.grace_seconds - const.DRAIN_SECONDS
+        dispatcher = self._components.dispatcher
+        dispatcher.drain.begin(
+            self._signalled_at_seconds, planned.cut_at_seconds
         )
-        callers.cancel_scope.deadline = (
-            anyio.current_time() + remaining_seconds - const.STOP_MARGIN_SECONDS
+        dispatcher.dispatch_all()
+        tasks.start_soon(self._cut, planned.cut_at_seconds)
+        await anyio.sleep_until(planned.closed_at_seconds)
+        self._caller_server.close()
+        callers.cancel_scope.deadline = planned.ended_at_seconds
+
+    async def _cut(self, cut_at_seconds: float) -> None:
+        """Give up the requests that still run at a time."""
+        await anyio.sleep_until(cut_at_seconds)
+        logs.decision(
+            'daemon:grace-ended',
+            requests=self._components.request_handler.cut(),
         )
+        self._caller_server.cut()
 
     async def _serve_readiness(self, exchange: server.Exchange) -> None:
         """Respond whether the entry accepts new connections.
--- a/nutmegtrail/gateway/dispatcher.py
+++ b/nutmegtrail/gateway/dispatcher.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from nutmegtrail.draining import drain
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import evacuated_upstreams
 from nutmegtrail.gateway import fleet
@@ -54,8 +55,7 @@
         self.limiter = request_limiter.RequestLimiter()
         self.entries = 1
         self.share = 1.0
-        # When a planned stop began.
-        self.stopped_at_seconds: float | None = None
+        self.drain = drain.Drain()
         self._demand = demand.Demand()
         self._expected_seconds_by_service: dict[str, float] = {}
         self._preference = selection.Preference(failure_domain, entry)
@@ -91,6 +91,9 @@
         An upstream that became unusable before this task resumed is replaced.
         """
         while True:
+            now = anyio.current_time()
+            if request_queue.latest_start(queued, self.drain, now) < now:
+                return None
             candidate = await self._wait_for_candidate(service, queued)
             if candidate is None or self._is_open(candidate.upstream):
                 return candidate
@@ -201,6 +204,11 @@
         if queue is None or not queue.requests:
             return
         now = anyio.current_time()
+        if self.drain.is_active:
+            queue = _refuse(
+                request_queue.limit_starts(queue, self.drain, now),
+                self._pending_by_id,
+            )
         waiting = len(queue.requests)
         queue = self._assign(service, queue, now)
         started = waiting - len(queue.requests)
@@ -330,9 +338,7 @@
                     * overload_const.START_RATE_MARGIN,
                 ),
             )
-        for request_id in result.refused_ids:
-            self._pending_by_id.pop(request_id).decided.set()
-        return result.queue
+        return _refuse(result, self._pending_by_id)
 
     def _starts_per_second(self, service: str, now: float) -> float:
         """Return the rate at which the queued requests of a service start.
@@ -422,6 +428,16 @@
         )
 
 
+def _refuse(
+    result: request_queue.ShedResult,
+    pending_by_id: dict[str, _PendingRequest],
+) -> request_queue.RequestQueue:
+    """Tell requests that they are refused; return the queue of the others."""
+    for request_id in result.refused_ids:
+        pending_by_id.pop(request_id).decided.set()
+    return result.queue
+
+
 def latest_start(
     route: models.Route,
     received_at_seconds: float,
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -8,6 +8,7 @@
 
 from nutmegtrail.adapters.http1 import messages
 from nutmegtrail.adapters.http1 import server
+from nutmegtrail.draining import models as draining_models
 from nutmegtrail.gateway import attempts
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import dispatcher as dispatching
@@ -116,6 +117,16 @@
             times.token_seconds,
         )
 
+    @property
+    def stoppable(self) -> draining_models.Request:
+        """Return the request as planned stops see it."""
+        return draining_models.Request(
+            (self.service, self.route.kind.value, str(self.route.resumable)),
+            self.deadline_seconds,
+            self.caller.output_tokens_limit,
+            runs_once=not self.route.is_retryable,
+        )
+
     @property
     def waited_seconds(self) -> float:
         """Return how long the first attempt waited for room."""
@@ -154,6 +165,7 @@
             is_suspect,
             allowed_domains=self.allowed_domains,
             work=self.work,
+            stoppable=self.stoppable,
         )
         if not self.delivery.has_sent_events:
             return queued
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -58,6 +58,7 @@
         self._configuration: models.Configuration | None = None
         self._region_by_domain = region_by_domain
         self._exhausted: frozenset[conditions.Resource] = frozenset()
+        self._scopes: set[anyio.CancelScope] = set()
         self._header_translator = header_translator
         self._dispatcher = dispatcher
         self._runner = runner
@@ -97,12 +98,32 @@
         if job is None:
             return
         try:
-            action = await self._runner.run(job)
+            action = await self._run(job)
             if action is not None:
                 await self._send_final_response(job, action)
         finally:
             self._record_end(job)
 
+    def cut(self) -> int:
+        """Give up all requests; return their number.
+
+        Those that have not run are refused as such.
+        """
+        scopes = tuple(self._scopes)
+        for scope in scopes:
+            scope.cancel()
+        return len(scopes)
+
+    async def _run(self, job: jobs.Job) -> attempts.GiveUp | None:
+        """Answer a request; return the outcome if no upstream does."""
+        with anyio.CancelScope() as scope:
+            self._scopes.add(scope)
+            try:
+                return await self._runner.run(job)
+            finally:
+                self._scopes.discard(scope)
+        return attempts.give_up(job.delivery)
+
     async def _admit(self, exchange: server.Exchange) -> jobs.Job | None:
         """Return a job for the request, None if it was rejected."""
         configuration = self.configuration
@@ -128,8 +149,10 @@
                 await self._refuse_at_limit(exchange, caller)
                 return None
             if account is not None:
-                return self._create_job(
-                    exchange, caller, route, account, configuration
+                return await self._admit_job(
+                    self._create_job(
+                        exchange, caller, route, account, configuration
+                    )
                 )
             status = http.HTTPStatus.UNAUTHORIZED
         logs.decision(
@@ -142,6 +165,30 @@
         await self._respond(exchange, caller.request_id, status)
         return None
 
+    async def _admit_job(self, job: jobs.Job) -> jobs.Job | None:
+        """Return a job, None if a planned stop leaves it too little time."""
+        if self._fits(job):
+            return job
+        await self._refuse_at_stop(job)
+        return None
+
+    def _fits(self, job: jobs.Job) -> bool:
+        """Return whether a request sent now ends before a planned stop."""
+        now = anyio.current_time()
+        return self._dispatcher.drain.latest_start(job.stoppable, now) >= now
+
+    async def _refuse_at_stop(self, job: jobs.Job) -> None:
+        """Refuse a request so that its caller tries another host at once."""
+        self._metrics.increment('requests', 'refused-at-stop')
+        await self._reject(
+            job.exchange,
+            job.caller,
+            'stopping',
+            const.MIN_RETRY_AFTER_SECONDS,
+            stopping_seconds=self._stopping_seconds(job) or 0,
+            budget_seconds=round(job.remaining_seconds, 3),
+        )
+
     async def _refuse_at_limit(
         self, exchange: server.Exchange, caller: models.CallerRequest
     ) -> None:
@@ -211,6 +258,9 @@
                 crashes=self._crash_guard.crash_count(job),
             )
             return
+        if action.outcome is attempts.Outcome.NOT_RUN and not self._fits(job):
+            await self._refuse_at_stop(job)
+            return
         if action.outcome is attempts.Outcome.NOT_RUN:
             evacuated = evacuated_upstreams.count(
                 self._dispatcher.known_upstreams, job.service
@@ -281,6 +331,7 @@
         """Log and count the end of a request."""
         seconds = anyio.current_time() - job.exchange.received_at_seconds
         outcome = 'answered' if job.exchange.is_complete else 'cut'
+        self._record_duration(job)
         self._metrics.increment('requests', outcome)
         self._metrics.count(
             'request_outcomes',
@@ -310,15 +361,29 @@
             longest_pause_seconds=round(job.longest_pause_seconds, 4),
         )
 
+    def _record_duration(self, job: jobs.Job) -> None:
+        """Tell planned stops how long a request took."""
+        first_event_at = None
+        if job.first_event_seconds is not None:
+            first_event_at = (
+                job.exchange.received_at_seconds + job.first_event_seconds
+            )
+        self._dispatcher.drain.record_end(
+            job,
+            anyio.current_time(),
+            first_event_at,
+            is_answered=job.exchange.is_complete and not job.failure_reason,
+        )
+
     def _stopping_seconds(self, job: jobs.Job) -> float | None:
         """Return for how long the entry stopped when it got a request.
 
         It is negative for requests from before the stop, None without one.
         """
-        stopped_at = self._dispatcher.stopped_at_seconds
-        if stopped_at is None:
+        signalled_at = self._dispatcher.drain.signalled_at_seconds
+        if signalled_at is None:
             return None
-        return round(job.exchange.received_at_seconds - stopped_at, 4)
+        return round(job.exchange.received_at_seconds - signalled_at, 4)
 
     def _count_by_priority(
         self, job: jobs.Job, outcome: str, seconds: float
--- a/nutmegtrail/gateway/request_queue.py
+++ b/nutmegtrail/gateway/request_queue.py
@@ -10,6 +10,8 @@
 
 import pyrsistent
 
+from nutmegtrail.draining import drain
+from nutmegtrail.draining import models as draining_models
 from nutmegtrail.gateway import const
 from nutmegtrail.overload import models as overload_models
 from nutmegtrail.overload import urgency
@@ -23,7 +25,8 @@
     may have crashed an upstream and is kept apart from other suspects.
     `is_resumed` marks a stream whose first events were sent. `work` is what it
     needs of its upstream, 1 for a usual request. It is sent to upstreams in
-    `allowed_domains` only, unless that is None.
+    `allowed_domains` only, unless that is None. `stoppable` tells whether a
+    planned stop leaves it enough time.
     """
 
     request_id: str
@@ -38,6 +41,7 @@
     start_tag: float = 0
     arrival_number: int = 0
     allowed_domains: frozenset[str] | None = None
+    stoppable: draining_models.Request | None = None
 
     @property
     def is_restricted(self) -> bool:
@@ -213,6 +217,45 @@
     return ShedResult(queue, refused_ids)
 
 
+def latest_start(
+    request: QueuedRequest, stop: drain.Drain, now_seconds: float
+) -> float:
+    """Return until when a planned stop lets a request start.
+
+    A stream that has begun can only be continued here.
+    """
+    if request.stoppable is None or request.is_resumed:
+        return math.inf
+    return stop.latest_start(request.stoppable, now_seconds)
+
+
+def limit_starts(
+    queue: RequestQueue, stop: drain.Drain, now_seconds: float
+) -> ShedResult:
+    """Refuse requests that would not end before a planned stop does.
+
+    The others get earlier latest starts.
+    """
+    limited = tuple(
+        request._replace(
+            latest_start_seconds=min(
+                request.latest_start_seconds,
+                latest_start(request, stop, now_seconds),
+            )
+        )
+        for request in queue.requests
+    )
+    queue = queue._replace(requests=limited)
+    refused_ids = tuple(
+        request.request_id
+        for request in limited
+        if request.latest_start_seconds < now_seconds
+    )
+    for request_id in refused_ids:
+        queue = remove(queue, request_id)
+    return ShedResult(queue, refused_ids)
+
+
 def refuse_all(queue: RequestQueue) -> ShedResult:
     """Refuse all requests."""
     refused_ids = tuple(request.request_id for request in queue.requests)
--- a/nutmegtrail/platform/headers.py
+++ b/nutmegtrail/platform/headers.py
@@ -216,24 +216,25 @@
     return tuple(distinct_names)[: const.PROMPT_PARTS_LIMIT]
 
 
-def _token_counts(headers: messages.Headers) -> tuple[int, int]:
-    """Return the tokens of the prompt and those that are expected to follow.
+def _token_counts(headers: messages.Headers) -> tuple[int, int, int]:
+    """Return the tokens of the prompt, the expected output and its limit.
 
     The expected ones are at most the number that the caller limits them to.
-    Both are 0 if they are missing or malformed.
+    All are 0 if they are missing or malformed.
     """
     listed = messages.find_header(headers, const.TOKEN_COUNT_HEADER)
     prompt, _, limit = listed.partition(b',')
     hint = messages.find_header(headers, const.LENGTH_HINT_HEADER)
     try:
-        prompt_tokens, output_tokens = int(prompt), int(limit)
+        prompt_tokens, output_limit = int(prompt), int(limit)
     except ValueError:
-        return 0, 0
+        return 0, 0, 0
+    output_tokens = output_limit
     try:
-        output_tokens = min(int(hint), output_tokens)
+        output_tokens = min(int(hint), output_limit)
     except ValueError:
         pass
-    return max(prompt_tokens, 0), max(output_tokens, 0)
+    return max(prompt_tokens, 0), max(output_tokens, 0), max(output_limit, 0)
 
 
 def _to_seconds(milliseconds: bytes) -> float | None:
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -403,6 +403,25 @@
         response = self.run_scenario(self._stop_during_stream, _scenario)
         self._check_pipelined(response)
 
+    def test_cut(self):
+        """A request whose rest does not arrive in time is refused.
+
+        Its connection used to be closed without a response.
+        """
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(_get(b'/1')[:9])
+                await anyio.sleep(1)
+                self.server.close()
+                await anyio.sleep(1)
+                self.server.cut()
+                return await _receive_all(stream), anyio.current_time()
+
+        response, seconds = self.run_scenario(_respond, _scenario)
+        self.assertTrue(response.startswith(b'HTTP/1.1 408 '), response)
+        self.assertTrue(2 <= seconds < 3, seconds)
+
     def _check_pipelined(self, response):
         """Check that all requests were answered, the last with the close."""
         self.assertEqual(3, response.count(b'HTTP/1.1 200 '), response)
--- /dev/null
+++ b/tests/draining/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of planned stops."""
--- /dev/null
+++ b/tests/draining/test_drain.py
@@ -0,0 +1,143 @@
+"""Tests of the decision which requests a stopping process takes."""
+
+import itertools
+import math
+
+import testtools
+
+from nutmegtrail.draining import const
+from nutmegtrail.draining import drain
+from nutmegtrail.draining import models
+from nutmegtrail.draining import schedule
+
+_KIND = ('drafts', 'stream')
+_SIGNAL = 100.0
+_GRACE_SECONDS = 8.0
+_CUT_AT = _SIGNAL + _GRACE_SECONDS - const.MARGIN_SECONDS
+
+
+def _request(**changes):
+    """Return a request that may last for longer than the grace period."""
+    return models.Request(_KIND, math.inf)._replace(**changes)
+
+
+def _drain(seconds=(), **changes):
+    """Return a drain that has seen requests of some durations."""
+    decided = drain.Drain()
+    for number, lasted in enumerate(seconds):
+        started_at = _SIGNAL - lasted
+        decided.record_start(number, _request(**changes), started_at)
+        decided.record_end(number, _SIGNAL, is_answered=True)
+    return decided
+
+
+def _begin(decided):
+    """Return the drain after the signal."""
+    planned = schedule.plan(_SIGNAL, _GRACE_SECONDS)
+    decided.begin(_SIGNAL, planned.cut_at_seconds)
+    return decided
+
+
+def _needed(decided, now=_SIGNAL, **changes):
+    """Return how long a request is expected to take during a stop."""
+    return _CUT_AT - decided.latest_start(_request(**changes), now)
+
+
+class DrainTest(testtools.TestCase):
+    """Latest starts of requests."""
+
+    def test_no_stop(self):
+        """Without a stop, requests may start at any time."""
+        latest = _drain([99]).latest_start(_request(), _SIGNAL)
+        self.assertEqual(math.inf, latest)
+
+    def test_deadline(self):
+        """A request whose deadline is within the grace period always fits."""
+        decided = _begin(_drain([99]))
+        latest = decided.latest_start(
+            _request(deadline_seconds=_CUT_AT), _CUT_AT - 1
+        )
+        self.assertEqual(math.inf, latest)
+
+    def test_unknown_duration(self):
+        """Nothing is taken that may last, if no duration is known."""
+        decided = _begin(_drain())
+        self.assertEqual(math.inf, _needed(decided))
+
+    def test_other_kind(self):
+        """Durations of another kind tell nothing."""
+        decided = _begin(_drain([1], kind=('desk', 'once')))
+        self.assertEqual(math.inf, _needed(decided))
+
+    def test_known_duration(self):
+        """A request may take somewhat longer than the others."""
+        needed = _needed(_begin(_drain([1, 2, 1])))
+        self.assertTrue(2 < needed < 3, needed)
+
+    def test_old_duration(self):
+        """Durations are forgotten after a while."""
+        decided = _begin(_drain([2]))
+        now = _SIGNAL + const.MEMORY_SECONDS + 1
+        self.assertEqual(math.inf, _needed(decided, now))
+
+    def test_outlier(self):
+        """One request in a hundred that was held up does not count."""
+        needed = _needed(_begin(_drain((*itertools.repeat(1, 199), 7))))
+        self.assertTrue(1 < needed < 2, needed)
+
+    def test_outlier_of_requests_that_run_once(self):
+        """It does count for requests that must not be cut."""
+        decided = _begin(_drain((*itertools.repeat(1, 199), 7)))
+        needed = _needed(decided, runs_once=True)
+        self.assertTrue(needed > 7, needed)
+
+    def test_tokens(self):
+        """A request that allows more tokens than the others takes longer."""
+        decided = _begin(_drain([2], tokens=100))
+        needed = _needed(decided, tokens=300)
+        self.assertTrue(6 < needed < 9, needed)
+        needed = _needed(_begin(_drain([2], tokens=100)), tokens=50)
+        self.assertTrue(1 < needed < 2, needed)
+
+    def test_failed_request(self):
+        """Requests that were not answered tell no duration."""
+        decided = drain.Drain()
+        decided.record_start('a', _request(), _SIGNAL - 1)
+        decided.record_end('a', _SIGNAL, is_answered=False)
+        self.assertEqual(math.inf, _needed(_begin(decided)))
+
+    def test_overdue_request(self):
+        """A request that runs for longer than any before it is a warning.
+
+        Requests of two durations used to be taken by the shorter one.
+        """
+        decided = _drain(itertools.repeat(0.1, 9))
+        decided.record_start('long', _request(), _SIGNAL - 3)
+        needed = _needed(_begin(decided))
+        self.assertAlmostEqual(6, needed)
+
+    def test_usual_request_runs(self):
+        """A request that runs as long as usual is none."""
+        decided = _drain([3, 3])
+        decided.record_start('usual', _request(), _SIGNAL - 3)
+        needed = _needed(_begin(decided))
+        self.assertTrue(3 < needed < 4, needed)
+
+
+class ScheduleTest(testtools.TestCase):
+    """Times of a planned stop."""
+
+    def test_usual_grace(self):
+        """The listener closes once the balancer has noticed."""
+        planned = schedule.plan(_SIGNAL, _GRACE_SECONDS)
+        self.assertEqual(
+            _SIGNAL + const.NOTICE_SECONDS, planned.closed_at_seconds
+        )
+        self.assertEqual(_CUT_AT, planned.cut_at_seconds)
+
+    def test_any_grace(self):
+        """All times are in order and within the grace period."""
+        for grace_seconds in (0.1, 0.5, 1, 2, 3.6, 4, 30, 600):
+            planned = schedule.plan(_SIGNAL, grace_seconds)
+            times = (_SIGNAL, *planned, _SIGNAL + grace_seconds)
+            self.assertEqual(sorted(times), list(times), grace_seconds)
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -3,6 +3,7 @@
 import anyio
 import testtools
 
+from nutmegtrail.draining import models as draining_models
 from nutmegtrail.gateway import dispatcher
 from nutmegtrail.gateway import fleet
 from nutmegtrail.gateway import models
@@ -27,6 +28,16 @@
     )
 
 
+def _lasting_request(name, kind, **changes):
+    """Return a request that can wait for long, of a kind that may last."""
+    now = anyio.current_time()
+    return _queued_request(name)._replace(
+        latest_start_seconds=now + 99,
+        stoppable=draining_models.Request((kind,), now + 99),
+        **changes,
+    )
+
+
 class DispatcherTest(testtools.TestCase):
     """Dispatcher with one upstream that has two slots."""
 
@@ -379,6 +390,47 @@
 
         self._run(_scenario)
 
+    def test_waiting_requests_at_a_stop(self):
+        """Requests that wait are refused once they would not end in time.
+
+        They used to be sent during the grace period and cut at its end. A
+        stream that has begun is continued.
+        """
+
+        async def _scenario(tasks):
+            now = anyio.current_time()
+            for kind, seconds in (('short', 0.1), ('long', 5)):
+                request = draining_models.Request((kind,), now + 99)
+                self.dispatcher.drain.record_start(kind, request, now - seconds)
+                self.dispatcher.drain.record_end(kind, now, is_answered=True)
+            for name in ('r0', 'r1'):
+                tasks.start_soon(self._acquire, name)
+            await anyio.wait_all_tasks_blocked()
+            tasks.start_soon(self._acquire_lasting, 'short', False)
+            tasks.start_soon(self._acquire_lasting, 'long', False)
+            await anyio.wait_all_tasks_blocked()
+            self.dispatcher.drain.begin(now, now + 4)
+            self.dispatcher.dispatch_all()
+            await anyio.wait_all_tasks_blocked()
+            self.assertIsNone(self.outcomes['long'])
+            self.assertNotIn('short', self.outcomes)
+            self.dispatcher.release(self.outcomes['r0'].upstream, 'r0')
+            await anyio.wait_all_tasks_blocked()
+            self.assertIsNotNone(self.outcomes['short'])
+            await self._acquire_lasting('long', False)
+            self.assertIsNone(self.outcomes['long'])
+            self.dispatcher.release(self.outcomes['r1'].upstream, 'r1')
+            await self._acquire_lasting('long', True)
+            self.assertIsNotNone(self.outcomes['long'])
+
+        self._run(_scenario)
+
+    async def _acquire_lasting(self, kind, is_resumed):
+        """Record the candidate of a request that may last."""
+        self.outcomes[kind] = await self.dispatcher.acquire(
+            'drafts', _lasting_request(kind, kind, is_resumed=is_resumed)
+        )
+
     def test_refused_over_the_limit(self):
         """Pattern `burst`: requests over the queue limit are refused at once."""
 
