Ask once more whether a request fits before it is sent

A call that must not be repeated was sent 62 ms after the signal and cut at the end of a grace period of 1 s (502, its effect unknown). It had got its upstream before the signal, and opening the connection took longer.

What may be sent is decided when the connection is open, as for upstreams that leave meanwhile: a request that no longer fits is withdrawn, and refused as not run.

test_stop_while_connecting failed before: the request was sent.

--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -251,7 +251,7 @@
             request.body,
             needs_new_connection=not job.route.is_retryable,
             is_wanted=functools.partial(
-                self._dispatcher.confirm, upstream, opened.assignment.queue_id
+                _may_send, self._dispatcher, job, opened.assignment
             ),
             request_id=job.caller.request_id,
         )
@@ -525,6 +525,18 @@
         self._dispatcher.release(assignment.upstream, assignment.queue_id)
 
 
+def _may_send(
+    dispatcher: dispatching.Dispatcher,
+    job: jobs.Job,
+    assignment: opened_response.Assignment,
+) -> bool:
+    """Return whether an assigned request may still be sent."""
+    now = anyio.current_time()
+    latest_start = dispatcher.drain.latest_start(job.stoppable, now)
+    fits = job.delivery.has_sent_events or now <= latest_start
+    return fits and dispatcher.confirm(assignment.upstream, assignment.queue_id)
+
+
 def _is_closed(event: attempts.Event) -> bool:
     """Return whether an upstream closed the connection of an attempt."""
     return isinstance(event, attempts.Broken) and event.is_closed
--- a/tests/gateway/test_attempt_runner.py
+++ b/tests/gateway/test_attempt_runner.py
@@ -374,6 +374,21 @@
                 failures = path.dispatcher.upstream_health
                 self.assertEqual({}, dict(failures.failure_records_by_id))
 
+    def test_stop_while_connecting(self):
+        """A request that no longer fits before a planned stop is not sent.
+
+        It was sent if the signal came while its connection was opened.
+        """
+        path = scripted_path.Path(
+            ((0.2, scripted_path.CONNECTED, 200, b'no'),),
+            kind=models.RouteKind.ONCE,
+        )
+        begin = functools.partial(path.dispatcher.drain.begin, 0.1, 2)
+        outcome = path.run((0.1, begin))
+        self.assertIs(attempts.Outcome.NOT_RUN, outcome.outcome)
+        self.assertEqual([], path.client.sent_ports)
+        self.assert_released(path)
+
     def test_no_other_upstream(self):
         """The request has not run, and is refused as such."""
         path = scripted_path.Path(
