Accept connections while a planned stop waits for requests

With all entries stopped within half a second of each other, callers found nobody from 3.5 s after the signal on: each entry closed its listener and still waited for its last streams, 1.3 s and more, before it ended and started again.

The listener stays open until the requests have ended that ran when the balancer had noticed the stop. What arrives by then is asked whether it fits, like all requests, so the stop does not end later for it.

test_new_connections_while_requests_run failed before: nothing was served later than 4 s after the signal.

--- a/nutmegtrail/adapters/http1/const.py
+++ b/nutmegtrail/adapters/http1/const.py
@@ -19,6 +19,7 @@
 # because it is not retransmitted within a second.
 CONNECT_TIMEOUT_SECONDS: typing.Final = 0.3
 CLIENT_WRITE_TIMEOUT_SECONDS: typing.Final = 10.0
+OPEN_REQUESTS_POLL_SECONDS: typing.Final = 0.02
 ARRIVED_BYTES_TIMEOUT_SECONDS: typing.Final = 0.001
 
 # The process waits for these responses before it exits.
--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -138,6 +138,7 @@
         self._accept_scope: anyio.CancelScope | None = None
         self._idle_scopes: set[anyio.CancelScope] = set()
         self._partial_scopes: set[anyio.CancelScope] = set()
+        self._open_exchanges: set[Exchange] = set()
         self.is_stopping = False
         self.is_closed = False
         self.is_cut = False
@@ -181,6 +182,12 @@
                 )
             await anyio.sleep(const.ACCEPT_RETRY_SECONDS)
 
+    async def wait_for_open_requests(self) -> None:
+        """Wait until the requests that are handled now have ended."""
+        awaited = frozenset(self._open_exchanges)
+        while awaited & self._open_exchanges:
+            await anyio.sleep(const.OPEN_REQUESTS_POLL_SECONDS)
+
     def stop(self) -> None:
         """Close connections after their requests that have been received."""
         self.is_stopping = True
@@ -359,6 +366,7 @@
             self._must_close,
         )
         cancelled_error = anyio.get_cancelled_exc_class()
+        self._server._open_exchanges.add(exchange)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._watch_for_disconnect, tasks.cancel_scope)
@@ -370,6 +378,8 @@
         except Exception:
             logs.failure('request:failed', address=str(self._server.address))
             await self._respond_with_error(exchange)
+        finally:
+            self._server._open_exchanges.discard(exchange)
         return exchange.is_complete and exchange.keep_alive
 
     def _must_close(self) -> bool:
--- a/nutmegtrail/draining/schedule.py
+++ b/nutmegtrail/draining/schedule.py
@@ -8,12 +8,14 @@
 class Schedule(typing.NamedTuple):
     """Times of a planned stop.
 
-    New connections are accepted until `closed_at_seconds`. Requests that still
+    The balancer sends no new connections after `noticed_at_seconds`, unless
+    other entries stop, too: they are accepted for as long as requests run that
+    were taken by then. Requests that still
     run at `cut_at_seconds` are given up, and their final responses are sent by
     `ended_at_seconds`.
     """
 
-    closed_at_seconds: float
+    noticed_at_seconds: float
     cut_at_seconds: float
     ended_at_seconds: float
 
@@ -24,5 +26,5 @@
         const.MARGIN_SECONDS, grace_seconds * const.MAX_MARGIN_RATIO
     )
     cut_at = signalled_at_seconds + grace_seconds - margin_seconds
-    closed_at = min(signalled_at_seconds + const.NOTICE_SECONDS, cut_at)
-    return Schedule(closed_at, cut_at, cut_at + margin_seconds / 2)
+    noticed_at = min(signalled_at_seconds + const.NOTICE_SECONDS, cut_at)
+    return Schedule(noticed_at, cut_at, cut_at + margin_seconds / 2)
--- a/nutmegtrail/gateway/daemon.py
+++ b/nutmegtrail/gateway/daemon.py
@@ -176,7 +176,9 @@
         )
         dispatcher.dispatch_all()
         tasks.start_soon(self._cut, planned.cut_at_seconds)
-        await anyio.sleep_until(planned.closed_at_seconds)
+        await anyio.sleep_until(planned.noticed_at_seconds)
+        with anyio.CancelScope(deadline=planned.cut_at_seconds):
+            await self._caller_server.wait_for_open_requests()
         self._caller_server.close()
         callers.cancel_scope.deadline = planned.ended_at_seconds
 
--- a/tests/draining/test_drain.py
+++ b/tests/draining/test_drain.py
@@ -128,10 +128,10 @@
     """Times of a planned stop."""
 
     def test_usual_grace(self):
-        """The listener closes once the balancer has noticed."""
+        """The listener stays open until the balancer has noticed."""
         planned = schedule.plan(_SIGNAL, _GRACE_SECONDS)
         self.assertEqual(
-            _SIGNAL + const.NOTICE_SECONDS, planned.closed_at_seconds
+            _SIGNAL + const.NOTICE_SECONDS, planned.noticed_at_seconds
         )
         self.assertEqual(_CUT_AT, planned.cut_at_seconds)
 
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -133,6 +133,17 @@
             self.assertEqual([], self._late(replies[load], -9, _NOT_RUN))
             self.assertTrue(self._late(replies[load], 2, 200))
 
+    def test_new_connections_while_requests_run(self):
+        """The entry is there for new connections while it has to wait.
+
+        Where all entries stopped at once, callers found nobody while these
+        waited for their last streams.
+        """
+        streams = _stream(6)
+        calls = _call(0.1)
+        replies = self._stop(streams, calls)
+        self.assertTrue(self._late(replies[calls], 4, 200))
+
     def test_short_grace(self):
         """The grace period may be shorter than the balancer's reaction."""
         streams = _stream(1.2)
