Refuse less of what fits into the rest of a planned stop

With steady streams of 6 s and a grace period of 8 s, none was taken after the signal, though those of the first 1.6 s would have ended in time: a quarter was added to the longest durations of the last minute. A tenth is added now; durations that grow are noticed by the requests that run.

--- a/nutmegtrail/draining/const.py
+++ b/nutmegtrail/draining/const.py
@@ -16,7 +16,7 @@
 # A single request that was held up says little about the others.
 DURATION_QUANTILE: typing.Final = 0.99
 # Requests may take longer than those before them.
-DURATION_RATIO: typing.Final = 1.25
+DURATION_RATIO: typing.Final = 1.1
 DURATION_RESERVE_SECONDS: typing.Final = 0.1
 REFRESH_SECONDS: typing.Final = 0.1
 # A request that runs for longer than any before it is taken to be half done.
