Withhold the end of a stream that nobody completes

Behind sidecars, a stream that no engine could resume ended with an error event and the last chunk, so its framing said that it was whole. A caller that does not know the event took it for that. The event is sent as before, and the connection closes without the last chunk, as on the users' platform.

Before the change, test_stream_that_nobody_completes read a whole body where None was expected. test_stream_ends_with_an_error_event now expects the broken framing besides the event: it had accepted a whole response.

--- a/nutmegtrail/daemons/request_flow.py
+++ b/nutmegtrail/daemons/request_flow.py
@@ -308,19 +308,19 @@
         )
 
     async def _end_partial_response(self, reason: retry_models.Reason) -> None:
-        """End an event stream with an error event; abort other responses."""
-        if not self._content_type.startswith(http_const.CONTENT_TYPE_EVENTS):
-            raise http_errors.ClientDisconnected(
-                'the upstream response is incomplete'
+        """Abort a response; an error event tells why a stream ends."""
+        if self._content_type.startswith(http_const.CONTENT_TYPE_EVENTS):
+            problem = problems.create_problem(
+                reason,
+                'the answer was cut and could not be resumed',
+                self._request.request_id,
+                self._dependencies.generator,
             )
-        problem = problems.create_problem(
-            reason,
-            'the answer was cut and could not be resumed',
-            self._request.request_id,
-            self._dependencies.generator,
+            event = b''.join((b'event: error\ndata: ', problem.body, b'\n\n'))
+            await self._exchange.write(event, more=True)
+        raise http_errors.ClientDisconnected(
+            'the upstream response is incomplete'
         )
-        event = b''.join((b'event: error\ndata: ', problem.body, b'\n\n'))
-        await self._exchange.write(event, more=False)
 
     def _remaining_seconds(self) -> float:
         """Return the seconds left until the deadline."""
--- /dev/null
+++ b/tests/daemons/test_cut_answers.py
@@ -0,0 +1,399 @@
+"""Answers that engines cut, on the path with sidecars.
+
+A caller's HTTP connection, the delivery of an entry, the executors of two
+sidecars and the connections to their engines are real; the messages between
+entry and sidecars are passed on directly.
+"""
+
+import functools
+import http.client
+import io
+import random
+import socket
+import struct
+
+import anyio
+import anyio.abc
+import testtools
+
+from nutmegtrail import models as shared_models
+from nutmegtrail.adapters.http import server
+from nutmegtrail.adapters.upstream_http import client
+from nutmegtrail.contracts import credentials
+from nutmegtrail.daemons import inbound_request
+from nutmegtrail.daemons import request_flow
+from nutmegtrail.daemons import sidecar_calls
+from nutmegtrail.daemons import sidecar_pool
+from nutmegtrail.limits import models as limit_models
+from nutmegtrail.observability import metrics
+from nutmegtrail.ports import host_list
+from nutmegtrail.wire import models
+from tests import loopback
+
+_WAIT_SECONDS = 60
+_BEFORE_RESET_SECONDS = 0.01
+_RESET_STRIDE = 9
+_LINGER = struct.pack('ii', 1, 0)
+_HEAD = b'HTTP/1.1 200 OK\r\nX-A: 1\r\n'
+_PLAIN_TYPE = b'Content-Type: text/plain\r\n'
+_STREAM_TYPE = b'Content-Type: text/event-stream\r\n'
+_CHUNKED = b'Transfer-Encoding: chunked\r\n'
+_PLAIN = b'booked-and-paid'
+_EVENTS = tuple(b'data: %d\n\n' % number for number in range(3))
+_STREAM = b''.join(_EVENTS)
+_REPEATED = 200
+_UNKNOWN = 502
+
+
+def _with_length(body, content_type=_PLAIN_TYPE, before=b''):
+    """Return a whole answer with a content length."""
+    length = b'Content-Length: %d\r\n\r\n' % len(body)
+    return before + _HEAD + content_type + length + body
+
+
+def _in_chunks(parts, content_type=_PLAIN_TYPE, trailer=b''):
+    """Return a whole answer in chunks."""
+    chunks = b''.join(b'%x\r\n%b\r\n' % (len(part), part) for part in parts)
+    head = _HEAD + content_type + _CHUNKED + b'\r\n'
+    return head + chunks + b'0\r\n' + trailer + b'\r\n'
+
+
+class _Engine:
+    """Gives answers in turn and closes or resets each connection."""
+
+    def __init__(self):
+        """Initialize an engine without answers."""
+        self.address = loopback.free_address()
+        self.answers = []
+        self.requests = []
+        self.is_reset = False
+
+    async def serve(self, stream):
+        """Answer one request."""
+        async with stream:
+            received = await stream.receive()
+            while b'\r\n\r\n' not in received:
+                received += await stream.receive()
+            self.requests.append(received)
+            answer = self.answers.pop(0)
+            if answer:
+                await stream.send(answer)
+            if self.is_reset:
+                await anyio.sleep(_BEFORE_RESET_SECONDS)
+                raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
+
+
+class _Pool:
+    """Passes messages to the sidecars directly.
+
+    A sidecar in `ended` loses its connections before the end of a response
+    and accepts none any more.
+    """
+
+    def __init__(self, executors):
+        """Initialize the pool."""
+        self._executors = executors
+        self.ended = set()
+
+    def open_call(self, request_id):
+        """Return a pending call."""
+        return sidecar_pool.PendingCall(request_id)
+
+    def close_call(self, pending):
+        """End a call."""
+
+    def cancel_call(self, pending):
+        """Cancel nothing; engines answer at once."""
+
+    async def send(self, host, pending, message):
+        """Give a call to a sidecar."""
+        if host.upstream in self.ended and message.attempt > 1:
+            raise sidecar_pool.client.errors.ConnectionLost
+        pending.begin_attempt(message.attempt, host.address)
+
+        def _reply(reply):
+            is_end = isinstance(reply, models.Chunk) and reply.final
+            if is_end and host.upstream in self.ended:
+                reply = sidecar_pool.delivery_models.Lost()
+            pending.put(reply)
+
+        self._executors[host.upstream].accept(message, _reply)
+
+
+class _Selector:
+    """Selects the first sidecar that has not failed."""
+
+    def __init__(self, names):
+        """Initialize the selector."""
+        self._names = names
+
+    def select(self, request, preferred, failed):
+        """Return a sidecar, None without one."""
+        for name in self._names:
+            if name not in failed and preferred in {'', name}:
+                return host_list.Host(
+                    name,
+                    'kandla-a',
+                    'sidecar',
+                    shared_models.Address('127.0.0.1', 1),
+                    name,
+                    'desk',
+                    leaving=False,
+                    http_address=shared_models.Address('127.0.0.1', 2),
+                )
+        return None
+
+    def is_quarantined(self, request):
+        """Return whether a request is quarantined."""
+        return False
+
+    is_suspect = is_quarantined
+
+    def record_success(self, *facts):
+        """Record nothing."""
+
+    record_start = record_success
+    record_end = record_success
+    record_refusal = record_success
+    record_connection_failure = record_success
+
+
+class _Budgets:
+    """Retry budget that is never spent."""
+
+    def record_request(self, service):
+        """Record nothing."""
+
+    async def wait(self, retry, seconds):
+        """Return whether a retry may be sent."""
+        return True
+
+    def spend(self, retry):
+        """Return whether a retry was granted."""
+        return True
+
+
+class _Received:
+    """Socket from which received bytes are read."""
+
+    def __init__(self, received):
+        """Initialize the socket."""
+        self._received = received
+
+    def makefile(self, _):
+        """Return the received bytes as a file."""
+        return io.BytesIO(self._received)
+
+
+class _Reply:
+    """What a caller received; `body` is None unless it looks complete."""
+
+    def __init__(self, received):
+        """Parse the received bytes."""
+        response = http.client.HTTPResponse(_Received(received))
+        self.raw = received
+        self.status = None
+        self.body = None
+        try:
+            response.begin()
+            self.status = response.status
+            self.body = response.read()
+        except http.client.HTTPException:
+            return
+
+
+class _Path:
+    """Two engines with sidecars, and an entry with its server."""
+
+    def __init__(self, tasks):
+        """Initialize the path; nothing listens."""
+        self.engines = {'e-1': _Engine(), 'e-2': _Engine()}
+        self.is_idempotent = True
+        self._number = 0
+        self._tasks = tasks
+        executors = {
+            name: sidecar_calls.CallExecutor(
+                name,
+                4,
+                client.HttpUpstream(engine.address),
+                metrics.Metrics(),
+                tasks,
+            )
+            for name, engine in self.engines.items()
+        }
+        self.pool = _Pool(executors)
+        self._dependencies = request_flow.FlowDependencies(
+            self.pool,
+            _Selector(tuple(self.engines)),
+            _Budgets(),
+            metrics.Metrics(),
+            random.Random(1),
+        )
+        self._address = loopback.free_address()
+        self._server = server.Server(self._address, self._serve)
+
+    async def start(self):
+        """Listen."""
+        for engine in self.engines.values():
+            listener = await anyio.create_tcp_listener(
+                local_host=engine.address.ip, local_port=engine.address.port
+            )
+            self._tasks.start_soon(listener.serve, engine.serve)
+        self._tasks.start_soon(self._server.serve)
+        while True:
+            try:
+                stream = await self._connect()
+            except OSError:
+                await anyio.sleep(0.01)
+            else:
+                await stream.aclose()
+                return
+
+    async def close(self):
+        """Stop the entry's server, which cannot be cancelled."""
+        await self._server.close()
+
+    async def ask(self, *answers, is_reset=False):
+        """Let the engines give these answers; return the caller's reply."""
+        for engine, answer in zip(self.engines.values(), answers):
+            engine.requests.clear()
+            engine.answers = [answer]
+            engine.is_reset = False
+        self.engines['e-1'].is_reset = is_reset
+        received = b''
+        async with await self._connect() as stream:
+            await stream.send(
+                b'POST /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n'
+                b'Content-Length: 0\r\n\r\n'
+            )
+            try:
+                while True:
+                    received += await stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return _Reply(received)
+
+    def run_count(self):
+        """Return how many requests the engines read."""
+        return sum(len(engine.requests) for engine in self.engines.values())
+
+    async def _connect(self):
+        """Return a connection to the entry."""
+        return await anyio.connect_tcp(self._address.ip, self._address.port)
+
+    async def _serve(self, exchange):
+        """Deliver a request of a caller."""
+        self._number += 1
+        request = inbound_request.InboundRequest(
+            f'r{self._number}',
+            credentials.Caller('agency', _Contract()),
+            'desk',
+            'POST',
+            '/a',
+            'text/plain',
+            b'body',
+            '',
+            self.is_idempotent,
+            limit_models.Amount(1, 0),
+        )
+        await request_flow.RequestFlow(
+            request, exchange, self._dependencies
+        ).run()
+
+
+class _Contract:
+    """Contract of the callers."""
+
+    priority = 1
+    share_weight = 1.0
+
+
+class CutAnswersTest(testtools.TestCase):
+    """Callers get a whole answer or one that does not look complete."""
+
+    def _run(self, scenario):
+        """Run a scenario on a started path."""
+
+        async def _main():
+            with anyio.fail_after(_WAIT_SECONDS):
+                async with anyio.create_task_group() as tasks:
+                    path = _Path(tasks)
+                    await path.start()
+                    try:
+                        await scenario(path)
+                    finally:
+                        await path.close()
+                    tasks.cancel_scope.cancel()
+
+        anyio.run(_main)
+
+    def _check_cuts(self, whole, expected, is_idempotent, is_reset):
+        """Check an answer that is cut at each of its bytes."""
+
+        async def _scenario(path):
+            path.is_idempotent = is_idempotent
+            stride = _RESET_STRIDE if is_reset else 1
+            for end in range(0, len(whole), stride):
+                reply = await path.ask(
+                    whole[:end],
+                    _with_length(b'second', b'Content-Type: a/b\r\n'),
+                    is_reset=is_reset,
+                )
+                details = (whole[:end], reply.raw)
+                self.assertEqual(expected, reply.status, details)
+                if is_idempotent:
+                    self.assertEqual(b'second', reply.body, details)
+                else:
+                    self.assertIn(b'outcome-unknown', reply.body, details)
+                    self.assertEqual(1, path.run_count(), details)
+
+        self._run(_scenario)
+
+    def test_ambiguous_heads(self):
+        """Framing that can be read in two ways gives no answer."""
+        for line in (
+            b'Content-Length: 6\r\nContent-Length: 15\r\n',
+            b'Content-Length: 1\r\n 5\r\n',
+            b'Content-Length:\r\n',
+            b'Content-Length : 15\r\n',
+            b'Transfer-Encoding: gzip\r\n',
+        ):
+            whole = b''.join((_HEAD, line, b'\r\n', _PLAIN))
+            self._run(functools.partial(self._check_refused, whole))
+
+    async def _check_refused(self, answer, path):
+        """Check that an answer is taken for none."""
+        reply = await path.ask(answer, _with_length(b'second'))
+        self.assertEqual((200, b'second'), (reply.status, reply.body))
+
+    def test_cut_streams(self):
+        """A cut stream goes on elsewhere, without an event lost or doubled."""
+        for whole in (
+            _with_length(_STREAM, _STREAM_TYPE),
+            _in_chunks(_EVENTS, _STREAM_TYPE),
+        ):
+            self._run(functools.partial(self._check_stream, whole))
+
+    async def _check_stream(self, whole, path):
+        """Check a stream that is cut at each of its bytes."""
+        for removed in range(1, len(whole) + 1):
+            cut = whole[:-removed]
+            sent = sum(event in cut for event in _EVENTS)
+            rest = b''.join(_EVENTS[sent:]) or b': end\n\n'
+            reply = await path.ask(cut, _with_length(rest, _STREAM_TYPE))
+            expected = b''.join(_EVENTS[:sent]) + rest
+            self.assertEqual((200, expected), (reply.status, reply.body), cut)
+            resumed = path.engines['e-2'].requests[0]
+            self.assertIn(b'x-resume-offset: %d\r\n' % sent, resumed)
+
+    def test_stream_that_nobody_completes(self):
+        """Its end used to be framed like that of a whole stream."""
+
+        async def _scenario(path):
+            cut = _in_chunks(_EVENTS, _STREAM_TYPE)[:-8]
+            head = _in_chunks((), _STREAM_TYPE)[:-5]
+            reply = await path.ask(cut, head)
+            self.assertEqual((200, None), (reply.status, reply.body))
+            self.assertIn(b'event: error\n', reply.raw)
+
+        self._run(_scenario)
--- a/tests/daemons/test_processes.py
+++ b/tests/daemons/test_processes.py
@@ -455,15 +455,16 @@
     """Streams that no upstream can resume."""
 
     def test_stream_ends_with_an_error_event(self):
-        """An error event tells the caller that its answer is incomplete."""
+        """An error event tells why, and the framing that it is incomplete."""
         lines = []
         with self.stream('entry-a', _chat('cut', 300)) as response:
-            for line in response.iter_lines():
-                lines.append(line)
-                if len(lines) == 10:
-                    for index in _INDEXES:
-                        name = f'engine-{index}'
-                        self.deployment.send_signal(name, signal.SIGKILL)
+            with testtools.ExpectedException(httpx.RemoteProtocolError):
+                for line in response.iter_lines():
+                    lines.append(line)
+                    if len(lines) == 10:
+                        for index in _INDEXES:
+                            name = f'engine-{index}'
+                            self.deployment.send_signal(name, signal.SIGKILL)
         self.assertIn('event: error', lines)
         self.assertIn('urn:nutmegtrail:', lines[-2])
 
