Send a caller the head of the attempt whose body follows

Behind sidecars, an engine that was cut after its head and repeated at one that failed gave the caller a 200 with the body of the failure, framed as whole. The entry sent the head when it arrived, and only the body of the next attempt. A call that must not be repeated got a broken 200 instead of 502.

The head is sent with the first part of the body now, so an attempt that breaks before leaves nothing behind. An attempt with another status or content type than the caller has does not continue the response; it counts as interrupted.

The tests cut an answer with a length, one in chunks and one after an interim answer at each byte, with closes and resets.

--- a/nutmegtrail/daemons/request_flow.py
+++ b/nutmegtrail/daemons/request_flow.py
@@ -25,6 +25,8 @@
 from nutmegtrail.wire import errors as wire_errors
 from nutmegtrail.wire import models
 
+_Reason: typing.TypeAlias = retry_models.Reason
+
 
 class FlowDependencies(typing.NamedTuple):
     """Components shared by all request flows of an entry."""
@@ -55,7 +57,7 @@
             self._started_at_seconds + shared_const.REQUEST_TIMEOUT_SECONDS
         )
         self._last_write_at_seconds = 0.0
-        self._content_type = ''
+        self._head: models.Head | None = None
         self._delivery = delivery_models.Delivery(
             idempotent=request.idempotent,
             has_idempotency_key=bool(request.idempotency_key),
@@ -115,7 +117,7 @@
         `failure` is how the attempt before it failed.
         """
         if self._dependencies.selector.is_quarantined(self._request):
-            return delivery_models.Refused(retry_models.Reason.QUARANTINED)
+            return delivery_models.Refused(_Reason.QUARANTINED)
         host = await self._acquire(ask, failure)
         if host is None:
             return delivery_models.NoUpstream()
@@ -183,28 +185,47 @@
         """Forward the response; return why it broke off, or None at its end."""
         while True:
             reply = await self._pending.get()
-            if isinstance(reply, models.Head):
-                await self._forward_head(reply)
-            elif isinstance(reply, models.Chunk):
-                if reply.offset > self._delivery.next_offset:
-                    return delivery_models.Lost()
-                if reply.final:
-                    await self._exchange.write(b'', more=False)
-                    return None
-                await self._forward_chunk(reply)
-            else:
-                return self._record_failure(reply)
-
-    async def _forward_head(self, head: models.Head) -> None:
-        """Send the status and headers unless an earlier attempt has."""
-        if self._delivery.is_response_started:
+            event = await self._forward(reply)
+            if event is not None or _is_final(reply):
+                return event
+
+    async def _forward(
+        self, reply: sidecar_pool.Reply
+    ) -> delivery_models.Event | None:
+        """Forward a part of the response; return the failure that it means."""
+        if isinstance(reply, models.Head):
+            return self._check_head(reply)
+        if not isinstance(reply, models.Chunk):
+            return self._record_failure(reply)
+        if reply.offset > self._delivery.next_offset:
+            return delivery_models.Lost()
+        if reply.final:
+            await self._start_response()
+            await self._exchange.write(b'', more=False)
+        else:
+            await self._forward_chunk(reply)
+        return None
+
+    def _check_head(self, head: models.Head) -> delivery_models.Event | None:
+        """Return a failure if the attempt does not continue the response.
+
+        The caller has the status and content type of an earlier attempt then.
+        """
+        if not self._delivery.is_response_started or self._head is None:
+            self._head = head
+        elif _kind(head) != _kind(self._head):
+            return delivery_models.Refused(_Reason.INTERRUPTED)
+        return None
+
+    async def _start_response(self) -> None:
+        """Send the head of the attempt whose body is sent first."""
+        if self._delivery.is_response_started or self._head is None:
             return
         self._delivery = self._delivery._replace(is_response_started=True)
-        self._content_type = head.content_type
         request_id = ('x-request-id', self._request.request_id)
         await self._exchange.start(
-            head.status,
-            head.content_type,
+            self._head.status,
+            self._head.content_type,
             (request_id,),
         )
 
@@ -220,6 +241,7 @@
                 )
             chunk = self._pending.get_nowait()
         if payload:
+            await self._start_response()
             await self._exchange.write(bytes(payload), more=True)
             self._observe_write()
         if chunk is not None:
@@ -309,7 +331,8 @@
 
     async def _end_partial_response(self, reason: retry_models.Reason) -> None:
         """Abort a response; an error event tells why a stream ends."""
-        if self._content_type.startswith(http_const.CONTENT_TYPE_EVENTS):
+        content_type = '' if self._head is None else self._head.content_type
+        if content_type.startswith(http_const.CONTENT_TYPE_EVENTS):
             problem = problems.create_problem(
                 reason,
                 'the answer was cut and could not be resumed',
@@ -362,6 +385,16 @@
         )
 
 
+def _kind(head: models.Head) -> tuple[int, str]:
+    """Return what the attempts of one response have in common."""
+    return head.status, head.content_type
+
+
+def _is_final(reply: sidecar_pool.Reply) -> bool:
+    """Return whether a reply ends the response."""
+    return isinstance(reply, models.Chunk) and reply.final
+
+
 def _is_lost(event: delivery_models.Event) -> bool:
     """Return whether the connection was lost before a reply."""
     return isinstance(event, delivery_models.Lost)
--- a/tests/daemons/test_cut_answers.py
+++ b/tests/daemons/test_cut_answers.py
@@ -349,6 +349,23 @@
 
         self._run(_scenario)
 
+    def test_cut_plain_answers(self):
+        """A cut answer taken as whole would lose its body."""
+        for whole in (
+            _with_length(_PLAIN),
+            _in_chunks((_PLAIN[:3], _PLAIN[3:]), trailer=b'X-B: 2\r\n'),
+            _with_length(_PLAIN, before=b'HTTP/1.1 103 Early\r\n\r\n'),
+        ):
+            for is_reset in (False, True):
+                self._check_cuts(whole, _REPEATED, True, is_reset)
+                self._check_cuts(whole, _UNKNOWN, False, is_reset)
+
+    def test_head_without_length(self):
+        """A head cut before its end is not one whose body ends at the close."""
+        whole = _HEAD + _PLAIN_TYPE + b'\r\n'
+        self._check_cuts(whole, _REPEATED, True, is_reset=False)
+        self._check_cuts(whole, _UNKNOWN, False, is_reset=False)
+
     def test_ambiguous_heads(self):
         """Framing that can be read in two ways gives no answer."""
         for line in (
@@ -397,3 +414,19 @@
             self.assertIn(b'event: error\n', reply.raw)
 
         self._run(_scenario)
+
+    def test_head_of_another_attempt(self):
+        """A failure's body used to be sent under a cut answer's status."""
+
+        async def _scenario(path):
+            failure = _with_length(b'failed').replace(b'200 OK', b'500 Error')
+            for end in (len(_PLAIN) + 1, 1):
+                reply = await path.ask(_with_length(_PLAIN)[:-end], failure)
+                self.assertEqual((500, b'failed'), (reply.status, reply.body))
+            cut = _with_length(_STREAM, _STREAM_TYPE)[:-1]
+            reply = await path.ask(cut, failure)
+            self.assertEqual(200, reply.status)
+            self.assertIsNone(reply.body)
+            self.assertNotIn(b'failed', reply.raw)
+
+        self._run(_scenario)
