Split streams of sidecars like those of entries

Behind sidecars, streams whose lines end with a carriage return and a line feed were taken for cut ones, tried at each engine and given up. The sidecar split events by itself, at two line feeds only, and without a limit on their size. It uses the splitter of the entries now, which knows both line ends and has a limit.

Before the change, test_lines_with_carriage_returns got a problem document instead of the events.

--- a/nutmegtrail/adapters/upstream_http/client.py
+++ b/nutmegtrail/adapters/upstream_http/client.py
@@ -8,10 +8,11 @@
 
 from nutmegtrail import const as shared_const
 from nutmegtrail import models as shared_models
+from nutmegtrail.adapters.http1 import errors as http_errors
+from nutmegtrail.gateway import events as event_streams
 from nutmegtrail.ports import upstream
 from nutmegtrail.wire import models
 
-_EVENT_SEPARATOR: typing.Final = b'\n\n'
 _EVENT_STREAM: typing.Final = 'text/event-stream'
 _CONNECT_TIMEOUT_SECONDS: typing.Final = 1.0
 _KEEP_ALIVE_CONNECTIONS_LIMIT: typing.Final = 64
@@ -118,16 +119,14 @@
     response: httpx.Response,
 ) -> collections.abc.AsyncIterator[bytes]:
     """Yield each server-sent event with its trailing blank line."""
-    buffer = b''
+    splitter = event_streams.Splitter()
     try:
-        async for chunk in response.aiter_raw():
-            buffer += chunk
-            *events, buffer = buffer.split(_EVENT_SEPARATOR)
-            for event in events:
-                yield event + _EVENT_SEPARATOR
-    except httpx.HTTPError as error:
+        async for part in response.aiter_raw():
+            for event in splitter.feed(part):
+                yield event
+    except (httpx.HTTPError, http_errors.ExchangeBroken) as error:
         raise upstream.Interrupted(str(error)) from error
-    if buffer:
+    if splitter.has_partial_event:
         raise upstream.Interrupted(
             'the event stream ended in the middle of an event'
         )
@@ -138,6 +137,7 @@
 ) -> collections.abc.AsyncIterator[bytes]:
     """Yield the complete body as a single event."""
     try:
-        yield await response.aread()
+        body = await response.aread()
     except httpx.HTTPError as error:
         raise upstream.Interrupted(str(error)) from error
+    yield body
--- a/tests/daemons/test_cut_answers.py
+++ b/tests/daemons/test_cut_answers.py
@@ -415,6 +415,16 @@
 
         self._run(_scenario)
 
+    def test_lines_with_carriage_returns(self):
+        """Streams with such lines used to be taken for cut ones."""
+
+        async def _scenario(path):
+            events = _STREAM.replace(b'\n', b'\r\n')
+            reply = await path.ask(_with_length(events, _STREAM_TYPE), b'')
+            self.assertEqual((200, events), (reply.status, reply.body))
+
+        self._run(_scenario)
+
     def test_head_of_another_attempt(self):
         """A failure's body used to be sent under a cut answer's status."""
 
