Repeat streams that end before their first event

Behind sidecars, an engine that closed after the head of a stream without a length gave the caller a 200 with an empty body, framed as whole. The sidecar took the close for the end. A stream without any event counts as interrupted now, as on the users' platform.

Before the change, test_stream_without_events: (200, <three events>) != (200, b'').

--- a/nutmegtrail/adapters/upstream_http/client.py
+++ b/nutmegtrail/adapters/upstream_http/client.py
@@ -120,9 +120,11 @@
 ) -> collections.abc.AsyncIterator[bytes]:
     """Yield each server-sent event with its trailing blank line."""
     splitter = event_streams.Splitter()
+    has_events = False
     try:
         async for part in response.aiter_raw():
             for event in splitter.feed(part):
+                has_events = True
                 yield event
     except (httpx.HTTPError, http_errors.ExchangeBroken) as error:
         raise upstream.Interrupted(str(error)) from error
@@ -130,6 +132,8 @@
         raise upstream.Interrupted(
             'the event stream ended in the middle of an event'
         )
+    if not has_events:
+        raise upstream.Interrupted('the event stream has no events')
 
 
 async def _body_as_event(
--- a/tests/daemons/test_cut_answers.py
+++ b/tests/daemons/test_cut_answers.py
@@ -415,6 +415,22 @@
 
         self._run(_scenario)
 
+    def test_stream_without_events(self):
+        """A stream that ends before its first event used to be whole."""
+
+        async def _scenario(path):
+            for answer in (
+                _HEAD + _STREAM_TYPE + b'\r\n',
+                _with_length(b'', _STREAM_TYPE),
+                _in_chunks((), _STREAM_TYPE),
+            ):
+                reply = await path.ask(
+                    answer, _with_length(_STREAM, _STREAM_TYPE)
+                )
+                self.assertEqual((200, _STREAM), (reply.status, reply.body))
+
+        self._run(_scenario)
+
     def test_lines_with_carriage_returns(self):
         """Streams with such lines used to be taken for cut ones."""
 
