Take no encoded bodies from the upstreams of sidecars

Behind sidecars, an engine that closed inside a compressed body without a length gave the caller a 200 with an empty or short body, framed as whole: the client asked for compressed bodies and its decoder accepts any start of one. Compressed streams were passed on without the header that says so. The sidecar asks for plain bodies now and takes others for an interrupted answer.

Before the change, test_encoded_body: (200, b'second') != (200, b'').

--- a/nutmegtrail/adapters/upstream_http/client.py
+++ b/nutmegtrail/adapters/upstream_http/client.py
@@ -14,6 +14,8 @@
 from nutmegtrail.wire import models
 
 _EVENT_STREAM: typing.Final = 'text/event-stream'
+# The end of an encoded body without a length cannot be checked.
+_IDENTITY: typing.Final = 'identity'
 _CONNECT_TIMEOUT_SECONDS: typing.Final = 1.0
 _KEEP_ALIVE_CONNECTIONS_LIMIT: typing.Final = 64
 _PROBE_TIMEOUT_SECONDS: typing.Final = 2.0
@@ -94,6 +96,7 @@
 def _headers(call: models.Call) -> dict[str, str]:
     """Return the headers of the request to an upstream."""
     headers = {
+        'accept-encoding': _IDENTITY,
         'content-type': call.content_type,
         'x-request-id': call.request_id,
         'x-client-account': call.client_account,
@@ -106,7 +109,10 @@
 
 
 def _convert_response(response: httpx.Response) -> upstream.Response:
-    """Convert an HTTP response to the type of the port."""
+    """Convert an HTTP response; raise Interrupted if its body is encoded."""
+    encoding = response.headers.get('content-encoding', _IDENTITY)
+    if encoding.lower() != _IDENTITY:
+        raise upstream.Interrupted(f'the body is encoded: {encoding}')
     content_type = response.headers.get('content-type', '')
     if content_type.startswith(_EVENT_STREAM):
         events = _stream_events(response)
--- a/tests/daemons/test_cut_answers.py
+++ b/tests/daemons/test_cut_answers.py
@@ -43,6 +43,8 @@
 _STREAM = b''.join(_EVENTS)
 _REPEATED = 200
 _UNKNOWN = 502
+# Deflated text of which any start can be inflated.
+_GZIP = bytes.fromhex('1f8b08000000000002034bca2fc82f4e4d01')
 
 
 def _with_length(body, content_type=_PLAIN_TYPE, before=b''):
@@ -441,6 +443,21 @@
 
         self._run(_scenario)
 
+    def test_encoded_body(self):
+        """The end of an encoded body without a length cannot be told."""
+
+        async def _scenario(path):
+            head = _HEAD + b'Content-Encoding: gzip\r\n\r\n'
+            for end in range(len(_GZIP) + 1):
+                reply = await path.ask(
+                    head + _GZIP[:end], _with_length(b'second')
+                )
+                self.assertEqual((200, b'second'), (reply.status, reply.body))
+            request = path.engines['e-1'].requests[0]
+            self.assertIn(b'accept-encoding: identity\r\n', request)
+
+        self._run(_scenario)
+
     def test_head_of_another_attempt(self):
         """A failure's body used to be sent under a cut answer's status."""
 
