Send a body once if its sidecar ends before its end

A sidecar that ended after it had passed on a body, but before the end of the response, gave the caller the body twice, framed as whole: the request was repeated at another sidecar from the second event on, and upstreams know events in streams only. The sidecar leaves a body out that the caller has.

Before the change, test_sidecar_that_ends_before_the_end: (200, b'booked-and-paid') != (200, b'booked-and-paid2nd').

--- a/nutmegtrail/adapters/upstream_http/client.py
+++ b/nutmegtrail/adapters/upstream_http/client.py
@@ -70,7 +70,7 @@
         except httpx.HTTPError as error:
             raise upstream.Interrupted(str(error)) from error
         try:
-            yield _convert_response(response)
+            yield _convert_response(response, call.offset)
         finally:
             await response.aclose()
 
@@ -108,8 +108,13 @@
     return headers
 
 
-def _convert_response(response: httpx.Response) -> upstream.Response:
-    """Convert an HTTP response; raise Interrupted if its body is encoded."""
+def _convert_response(
+    response: httpx.Response, offset: int
+) -> upstream.Response:
+    """Convert an HTTP response; raise Interrupted if its body is encoded.
+
+    Upstreams leave out the events before the offset in streams only.
+    """
     encoding = response.headers.get('content-encoding', _IDENTITY)
     if encoding.lower() != _IDENTITY:
         raise upstream.Interrupted(f'the body is encoded: {encoding}')
@@ -117,7 +122,7 @@
     if content_type.startswith(_EVENT_STREAM):
         events = _stream_events(response)
     else:
-        events = _body_as_event(response)
+        events = _body_as_event(response, offset)
     return upstream.Response(response.status_code, content_type, events)
 
 
@@ -143,11 +148,12 @@
 
 
 async def _body_as_event(
-    response: httpx.Response,
+    response: httpx.Response, offset: int
 ) -> collections.abc.AsyncIterator[bytes]:
-    """Yield the complete body as a single event."""
+    """Yield the complete body as a single event, unless it was received."""
     try:
         body = await response.aread()
     except httpx.HTTPError as error:
         raise upstream.Interrupted(str(error)) from error
-    yield body
+    if not offset:
+        yield body
--- a/tests/daemons/test_cut_answers.py
+++ b/tests/daemons/test_cut_answers.py
@@ -473,3 +473,13 @@
             self.assertNotIn(b'failed', reply.raw)
 
         self._run(_scenario)
+
+    def test_sidecar_that_ends_before_the_end(self):
+        """A body that was sent already used to be followed by another."""
+
+        async def _scenario(path):
+            path.pool.ended.add('e-1')
+            reply = await path.ask(_with_length(_PLAIN), _with_length(b'2nd'))
+            self.assertEqual((200, _PLAIN), (reply.status, reply.body))
+
+        self._run(_scenario)
