Forward streams whose events are numbered with gaps

Entries broke a stream off at the first number that did not follow the one before, and asked another engine for the rest, which had the same gap: callers got the events up to the gap and no end. Engines promise increasing numbers, not consecutive ones. The check was meant for a next engine that does not go on where the first one broke off (test_error_instead_of_the_rest), but it was made on the events of one response, too.

A response may leave numbers out now. What it cannot tell is what is missing between two responses: a jump there counts as a loss if the numbers were consecutive so far, or if the next response has events from before the last one but not that one itself. With fewer than two events, or a gap before, the next response is trusted to begin after Last-Event-Id. Numbers that do not increase within one response are a fault; they used to be dropped without a word.

Remaining: a stream that has shown two or more consecutive numbers and no gap, and is cut right before its first gap, is not resumed over it.

--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -233,7 +233,7 @@
         """Send the request and read the head; return any failure."""
         upstream = opened.upstream
         request = job.exchange.request
-        opened.asked_after = job.position.last_event
+        opened.run = events.Run(asked_after=job.position.last_event)
         forwarding = models.ForwardingMetadata(
             upstream.upstream_id,
             job.account.name,
@@ -406,10 +406,9 @@
             if isinstance(received, opened_response.Successor):
                 return received
             new_events = events.select_new_events(
-                job.position,
-                received.complete,
-                opened.stream_part(job.position),
+                job.position, received.complete, opened.run
             )
+            opened.run = new_events.run
             if new_events.payload:
                 self._record_pause(job, opened, len(received.complete))
                 await self._forward_events(job, opened.head, new_events)
--- a/nutmegtrail/gateway/events.py
+++ b/nutmegtrail/gateway/events.py
@@ -15,35 +15,46 @@
 _EVENT_END_BYTES: typing.Final = 3
 _COMMENT: typing.Final = b':'
 _FIELDS: typing.Final = (b'data:', b'event:', b'retry:', _COMMENT)
-_ANY_TEXT: typing.Final = b''
+_ANY_TEXT: typing.Final = (b'',)
+
+
+class Numbering(enum.Enum):
+    """How the events of a stream are numbered, as far as they were seen."""
+
+    UNKNOWN = 'unknown'
+    CONSECUTIVE = 'consecutive'
+    WITH_GAPS = 'with gaps'
 
 
 class Position(typing.NamedTuple):
     """Number of the last forwarded event, None before the first."""
 
     last_event: int | None = None
+    numbering: Numbering = Numbering.UNKNOWN
 
 
-class Response(enum.Enum):
-    """Part of a stream that a response has, with the lines of its events.
+class Run(typing.NamedTuple):
+    """Response with a stream, or with its events after `asked_after`.
 
-    They are those of events without a number. A response that continues
-    another one may be an error until its first numbered event.
+    `last_number` is that of its last event so far, forwarded or not.
     """
 
-    WHOLE = (_ANY_TEXT,)
-    REST_BEGINS = (_COMMENT,)
-    REST = _FIELDS
+    asked_after: int | None = None
+    last_number: int | None = None
+
+
+_WHOLE_STREAM: typing.Final = Run()
 
 
 class NewEvents(typing.NamedTuple):
-    """Events to forward and the position after them.
+    """Events to forward, and the position and the run after them.
 
     `fault` says why the events after them do not belong to the stream, or is
     empty.
     """
 
     position: Position
+    run: Run
     payload: bytes
     fault: str = ''
 
@@ -102,46 +113,82 @@
 def select_new_events(
     position: Position,
     events: tuple[bytes, ...],
-    response: Response = Response.WHOLE,
+    run: Run = _WHOLE_STREAM,
 ) -> NewEvents:
     """Return the events after a position, up to one that does not follow."""
     payload = []
-    last_event = position.last_event
     fault = ''
     for event in events:
         number = event_id(event)
-        fault = _find_fault(event, number, last_event, response)
+        fault = _find_fault(event, number, position, run)
         if fault:
             break
         if number is not None:
-            if number <= _number_before(number, last_event):
+            run = run._replace(last_number=number)
+            if not _is_after(number, position):
                 continue
-            last_event = number
-            if response is Response.REST_BEGINS:
-                response = Response.REST
+            position = _move(position, number)
         payload.append(event)
-    return NewEvents(Position(last_event), b''.join(payload), fault)
+    return NewEvents(position, run, b''.join(payload), fault)
+
 
+def _is_after(number: int, position: Position) -> bool:
+    """Return whether an event has not been forwarded yet."""
+    return position.last_event is None or number > position.last_event
 
-def _number_before(number: int, last_event: int | None) -> int:
-    """Return the last number; without one, any number may follow."""
-    return number - 1 if last_event is None else last_event
+
+def _move(position: Position, number: int) -> Position:
+    """Return the position after an event was forwarded."""
+    numbering = position.numbering
+    if position.last_event is not None:
+        if number > position.last_event + 1:
+            numbering = Numbering.WITH_GAPS
+        elif numbering is Numbering.UNKNOWN:
+            numbering = Numbering.CONSECUTIVE
+    return Position(number, numbering)
 
 
 def _find_fault(
-    event: bytes,
-    number: int | None,
-    last_event: int | None,
-    response: Response,
+    event: bytes, number: int | None, position: Position, run: Run
 ) -> str:
     """Return why an event cannot follow, an empty text if it can."""
     if number is None:
-        return '' if _has_only(event, response.value) else 'foreign event'
-    if number > _number_before(number, last_event) + 1:
+        starts = _starts_without_number(position, run)
+        return '' if _has_only(event, starts) else 'foreign event'
+    if run.last_number is not None and number <= run.last_number:
+        return 'repeated event'
+    if _misses_events(number, position, run):
         return 'missing event'
     return ''
 
 
+def _starts_without_number(position: Position, run: Run) -> tuple[bytes, ...]:
+    """Return how lines of an event without a number may start.
+
+    A response that continues another one may be an error until its first
+    numbered event.
+    """
+    if run.asked_after is None:
+        return _ANY_TEXT
+    if position.last_event == run.asked_after:
+        return (_COMMENT,)
+    return _FIELDS
+
+
+def _misses_events(number: int, position: Position, run: Run) -> bool:
+    """Return whether events are missing between the position and a number.
+
+    Numbers only increase, so a response may leave some out. That tells nothing
+    of the events between those of one response and those of another one.
+    """
+    last_event = position.last_event
+    if last_event is None or number <= last_event + 1:
+        return False
+    if run.last_number is None:
+        return position.numbering is Numbering.CONSECUTIVE
+    return run.last_number < last_event
+
+
 def _has_only(event: bytes, starts: tuple[bytes, ...]) -> bool:
     """Return whether all lines of an event start with one of these."""
     lines = event.strip(b'\r\n').split(b'\n')
--- a/nutmegtrail/gateway/opened_response.py
+++ b/nutmegtrail/gateway/opened_response.py
@@ -37,8 +37,8 @@
 class OpenedResponse:
     """Connection to an upstream and its response; `close` releases both.
 
-    `has_sent_events` is set once events of it were sent to the caller. Of a
-    stream, the events after `asked_after` were asked for, all if it is None.
+    `has_sent_events` is set once events of it were sent to the caller. `run`
+    tells which events of a stream were asked for and have arrived.
     """
 
     def __init__(
@@ -47,7 +47,7 @@
         """Initialize without a connection; `release` frees the slot."""
         self.assignment = assignment
         self.has_sent_events = False
-        self.asked_after: int | None = None
+        self.run = events.Run()
         self._resources = contextlib.AsyncExitStack()
         self._resources.callback(release)
         self._response: client.Response | None = None
@@ -70,14 +70,6 @@
         """Return the head of the response."""
         return self._received.head
 
-    def stream_part(self, position: events.Position) -> events.Response:
-        """Return which part of a stream the next events are."""
-        if self.asked_after is None:
-            return events.Response.WHOLE
-        if position.last_event == self.asked_after:
-            return events.Response.REST_BEGINS
-        return events.Response.REST
-
     async def connect(
         self, http_client: client.Client, call: client.Call
     ) -> None:
--- a/tests/daemons/test_cut_answers.py
+++ b/tests/daemons/test_cut_answers.py
@@ -405,6 +405,20 @@
             resumed = path.engines['e-2'].requests[0]
             self.assertIn(b'x-resume-offset: %d\r\n' % sent, resumed)
 
+    def test_numbers_with_gaps(self):
+        """Sidecars count events, so numbers with gaps lose none."""
+
+        async def _scenario(path):
+            events = [b'id: %d\ndata: x\n\n' % number for number in (3, 7, 8)]
+            for end in (0, 1, 2, 3):
+                cut = _in_chunks(events[:end], _STREAM_TYPE)[:-5]
+                rest = b''.join(events[end:]) or b': end\n\n'
+                reply = await path.ask(cut, _with_length(rest, _STREAM_TYPE))
+                expected = b''.join(events[:end]) + rest
+                self.assertEqual((200, expected), (reply.status, reply.body))
+
+        self._run(_scenario)
+
     def test_stream_that_nobody_completes(self):
         """Its end used to be framed like that of a whole stream."""
 
--- a/tests/platform/test_broken_stream.py
+++ b/tests/platform/test_broken_stream.py
@@ -110,3 +110,34 @@
         )
         self.assertEqual(200, reply.status)
         self.assertTrue(reply.body.endswith(_REST), reply.body)
+
+
+_NUMBERS = (3, 7, 8, 20)
+_WITH_GAPS = tuple(b'id: %d\ndata: x\n\n' % number for number in _NUMBERS)
+
+
+class GapsTest(framing.FramingTest):
+    """Streams whose numbers only increase, which is all engines promise."""
+
+    # Guards against sound streams that are broken off (ORDER).
+    def test_whole_stream(self):
+        """A stream is not broken off where its numbers have a gap."""
+        _, reply = self._ask(_PATH, _stream(*_WITH_GAPS, ending=_END))
+        whole = b''.join(_WITH_GAPS)
+        self.assertEqual((200, whole), (reply.status, reply.body))
+
+    def test_resumption(self):
+        """It goes on after the last number, without an event lost or twice."""
+        whole = b''.join(_WITH_GAPS)
+        for end in (0, 1, 2, 3):
+            for part in (b'', _WITH_GAPS[end][:4]):
+                site, reply = self._ask(
+                    _PATH,
+                    _stream(*_WITH_GAPS[:end], *filter(None, (part,))),
+                    _stream(*_WITH_GAPS[end:], ending=_END),
+                )
+                self.assertEqual((200, whole), (reply.status, reply.body), end)
+                asked_after = dict(site.requests[1].headers).get(
+                    b'last-event-id', b'0'
+                )
+                self.assertEqual((0, *_NUMBERS)[end], int(asked_after))
