Tell entries that start which marked parts have succeeded

Cause: the marks of the crashes are in the store, but that the part which all prompts share had succeeded before was known only to the processes that ended. An entry without a success of its own takes the only part that all crashes have in common for new, and refuses it for 8 s times 2 to the number of crashes above 3. As all requests have it, none can succeed and clear it.

An entry that marks a part which has succeeded there writes that down, before the mark and under the same lease. Who reads it treats the part as one that has succeeded before: it needs a contrast (requests without it succeed, none with it does). A part that has never succeeded is refused as before.

Not covered: entries that have seen no success of the part when they mark it know as little as before.

--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -340,10 +340,24 @@
     Guard(
         'no mark for a part that was begun since the crash',
         _PART_EVIDENCE,
-        "if evidence.succeeded_at_by_part.get(part, float('-inf')) > at_seconds:",
+        'if evidence.succeeded_at_by_part.get(part, _EARLIER) > at_seconds:',
         'if False:',
         _PART_TESTS,
     ),
+    Guard(
+        'success of a marked part is told to entries that start',
+        'nutmegtrail/gateway/part_quarantine.py',
+        "self.replica.write(part, _SUCCESS_ID, b'')",
+        'pass',
+        'tests/gateway/test_part_quarantine.py',
+    ),
+    Guard(
+        'success of a part is read before its marks',
+        'nutmegtrail/gateway/part_quarantine.py',
+        "_SUCCESS_ID: typing.Final = '0-succeeded'",
+        "_SUCCESS_ID: typing.Final = 'succeeded'",
+        'tests/gateway/test_part_quarantine.py',
+    ),
     Guard(
         'stream that went on does not blame its parts',
         'nutmegtrail/gateway/crash_guard.py',
--- a/nutmegtrail/gateway/part_quarantine.py
+++ b/nutmegtrail/gateway/part_quarantine.py
@@ -1,8 +1,9 @@
 """Quarantine of prompt parts that crash upstreams, shared by all instances.
 
 Each instance judges the marks of all by the successes that it has seen
-itself. Its verdicts are shared too, for instances that have seen too few: they
-are kept like marks, under a name that no crash has.
+itself. Its verdicts are shared too, for instances that have seen too few, and so
+is that a marked part has succeeded before, for instances that start later. Both
+are kept like marks, under names that no crash has.
 """
 
 import typing
@@ -20,6 +21,8 @@
 
 _MARK_PREFIX: typing.Final = f'{shared_const.KEY_VALUE_PREFIX}part-crashes/'
 _VERDICT_ID: typing.Final = 'quarantined'
+# Sorts before all crashes, so that it is read before the marks of its part.
+_SUCCESS_ID: typing.Final = '0-succeeded'
 
 
 class PartQuarantine:
@@ -35,6 +38,8 @@
         self._metrics = metrics_registry
         self._evidence = part_evidence.Evidence()
         self._quarantined_at_by_part: dict[str, float] = {}
+        # Parts whose earlier success is in the store, and since when.
+        self._told_at_by_part: dict[str, float] = {}
         self._listeners: list[typing.Callable[[str], None]] = []
 
     def add_listener(self, listener: typing.Callable[[str], None]) -> None:
@@ -74,6 +79,7 @@
                 continue
             self._add_mark(part, crash_id, interrupted_at_seconds)
             if self.has_mark(part, crash_id):
+                self._tell_success(part)
                 self.replica.write(part, crash_id, upstream_id.encode())
                 self._metrics.increment('part_crash_marks')
 
@@ -103,6 +109,11 @@
         now = anyio.current_time()
         if crash_id == _VERDICT_ID:
             self._quarantine(name, now, is_own=False)
+        elif crash_id == _SUCCESS_ID:
+            self._told_at_by_part[name] = now
+            self._evidence = part_evidence.record_earlier_success(
+                self._evidence, name
+            )
         elif not self.has_mark(name, crash_id):
             self._add_mark(name, crash_id, now)
 
@@ -110,30 +121,42 @@
         """Remove a mark or a verdict here only."""
         if crash_id == _VERDICT_ID:
             self._quarantined_at_by_part.pop(name, None)
-            return
-        self._evidence = part_evidence.unmark(self._evidence, name, crash_id)
+        elif crash_id == _SUCCESS_ID:
+            self._told_at_by_part.pop(name, None)
+        else:
+            self._evidence = part_evidence.unmark(
+                self._evidence, name, crash_id
+            )
 
     def remove_expired(self) -> None:
         """Drop expired marks and verdicts."""
         now = anyio.current_time()
         self._evidence = part_evidence.remove_expired(self._evidence, now)
         oldest = now - retry_const.CRASH_MARK_TTL_SECONDS
-        for part, at_seconds in tuple(self._quarantined_at_by_part.items()):
-            if at_seconds < oldest:
-                self._quarantined_at_by_part.pop(part)
+        for at_by_part in (
+            self._quarantined_at_by_part,
+            self._told_at_by_part,
+        ):
+            for part, at_seconds in tuple(at_by_part.items()):
+                if at_seconds < oldest:
+                    at_by_part.pop(part)
 
     def has_mark(self, name: str, crash_id: str) -> bool:
-        """Return whether a mark or a verdict is in force."""
+        """Return whether a mark, a verdict or a success is known."""
         if crash_id == _VERDICT_ID:
             return name in self._quarantined_at_by_part
+        if crash_id == _SUCCESS_ID:
+            return name in self._told_at_by_part
         marks = self._evidence.marks.marks_by_fingerprint
         return crash_id in marks.get(name, ())
 
     def marks(self) -> typing.Iterable[tuple[str, str]]:
-        """Return the part and the crash of each mark, and the verdicts."""
+        """Return the part and the crash of each mark, verdicts, successes."""
         yield from quarantine.all_marks(self._evidence.marks)
         for part in self._quarantined_at_by_part:
             yield part, _VERDICT_ID
+        for told_part in self._told_at_by_part:
+            yield told_part, _SUCCESS_ID
 
     def _remaining_seconds(self, part: str, parts: tuple[str, ...]) -> float:
         """Return for how long a request is refused because of one part."""
@@ -149,6 +172,14 @@
             self._quarantine(part, now, is_own=True)
         return max(verdict.expires_at_seconds - now, 0)
 
+    def _tell_success(self, part: str) -> None:
+        """Write that a part has succeeded, before its marks."""
+        if part in self._told_at_by_part:
+            return
+        if part_evidence.has_succeeded(self._evidence, part):
+            self._told_at_by_part[part] = anyio.current_time()
+            self.replica.write(part, _SUCCESS_ID, b'')
+
     def _add_mark(self, part: str, crash_id: str, at_seconds: float) -> None:
         """Mark a part, and quarantine it if that proves it."""
         self._evidence = part_evidence.mark(
--- a/nutmegtrail/retries/part_evidence.py
+++ b/nutmegtrail/retries/part_evidence.py
@@ -10,7 +10,9 @@
 that has succeeded before needs a contrast as well: requests without it succeed
 while none with it does. Of parts that were always marked together, only
 requests with all of them are refused, unless it goes on for long. An entry
-that has seen few successes yet refuses for a short time only.
+that has seen few successes yet refuses for a short time only, and needs to hear
+of earlier successes: after the end of a whole failure domain all entries know
+the marks of a part that all requests share, and it could not succeed any more.
 """
 
 import typing
@@ -24,6 +26,8 @@
 
 _SERVICE_KEY_LENGTH: typing.Final = 16
 
+_EARLIER: typing.Final = float('-inf')
+
 CountsByService: typing.TypeAlias = pyrsistent.typing.PMap[str, int]
 TimesByPart: typing.TypeAlias = pyrsistent.typing.PMap[str, float]
 CountsByPart: typing.TypeAlias = pyrsistent.typing.PMap[str, int]
@@ -34,7 +38,7 @@
 
     `success_count_by_service` counts successful requests.
     `succeeded_at_by_part` has the time at which the last successful response
-    on a part was begun. `count_at_mark_by_part` has the count of the service
+    on a part was begun, `_EARLIER` if only other entries have seen one. `count_at_mark_by_part` has the count of the service
     at the first mark, and the successes of the part since.
     """
 
@@ -67,7 +71,7 @@
 
     It does not count if a response on the part has been begun since.
     """
-    if evidence.succeeded_at_by_part.get(part, float('-inf')) > at_seconds:
+    if evidence.succeeded_at_by_part.get(part, _EARLIER) > at_seconds:
         return evidence
     counts = evidence.count_at_mark_by_part
     if part not in evidence.marks.marks_by_fingerprint:
@@ -98,8 +102,6 @@
     succeeded_at = evidence.succeeded_at_by_part.update(
         dict.fromkeys(parts, begun_at_seconds)
     )
-    if len(succeeded_at) > const.KNOWN_PARTS_LIMIT:
-        succeeded_at = _without_oldest(succeeded_at)
     # A success of a part is no contrast to it, also if it was begun before
     # the crash and refutes nothing.
     counts = evidence.count_at_mark_by_part
@@ -109,13 +111,29 @@
         success_count_by_service=evidence.success_count_by_service.set(
             service, count
         ),
-        succeeded_at_by_part=succeeded_at,
+        succeeded_at_by_part=_bounded(succeeded_at),
     )
 
 
+def has_succeeded(evidence: Evidence, part: str) -> bool:
+    """Return whether a response on a part has ever succeeded."""
+    return part in evidence.succeeded_at_by_part
+
+
+def record_earlier_success(evidence: Evidence, part: str) -> Evidence:
+    """Return the evidence after another entry told of a success of a part.
+
+    It refutes no mark, since it was begun before some crash.
+    """
+    if has_succeeded(evidence, part):
+        return evidence
+    succeeded_at = evidence.succeeded_at_by_part.set(part, _EARLIER)
+    return evidence._replace(succeeded_at_by_part=_bounded(succeeded_at))
+
+
 def refuted_marks(evidence: Evidence, part: str) -> tuple[str, ...]:
     """Return the crashes of a part since which a response was begun."""
-    succeeded_at = evidence.succeeded_at_by_part.get(part, float('-inf'))
+    succeeded_at = evidence.succeeded_at_by_part.get(part, _EARLIER)
     marks = evidence.marks.marks_by_fingerprint.get(part)
     if marks is None:
         return ()
@@ -146,7 +164,7 @@
         return None
     last_crash_at = max(crashes.values())
     expires_at = last_crash_at + const.CRASH_MARK_TTL_SECONDS
-    if part in evidence.succeeded_at_by_part:
+    if has_succeeded(evidence, part):
         return _judge_known_part(evidence, part, expires_at)
     suspects = _common_suspects(evidence, crashes)
     may_be_another = not suspects.issubset(parts)
@@ -194,7 +212,7 @@
     Parts that have succeeded before excuse none that has not.
     """
     cleared: typing.Container[str] = ()
-    if part not in evidence.succeeded_at_by_part:
+    if not has_succeeded(evidence, part):
         cleared = evidence.succeeded_at_by_part
     return quarantine.attributed_crashes(
         evidence.marks, part, now_seconds, cleared
@@ -238,8 +256,10 @@
     )
 
 
-def _without_oldest(succeeded_at: TimesByPart) -> TimesByPart:
-    """Return the times without the oldest ones, several at once."""
+def _bounded(succeeded_at: TimesByPart) -> TimesByPart:
+    """Return the times; above the limit, without the oldest, several at once."""
+    if len(succeeded_at) <= const.KNOWN_PARTS_LIMIT:
+        return succeeded_at
     ordered = sorted(succeeded_at, key=succeeded_at.__getitem__, reverse=True)
     kept = ordered[: const.KNOWN_PARTS_LIMIT - const.EVICTED_REQUESTS]
     return pyrsistent.pmap({part: succeeded_at[part] for part in kept})
--- a/tests/gateway/test_part_quarantine.py
+++ b/tests/gateway/test_part_quarantine.py
@@ -65,6 +65,59 @@
 
         self._run(_scenario)
 
+    def test_success_is_shared(self):
+        """An entry that starts later does not blame a part of all requests.
+
+        The other part has never succeeded and is still refused.
+        """
+
+        async def _scenario():
+            for entry in self.entries:
+                self._gain_experience(entry)
+            for number in range(9):
+                self.entries[number % 2].mark(
+                    (_FIRST,), f'd{number}', 'u', anyio.current_time()
+                )
+            await anyio.sleep(1)
+            late = self._entry()
+            late.replica.on_snapshot(self.store.items())
+            self.assertEqual(0, late.remaining_seconds((_FIRST,)))
+            self._crash()
+            await anyio.sleep(1)
+            later = self._entry()
+            later.replica.on_snapshot(self.store.items())
+            for entry in (late, later):
+                self.assertEqual(0, entry.remaining_seconds((_FIRST,)))
+                self.assertTrue(entry.remaining_seconds((_BAD,)) > 0)
+
+        self._run(_scenario)
+
+    def test_success_is_read_before_marks(self):
+        """An experienced entry blames no part before it has read all.
+
+        Its verdict would be shared.
+        """
+
+        async def _scenario():
+            self._gain_experience(self.entries[0])
+            for number in range(9):
+                self.entries[0].mark(
+                    (_FIRST,), f'{number}', 'u', anyio.current_time()
+                )
+            await anyio.sleep(1)
+            late = self._entry()
+            other = part_evidence.part_key('drafts', 'other')
+            for _ in range(retry_const.EXPERIENCED_SUCCESS_COUNT):
+                late.record_success((other,), anyio.current_time())
+            items = sorted(self.store.items(), key=lambda item: item.key)
+            late.replica.on_snapshot(tuple(items))
+            self.assertEqual(0, late.remaining_seconds((_FIRST,)))
+            await anyio.sleep(1)
+            keys = self.store.content_by_key
+            self.assertEqual([], [key for key in keys if 'quarantined' in key])
+
+        self._run(_scenario)
+
     def test_success_clears_a_part_everywhere(self):
         """A part that is begun without a crash is no longer refused."""
 
--- a/tests/platform/test_crashing_part.py
+++ b/tests/platform/test_crashing_part.py
@@ -54,6 +54,11 @@
 _SILENCE_SECONDS = 1.4
 _LOSS_SECONDS = 1.0
 _LEAVING_ENGINES = 6
+# A failure domain, and the time for it to get requests.
+_DOMAIN_ENGINES = 6
+_DOMAIN_SECONDS = 0.5
+# By then the ends are marked in the store, and no later response has settled.
+_MARKED_SECONDS = 0.35
 
 
 class _Sequence:
@@ -543,6 +548,29 @@
 
         self._check_none_refused((_end_even, _end_odd, _end_even))
 
+    def test_restart_after_a_domain_has_ended(self):
+        """Entries that start then do not blame a part that all prompts share.
+
+        They have seen no success, and used to refuse all requests.
+        """
+
+        async def _scenario(callers):
+            await self._send_popular(callers)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._send_popular, callers)
+                await anyio.sleep(_DOMAIN_SECONDS)
+                for engine in callers.deployment.engines[:_DOMAIN_ENGINES]:
+                    engine.end()
+                await anyio.sleep(_MARKED_SECONDS)
+                tasks.cancel_scope.cancel()
+            await _restart_entries(callers)
+            await anyio.sleep(_WATCH_SECONDS)
+            await self._send_popular(callers)
+            await self._assert_all_served(callers)
+            self._assert_none_quarantined(callers.replies)
+
+        self._run(_scenario)
+
     def test_engines_that_leave(self):
         """Streams that are cut where engines leave as planned blame no part."""
 
--- a/tests/retries/test_part_evidence.py
+++ b/tests/retries/test_part_evidence.py
@@ -160,6 +160,27 @@
         self.now += const.PROVISIONAL_HOLD_SECONDS + 1
         self.assertTrue(self._is_refused('px'))
 
+    def test_success_at_another_entry(self):
+        """It counts like an own one that was begun before the crashes."""
+        self.evidence = part_evidence.record_earlier_success(
+            self.evidence, _key('p')
+        )
+        self._crash('pm', 'pn', names=[f'n{number}' for number in range(9)])
+        self.assertFalse(self._is_refused('pm'))
+        self._crash('px')
+        self.assertTrue(self._is_refused('qx'))
+        self.assertFalse(self._is_refused('p'))
+        self._succeed('q', count=const.CONTRAST_SUCCESS_COUNT)
+        self.assertTrue(self._verdict('p').is_proven)
+        self._succeed('p')
+        self.assertFalse(self._is_refused('p'))
+
+    def test_told_success_is_no_later_than_an_own_one(self):
+        """It takes no own success away."""
+        self._succeed('p')
+        told = part_evidence.record_earlier_success(self.evidence, _key('p'))
+        self.assertEqual(self.evidence, told)
+
     def test_suspects_are_told_apart(self):
         """A suspect that succeeds leaves the other one as proven."""
         self._succeed('r', count=const.EXPERIENCED_SUCCESS_COUNT)
