--- a/nutmegtrail/adapters/upstream_http/client.py
+++ b/nutmegtrail/adapters/upstream_http/client.py
@@ -8,11 +8,14 @@
 
 from nutmegtrail import const as shared_const
 from nutmegtrail import models as shared_models
+from nutmegtrail.adapters.http1 import errors as http_errors
+from nutmegtrail.gateway import events as event_streams
 from nutmegtrail.ports import upstream
 from nutmegtrail.wire import models
 
-_EVENT_SEPARATOR: typing.Final = b'\n\n'
 _EVENT_STREAM: typing.Final = 'text/event-stream'
+# The end of an encoded body without a length cannot be checked.
+_IDENTITY: typing.Final = 'identity'
 _CONNECT_TIMEOUT_SECONDS: typing.Final = 1.0
 _KEEP_ALIVE_CONNECTIONS_LIMIT: typing.Final = 64
 _PROBE_TIMEOUT_SECONDS: typing.Final = 2.0
@@ -67,7 +70,7 @@
         except httpx.HTTPError as error:
             raise upstream.Interrupted(str(error)) from error
         try:
-            yield _convert_response(response)
+            yield _convert_response(response, call.offset)
         finally:
             await response.aclose()
 
@@ -93,6 +96,7 @@
 def _headers(call: models.Call) -> dict[str, str]:
     """Return the headers of the request to an upstream."""
     headers = {
+        'accept-encoding': _IDENTITY,
         'content-type': call.content_type,
         'x-request-id': call.request_id,
         'x-client-account': call.client_account,
@@ -104,13 +108,21 @@
     return headers
 
 
-def _convert_response(response: httpx.Response) -> upstream.Response:
-    """Convert an HTTP response to the type of the port."""
+def _convert_response(
+    response: httpx.Response, offset: int
+) -> upstream.Response:
+    """Convert an HTTP response; raise Interrupted if its body is encoded.
+
+    Upstreams leave out the events before the offset in streams only.
+    """
+    encoding = response.headers.get('content-encoding', _IDENTITY)
+    if encoding.lower() != _IDENTITY:
+        raise upstream.Interrupted(f'the body is encoded: {encoding}')
     content_type = response.headers.get('content-type', '')
     if content_type.startswith(_EVENT_STREAM):
         events = _stream_events(response)
     else:
-        events = _body_as_event(response)
+        events = _body_as_event(response, offset)
     return upstream.Response(response.status_code, content_type, events)
 
 
@@ -118,26 +130,30 @@
     response: httpx.Response,
 ) -> collections.abc.AsyncIterator[bytes]:
     """Yield each server-sent event with its trailing blank line."""
-    buffer = b''
+    splitter = event_streams.Splitter()
+    has_events = False
     try:
-        async for chunk in response.aiter_raw():
-            buffer += chunk
-            *events, buffer = buffer.split(_EVENT_SEPARATOR)
-            for event in events:
-                yield event + _EVENT_SEPARATOR
-    except httpx.HTTPError as error:
+        async for part in response.aiter_raw():
+            for event in splitter.feed(part):
+                has_events = True
+                yield event
+    except (httpx.HTTPError, http_errors.ExchangeBroken) as error:
         raise upstream.Interrupted(str(error)) from error
-    if buffer:
+    if splitter.has_partial_event:
         raise upstream.Interrupted(
             'the event stream ended in the middle of an event'
         )
+    if not has_events:
+        raise upstream.Interrupted('the event stream has no events')
 
 
 async def _body_as_event(
-    response: httpx.Response,
+    response: httpx.Response, offset: int
 ) -> collections.abc.AsyncIterator[bytes]:
-    """Yield the complete body as a single event."""
+    """Yield the complete body as a single event, unless it was received."""
     try:
-        yield await response.aread()
+        body = await response.aread()
     except httpx.HTTPError as error:
         raise upstream.Interrupted(str(error)) from error
+    if not offset:
+        yield body
