Tell a cut watch of the store from an outage

Seen by callers: orders to an upstream that was removed just after a watch was cut were sent to it for up to 2.7 s and lost as it exited (502). Cause: the watcher took one failed call for an outage, and after an outage the fleet keeps removed upstreams for 2.2 s. Class: a lost link taken for a lost fact. Change: StoreAvailability decides for all watchers together. An outage begins when the call right after a failed one fails too, and no other call to the store had a response meanwhile; that call uses a new connection. The client records its responses, also to leases and writes. A store that responded to nothing for 4 s was unavailable, too, although no call failed: watches that are answered after an outage hid it before. Why it works: nothing lapses at a store that answers, so a removal that is read after a mere cut is applied at once. Watches that are cut again and again are checked each 0.5 s at most.

--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -29,6 +29,7 @@
 from nutmegtrail.gateway import settings
 from nutmegtrail.gateway import share_exchange
 from nutmegtrail.gateway import signal_recorder
+from nutmegtrail.gateway import store_availability
 from nutmegtrail.gateway import store_listeners
 from nutmegtrail.gateway import store_watcher
 from nutmegtrail.host_limits import condition as conditions
@@ -51,6 +52,7 @@
     """Components that several others depend on."""
 
     incarnation: str
+    availability: store_availability.StoreAvailability
     store: platform_store.PlatformStore
     dispatcher: dispatching.Dispatcher
     metrics_registry: metrics.Metrics
@@ -75,16 +77,7 @@
 
 def create_gateway(configured: settings.GatewaySettings) -> daemon.Gateway:
     """Create a gateway without starting it."""
-    shared = _SharedComponents(
-        f'{configured.process.host}/{uuid.uuid4().hex[:8]}',
-        platform_store.PlatformStore(
-            models.parse_address(configured.store.address),
-        ),
-        dispatching.Dispatcher(
-            configured.process.failure_domain, configured.process.host
-        ),
-        metrics.Metrics(),
-    )
+    shared = _create_shared(configured)
     engines = platform_engines.EngineControlClient(
         signal_recorder.SignalRecorder(shared.dispatcher).record
     )
@@ -157,7 +150,7 @@
             shared.dispatcher,
             gossip,
             evacuations,
-            _create_watchers(shared.store, listeners),
+            _create_watchers(shared, listeners),
             shared.metrics_registry,
             lease,
             balancing.balancer,
@@ -179,6 +172,23 @@
     )
 
 
+def _create_shared(configured: settings.GatewaySettings) -> _SharedComponents:
+    """Create the components that several others depend on."""
+    availability = store_availability.StoreAvailability()
+    return _SharedComponents(
+        f'{configured.process.host}/{uuid.uuid4().hex[:8]}',
+        availability,
+        platform_store.PlatformStore(
+            models.parse_address(configured.store.address),
+            availability.record_response,
+        ),
+        dispatching.Dispatcher(
+            configured.process.failure_domain, configured.process.host
+        ),
+        metrics.Metrics(),
+    )
+
+
 def _create_crash_protection(
     configured: settings.GatewaySettings,
     shared: _SharedComponents,
@@ -250,12 +260,16 @@
 
 
 def _create_watchers(
-    store: platform_store.PlatformStore,
+    shared: _SharedComponents,
     listener_by_prefix: dict[str, store_watcher.Listener],
 ) -> tuple[store_watcher.StoreWatcher, ...]:
     """Create the watchers of the store, one for each prefix."""
+    for each in listener_by_prefix.values():
+        shared.availability.add_listener(each)
     return tuple(
-        store_watcher.StoreWatcher(store, prefix, listener)
+        store_watcher.StoreWatcher(
+            shared.store, prefix, listener, shared.availability
+        )
         for prefix, listener in listener_by_prefix.items()
     )
 
--- a/nutmegtrail/gateway/store_watcher.py
+++ b/nutmegtrail/gateway/store_watcher.py
@@ -1,4 +1,4 @@
-"""Watch of the keys under a store prefix that survives store outages."""
+"""Watch of the keys under a store prefix that survives cuts and outages."""
 
 import typing
 
@@ -6,12 +6,16 @@
 import expression
 
 from nutmegtrail.gateway import const
+from nutmegtrail.gateway import store_availability
 from nutmegtrail.observability import logs
 from nutmegtrail.ports import watched_store
 
 
-class Listener(typing.Protocol):
-    """Receiver of the snapshots and changes that a watcher reads."""
+class Listener(store_availability.Listener, typing.Protocol):
+    """Receiver of the snapshots and changes that a watcher reads.
+
+    It is told of outages by `store_availability.StoreAvailability`.
+    """
 
     def on_snapshot(self, items: tuple[watched_store.Item, ...]) -> None:
         """Handle a snapshot of all items."""
@@ -21,12 +25,6 @@
     ) -> None:
         """Handle a written or removed item."""
 
-    def on_store_lost(self) -> None:
-        """Handle the start of a store outage."""
-
-    def on_store_recovered(self) -> None:
-        """Handle the end of a store outage."""
-
     def on_store_restored(self) -> None:
         """Handle the return of an earlier copy, before its snapshot."""
 
@@ -50,13 +48,19 @@
         store: watched_store.WatchedStore,
         prefix: str,
         listener: Listener,
+        availability: store_availability.StoreAvailability,
     ) -> None:
-        """Initialize the watcher without reading the store."""
+        """Initialize the watcher without reading the store.
+
+        The store records its responses at the availability.
+        """
         self._store = store
         self._prefix = prefix
         self._listener = listener
+        self._availability = availability
         self._retry_seconds = const.STORE_RETRY_SECONDS
-        self._is_store_unavailable = False
+        self._has_failed = False
+        self._next_check_at_seconds = float('-inf')
         self._era: int | None = None
 
     async def run(self) -> None:
@@ -70,9 +74,10 @@
 
     async def _read_snapshot(self) -> int | None:
         """Read a snapshot and return its revision, None after a failure."""
+        started_at = anyio.current_time()
         result = await self._store.snapshot(self._prefix)
         if result.is_error():
-            await self._back_off(result.error)
+            await self._back_off(result.error, started_at)
             return None
         self._record_response()
         logs.decision(
@@ -94,16 +99,16 @@
     async def _read_changes(self, revision: int) -> int | None:
         """Read changes and return the next revision.
 
-        None means that the change history is lost. During an outage the call
-        does not wait for a change, so that the store's return is detected as
-        soon as it responds.
+        None means that the change history is lost. After a failure the call
+        does not wait for a change, so that it tells whether the store responds.
         """
+        started_at = anyio.current_time()
         result: expression.Result[
             watched_store.Changes, watched_store.ReadError
         ] = await self._store.changes(
             self._prefix,
             revision,
-            0 if self._is_store_unavailable else const.WATCH_WAIT_SECONDS,
+            0 if self._has_failed else const.WATCH_WAIT_SECONDS,
         )
         if result.is_error():
             if isinstance(result.error, watched_store.HistoryLost):
@@ -113,7 +118,7 @@
                     revision=revision,
                 )
                 return None
-            await self._back_off(result.error)
+            await self._back_off(result.error, started_at)
             return revision
         self._record_response()
         for change in result.ok.changes:
@@ -125,21 +130,27 @@
     def _record_response(self) -> None:
         """Record that the store responded."""
         self._retry_seconds = const.STORE_RETRY_SECONDS
-        if self._is_store_unavailable:
-            self._is_store_unavailable = False
-            logs.decision('store:regained', prefix=self._prefix)
-            self._listener.on_store_recovered()
-
-    async def _back_off(self, error: watched_store.StoreUnavailable) -> None:
-        """Record a failure and wait before the next call."""
-        if not self._is_store_unavailable:
-            self._is_store_unavailable = True
+        self._has_failed = False
+
+    async def _back_off(
+        self, error: watched_store.StoreUnavailable, started_at_seconds: float
+    ) -> None:
+        """Record a failure and wait before the next call.
+
+        The first failure is checked at once, except that watches which are cut
+        again and again are checked no more often than an outage.
+        """
+        now = anyio.current_time()
+        if not self._has_failed:
+            self._has_failed = True
             logs.decision(
-                'store:lost',
-                prefix=self._prefix,
-                detail=error.detail,
+                'store:watch-failed', prefix=self._prefix, detail=error.detail
             )
-            self._listener.on_store_lost()
+            check_at = max(now, self._next_check_at_seconds)
+            self._next_check_at_seconds = check_at + const.STORE_RETRY_SECONDS
+            await anyio.sleep_until(check_at)
+            return
+        self._availability.record_failure(started_at_seconds, error.detail)
         await anyio.sleep(self._retry_seconds)
         doubled_seconds = self._retry_seconds * 2
         self._retry_seconds = min(
--- a/nutmegtrail/platform/store.py
+++ b/nutmegtrail/platform/store.py
@@ -33,6 +33,10 @@
 _UNKNOWN_ERA: typing.Final = -1
 
 
+def _ignore_response() -> None:
+    """Do nothing when the store responds."""
+
+
 class _Page(typing.NamedTuple):
     """Page of a listing; `last_key` is None on the last page."""
 
@@ -70,9 +74,18 @@
     this client gives out.
     """
 
-    def __init__(self, address: models.Address) -> None:
-        """Initialize the client without opening connections."""
+    def __init__(
+        self,
+        address: models.Address,
+        on_response: typing.Callable[[], None] = _ignore_response,
+    ) -> None:
+        """Initialize the client without opening connections.
+
+        `on_response` is called before any response is returned, but not for
+        those by which the store refuses calls.
+        """
         self._address = address
+        self._on_response = on_response
         self._client = json_client.JsonClient()
         self._last_era = _UNKNOWN_ERA
         self._watch_scopes: set[anyio.CancelScope] = set()
@@ -127,7 +140,8 @@
         """Wait for changes after a revision and return them.
 
         The wait ends when another response shows that the store came back
-        from an earlier copy.
+        from an earlier copy. A call that does not wait follows a failure,
+        after which other kept connections may be silent, too.
         """
         wait_ms = int(wait_seconds * shared_const.MILLISECONDS_PER_SECOND)
         response: _Response | watched_store.StoreUnavailable | None = None
@@ -145,6 +159,7 @@
                     timeout_seconds=(
                         wait_seconds + const.WATCH_TIMEOUT_MARGIN_SECONDS
                     ),
+                    needs_new_connection=not wait_ms,
                 )
             finally:
                 self._watch_scopes.discard(scope)
@@ -382,6 +397,8 @@
         query: dict[str, str] | None = None,
         body: json_client.JsonObject | None = None,
         timeout_seconds: float = const.CALL_TIMEOUT_SECONDS,
+        *,
+        needs_new_connection: bool = False,
     ) -> _Response | watched_store.StoreUnavailable:
         """Send a request and return the response, or why there is none."""
         target = path
@@ -394,19 +411,21 @@
             json_client.JSON_HEADERS,
             b'' if body is None else json.dumps(body).encode(),
             timeout_seconds,
+            needs_new_connection=needs_new_connection,
         )
         if isinstance(response, json_client.NoResponse):
             return watched_store.StoreUnavailable(f'{path}: {response.detail}')
         response_era = era.read(response.headers)
         self._observe_era(response_era)
         try:
-            return _Response(
-                response.status, response_era, decode_body(response.body)
-            )
+            document = decode_body(response.body)
         except ValueError as error:
             return watched_store.StoreUnavailable(
                 f'{path}: the response is not valid JSON: {error}',
             )
+        if not _is_refused(response.status):
+            self._on_response()
+        return _Response(response.status, response_era, document)
 
 
 def decode_body(body: bytes) -> json_client.JsonObject:
@@ -418,6 +437,14 @@
     return document if isinstance(document, dict) else {}
 
 
+def _is_refused(status: int) -> bool:
+    """Return whether the store did not handle a call, whatever it was."""
+    return (
+        status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+        or status == http.HTTPStatus.TOO_MANY_REQUESTS
+    )
+
+
 def _unexpected_status(response: _Response) -> watched_store.StoreUnavailable:
     """Return the error for a status other than success."""
     return watched_store.StoreUnavailable(
