Take no time without the store for time without a registration

Seen by callers: a live upstream whose registration lapsed in an outage was dropped when a second outage began within 2.2 s after the first, for as long as it lasted. An upstream that was removed before an earlier copy came back got work if the store was away 6 s after that, or for more than 120 s before it. Cause: the fleet's times ran on while the store was unavailable, when no registration, expiry or removal can be read. Evidence: the three new tests failed before: u1 missing at 40 s, u1 in use at 20 s and at 902 s. Change: while the store is unavailable, nothing that is missing is removed, nothing that is deferred is used and no removal is forgotten. At its return the missing and the deferred ones wait as long again, and removals have become no older. Why it works: each of these decisions now rests on a span in which the store could tell otherwise.

--- a/nutmegtrail/gateway/fleet.py
+++ b/nutmegtrail/gateway/fleet.py
@@ -2,7 +2,8 @@
 
 During a store outage, registrations expire although their upstreams are
 alive. An upstream whose registration is missing after the outage is kept
-for a grace period, in which upstreams that are alive register again.
+for a grace period, in which upstreams that are alive register again. While the
+store is unavailable, that nothing is read of an upstream tells nothing of it.
 
 A store that comes back from an earlier copy may show registrations that were
 withdrawn since. Leaving upstreams stay so, and removed ones are deferred until
@@ -46,8 +47,9 @@
 class Fleet(typing.NamedTuple):
     """Registered upstreams and those whose registration an outage removed.
 
-    `is_known` is set once the registrations were read. `grace_until_seconds`
-    is the end of the grace period after the last outage.
+    `is_known` is set once the registrations were read. `lost_at_seconds` is the
+    beginning of the last outage, `grace_until_seconds` the end of the grace
+    period after it.
     `removed_at_by_incarnation` has the times at which incarnations were
     removed. `deferred_by_id` has the removed upstreams that an earlier copy
     shows until `deferred_until_seconds`. `announcements_by_id` has the
@@ -60,6 +62,7 @@
     missing_until_by_id: DeadlinesById = pyrsistent.pmap()
     is_known: bool = False
     is_store_unavailable: bool = False
+    lost_at_seconds: float = float('-inf')
     grace_until_seconds: float = float('-inf')
     removed_at_by_incarnation: RemovedAtByIncarnation = pyrsistent.pmap()
     deferred_by_id: UpstreamsById = pyrsistent.pmap()
@@ -248,7 +251,11 @@
 @decide.register
 def _store_lost(event: StoreLost, fleet: Fleet, now_seconds: float) -> Fleet:
     """Keep the upstreams and record the outage."""
-    return fleet._replace(is_store_unavailable=True)
+    if fleet.is_store_unavailable:
+        return fleet
+    return fleet._replace(
+        is_store_unavailable=True, lost_at_seconds=now_seconds
+    )
 
 
 @decide.register
@@ -257,16 +264,34 @@
     fleet: Fleet,
     now_seconds: float,
 ) -> Fleet:
-    """Start the grace period in which upstreams register again."""
+    """Start the grace period in which upstreams register again.
+
+    What the entry waited for when the store was lost is waited for as long
+    again, and removals have become no older.
+    """
     if not fleet.is_store_unavailable:
         return fleet
+    outage_seconds = now_seconds - fleet.lost_at_seconds
+    removals = {
+        incarnation: removed_at + outage_seconds
+        for incarnation, removed_at in fleet.removed_at_by_incarnation.items()
+    }
     noticed_again = {
         upstream_id: announcement._replace(noticed_at_seconds=now_seconds)
         for upstream_id, announcement in fleet.announcements_by_id.items()
     }
+    grace_until_seconds = now_seconds + const.REREGISTRATION_WINDOW_SECONDS
+    deferred_until_seconds = fleet.deferred_until_seconds
+    if deferred_until_seconds > fleet.lost_at_seconds:
+        deferred_until_seconds = now_seconds + const.COPY_EXPIRY_SECONDS
     return fleet._replace(
         is_store_unavailable=False,
-        grace_until_seconds=now_seconds + const.REREGISTRATION_WINDOW_SECONDS,
+        grace_until_seconds=grace_until_seconds,
+        missing_until_by_id=pyrsistent.pmap(
+            dict.fromkeys(fleet.missing_until_by_id, grace_until_seconds)
+        ),
+        deferred_until_seconds=deferred_until_seconds,
+        removed_at_by_incarnation=pyrsistent.pmap(removals),
         announcements_by_id=pyrsistent.pmap(noticed_again),
     )
 
@@ -292,6 +317,9 @@
 
     Deferred ones that are registered still are alive.
     """
+    fleet = _forget_returned(fleet, now_seconds)
+    if fleet.is_store_unavailable:
+        return fleet
     for upstream_id, until_seconds in fleet.missing_until_by_id.items():
         if now_seconds >= until_seconds:
             upstream = fleet.upstreams_by_id[upstream_id]
@@ -305,7 +333,6 @@
             upstreams_by_id=fleet.upstreams_by_id.update(alive),
             deferred_by_id=pyrsistent.pmap(),
         )
-    fleet = _forget_returned(fleet, now_seconds)
     return _forget_announcements(
         _forget_removed(fleet, now_seconds), now_seconds
     )
@@ -420,11 +447,8 @@
 
 
 def _forget_announcements(fleet: Fleet, now_seconds: float) -> Fleet:
-    """Return the fleet without announcements that no registration can need.
-
-    While the store is unavailable, registrations may change without notice.
-    """
-    if fleet.is_store_unavailable or not fleet.announcements_by_id:
+    """Return the fleet without announcements that no registration can need."""
+    if not fleet.announcements_by_id:
         return fleet
     oldest = now_seconds - const.REMOVAL_MEMORY_SECONDS
     announcements = fleet.announcements_by_id
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -66,6 +66,27 @@
         )
         self.assertEqual({'u1', 'u2'}, _usable_ids(updated))
 
+    # Guards against live upstreams that are dropped because the store is away
+    # when they would register again.
+    def test_second_outage_in_the_grace_period(self):
+        """A missing upstream stays until the store was back for long enough."""
+        updated = _decide(
+            fleet.Fleet(),
+            (0, _BOTH),
+            (5, fleet.StoreLost()),
+            (10, fleet.StoreRecovered()),
+            (10, fleet.Removed('u1')),
+            (11, fleet.StoreLost()),
+            (40, fleet.TimeElapsed()),
+        )
+        self.assertEqual({'u1', 'u2'}, _usable_ids(updated))
+        updated = _decide(
+            updated, (41, fleet.StoreRecovered()), (43, fleet.TimeElapsed())
+        )
+        self.assertEqual({'u1', 'u2'}, _usable_ids(updated))
+        updated = _decide(updated, (43.3, fleet.TimeElapsed()))
+        self.assertEqual({'u2'}, _usable_ids(updated))
+
     def test_leaving_in_an_outage_is_not_kept(self):
         """An upstream that was leaving before the outage is not kept."""
         updated = _decide(
@@ -125,6 +146,49 @@
         unchanged = _decide(updated, (9, fleet.TimeElapsed()))
         self.assertEqual({'u1', 'u2'}, _usable_ids(unchanged))
 
+    # Guards against a removed upstream that gets work because the store was
+    # away when its registration would have expired.
+    def test_outage_after_an_earlier_copy(self):
+        """A removed upstream waits for its expiry as long again."""
+        updated = _decide(
+            fleet.Fleet(),
+            (0, _BOTH),
+            (1, fleet.Removed('u1')),
+            (2, fleet.StoreRestored()),
+            (2, _BOTH),
+            (3, fleet.StoreLost()),
+            (20, fleet.TimeElapsed()),
+        )
+        self.assertEqual({'u2'}, _usable_ids(updated))
+        updated = _decide(
+            updated, (21, fleet.StoreRecovered()), (26, fleet.TimeElapsed())
+        )
+        self.assertEqual({'u2'}, _usable_ids(updated))
+        listed = _decide(updated, (21, _BOTH))
+        self.assertEqual({'u2'}, _usable_ids(listed))
+        expired = _decide(
+            updated, (26, fleet.Removed('u1')), (30, fleet.TimeElapsed())
+        )
+        self.assertEqual({'u2'}, _usable_ids(expired))
+        alive = _decide(updated, (27.1, fleet.TimeElapsed()))
+        self.assertEqual({'u1', 'u2'}, _usable_ids(alive))
+
+    # Guards against removals that are forgotten while the store is away.
+    def test_earlier_copy_after_a_long_outage(self):
+        """An upstream that was removed before it gets no work from the copy."""
+        updated = _decide(
+            fleet.Fleet(),
+            (0, _BOTH),
+            (1, fleet.Removed('u1')),
+            (2, fleet.StoreLost()),
+            (900, fleet.TimeElapsed()),
+            (901, fleet.StoreRecovered()),
+            (902, fleet.TimeElapsed()),
+            (902, fleet.StoreRestored()),
+            (902, _BOTH),
+        )
+        self.assertEqual({'u2'}, _usable_ids(updated))
+
     def test_earlier_copy_lacks_an_upstream(self):
         """An upstream that the copy lacks stays until it can register."""
         updated = _decide(
