--- a/nutmegtrail/gateway/const.py
+++ b/nutmegtrail/gateway/const.py
@@ -152,10 +152,14 @@
 REGISTRATION_INTERVAL_SECONDS: typing.Final = 3.0
 
 WATCH_WAIT_SECONDS: typing.Final = 5.0
+MIN_WATCH_WAIT_SECONDS: typing.Final = 0.02
 # Changes that are written within this delay are read by one call.
 WATCH_BATCH_DELAY_SECONDS: typing.Final = 0.15
 STORE_RETRY_SECONDS: typing.Final = 0.5
 STORE_RETRY_LIMIT_SECONDS: typing.Final = 1.0
+# While the store is available it responds more often, at least to the renewal
+# of this process's registration.
+STORE_SILENCE_SECONDS: typing.Final = REGISTRATION_INTERVAL_SECONDS + 1.0
 
 # Share of a group's slots that is used before a pause ratio is known.
 INITIAL_CAPACITY_RATIO: typing.Final = 0.7
