Recover rank groups that register after a take-over

Cause: a new leader marked the groups for recovery that were complete in the registrations it knew as it began, and recovered only those. A group that became complete later counted as recovered. Held, it made no passes, its counters stood still, so no switch was found worthwhile whose refusal would have marked it. Marked groups were also looked at only while there were requests, counters and a known shape.

Class: work that is decided once, at the start of a term, from a list that may still fill. The mark is turned round: a leader remembers which groups it has recovered under its fence, and in which formation (epoch and incarnations of the ranks); all others need it. The registrations are compared with that four times a second, beside the switches of other groups, whether or not there are requests. A group that has formed anew is recovered again, because a rank that has started again has forgotten the fence. A failed recovery is tried again after 0.5 s, and the lease is given up after five, as before.

Ruled out: waiting before the leadership begins until all ranks are registered (nobody knows how many groups there are); resigning for each new group (a switch of another group would be cut).

Evidence: tests/expert_balancing/test_group_recovery.py plays entries with their leases, registrations and lock-step groups in simulated time.

--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -193,6 +193,9 @@
 _EXPERT_BALANCER_TESTS: typing.Final = (
     'tests/expert_balancing/test_expert_balancer.py'
 )
+_GROUP_RECOVERY_TESTS: typing.Final = (
+    'tests/expert_balancing/test_group_recovery.py'
+)
 _SWITCH_EXECUTOR: typing.Final = (
     'nutmegtrail/expert_balancing/switch_executor.py'
 )
@@ -226,6 +229,13 @@
         'pass',
         _EXPERT_BALANCER_TESTS,
     ),
+    Guard(
+        'recovery of a group that registers after a take-over',
+        _SWITCH_RECOVERY,
+        'self._recovered_by_group.get(group.name) != _formation(group)',
+        '_formation(group) is None',
+        _GROUP_RECOVERY_TESTS,
+    ),
     Guard(
         'hold only after a report of the rank that holds',
         _SWITCH_EXECUTOR,
--- a/nutmegtrail/expert_balancing/const.py
+++ b/nutmegtrail/expert_balancing/const.py
@@ -89,6 +89,10 @@
 # Lost orders are sent again until this timeout.
 FENCE_TIMEOUT_SECONDS: typing.Final = 1.0
 RESUME_ATTEMPTS_LIMIT: typing.Final = 5
+# How often the registrations are compared with the groups recovered so far.
+RECOVERY_CHECK_INTERVAL_SECONDS: typing.Final = 0.25
+# Between two tries, so that reports have caught up with a new epoch.
+RECOVERY_RETRY_SECONDS: typing.Final = 0.5
 # A map that is refused because of the previous switch is sent again for this
 # long: a held step begins within a few passes of up to 0.1 s each.
 PREPARE_RETRY_WINDOW_SECONDS: typing.Final = 0.6
--- a/nutmegtrail/expert_balancing/expert_balancer.py
+++ b/nutmegtrail/expert_balancing/expert_balancer.py
@@ -1,9 +1,11 @@
 """Expert load balancing for the rank groups of a service."""
 
+import functools
 import math
 import typing
 
 import anyio
+import anyio.abc
 
 from nutmegtrail.expert_balancing import const
 from nutmegtrail.expert_balancing import counter_reader
@@ -64,12 +66,12 @@
         self._distributor = distributor
         self._metrics = metrics_registry
         self._counters = counter_reader.CounterReader(engines)
-        self._shift_noticed = anyio.Event()
+        self._wakes_early = anyio.Event()
         self._current_map_by_group: dict[str, CurrentMap] = {}
         self._last_version_by_group: dict[str, int] = {}
         self._held_step_by_group: dict[str, int] = {}
         self._switch_recovery = switch_recovery.SwitchRecovery(
-            engines, lease, distributor
+            engines, lease, distributor, self._on_recovered
         )
         self._switch_count = 0
         self._ended = anyio.Event()
@@ -101,12 +103,28 @@
                 continue
             if self._switch_recovery.is_pending:
                 await self._begin_leadership(service)
-            self._shift_noticed = anyio.Event()
-            # After a switch, the groups are evaluated again without a pause.
+            async with anyio.create_task_group() as recoveries:
+                await self._run_round(service, recoveries)
+            await self._lease.hand_over_if_due()
+
+    async def _run_round(
+        self, service: models.Service, recoveries: anyio.abc.TaskGroup
+    ) -> None:
+        """Rebalance once and pause, while groups are recovered.
+
+        After a switch, the groups are evaluated again without a pause.
+        """
+        self._wakes_early = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                self._switch_recovery.run,
+                functools.partial(self._groups, service.name),
+                recoveries,
+            )
             if not (self._has_traffic() and await self._balance(service)):
                 with anyio.move_on_after(const.MAP_INTERVAL_SECONDS):
-                    await self._shift_noticed.wait()
-            await self._lease.hand_over_if_due()
+                    await self._wakes_early.wait()
+            tasks.cancel_scope.cancel()
 
     async def _watch(self) -> None:
         """Watch the popularity, also during switches, until cancelled."""
@@ -120,7 +138,7 @@
             if self._counters.is_watching(members):
                 if await self._counters.watch(members):
                     self._metrics.increment('popularity_shifts')
-                    self._shift_noticed.set()
+                    self._wakes_early.set()
                     await self._counters.read_sample(members)
 
     def _has_traffic(self) -> bool:
@@ -128,20 +146,18 @@
         return bool(request_counts.total_counts(self._dispatcher.counts))
 
     async def _begin_leadership(self, service: models.Service) -> None:
-        """Read baseline counters and recover switches of earlier leaders."""
+        """Read baseline counters; switches of earlier leaders are recovered."""
         self._current_map_by_group.clear()
-        groups = self._groups(service.name)
-        self._switch_recovery.start(groups)
-        await self._counters.restart(_members(groups))
-        async with anyio.create_task_group() as tasks:
-            for group in groups:
-                tasks.start_soon(self._recover, group)
+        self._switch_recovery.start()
+        await self._counters.restart(_members(self._groups(service.name)))
 
     async def _balance(self, service: models.Service) -> bool:
         """Switch the groups that benefit; return whether any was switched."""
         shape = service.shape
         groups = self._groups(service.name)
-        if shape is None or not groups:
+        if shape is None or all(
+            map(self._switch_recovery.needs_recovery, groups)
+        ):
             return False
         loads_by_layer = await self._read_loads(groups, shape)
         if len(loads_by_layer) != shape.layer_sets:
@@ -153,7 +169,6 @@
         async with anyio.create_task_group() as tasks:
             for group in groups:
                 if self._switch_recovery.needs_recovery(group):
-                    tasks.start_soon(self._recover, group)
                     continue
                 current = await self._read_map(group)
                 if current is None:
@@ -272,6 +287,8 @@
     ) -> None:
         """Switch a group to a new map and record the result."""
         group, current, layers, *_ = planned_switch
+        if self._switch_recovery.needs_recovery(group):
+            return
         last_version = self._last_version_by_group.get(group.name, 0)
         version = max(current.version, last_version) + 1
         self._last_version_by_group[group.name] = version
@@ -292,7 +309,8 @@
             _preparation(group, copies, shape),
         )
         started_at_seconds = anyio.current_time()
-        switched = await executor.run()
+        with self._switch_recovery.paused(group):
+            switched = await executor.run()
         self._held_step_by_group[group.name] = executor.held_step
         if switched:
             self._current_map_by_group[group.name] = CurrentMap(
@@ -310,11 +328,14 @@
             self._switch_recovery.mark_for_recovery(group)
             self._current_map_by_group.pop(group.name, None)
 
-    async def _recover(self, group: rank_groups.Group) -> None:
-        """Complete a switch of an earlier leader that left a group held."""
-        held_step = await self._switch_recovery.recover(group)
+    def _on_recovered(
+        self, group: rank_groups.Group, held_step: int | None
+    ) -> None:
+        """Evaluate a recovered group at once; its map may have changed."""
+        self._current_map_by_group.pop(group.name, None)
         if held_step is not None:
             self._held_step_by_group[group.name] = held_step
+        self._wakes_early.set()
 
     def _groups(self, service: str) -> tuple[rank_groups.Group, ...]:
         """Return the rank groups of a service that have all their ranks."""
--- a/nutmegtrail/expert_balancing/switch_recovery.py
+++ b/nutmegtrail/expert_balancing/switch_recovery.py
@@ -1,9 +1,17 @@
-"""Recovery of expert map switches that an earlier leader left unfinished."""
+"""Recovery of expert map switches that an earlier leader left unfinished.
+
+An earlier leader may hold any group. What a new leader knows of the groups
+may be incomplete when it begins, so that each group is recovered as soon as
+all of its ranks are registered, and again when the group has formed anew.
+"""
 
 import collections
+import contextlib
 import itertools
+import typing
 
 import anyio
+import anyio.abc
 
 from nutmegtrail.expert_balancing import const
 from nutmegtrail.expert_balancing import leader_lease
@@ -17,6 +25,23 @@
 from nutmegtrail.ports import rank_control
 
 
+class Formation(typing.NamedTuple):
+    """Ranks that form a group in an epoch.
+
+    A rank that has started again does not know the fence.
+    """
+
+    epoch: int
+    incarnations: tuple[models.Incarnation, ...]
+
+
+class RecoveryListener(typing.Protocol):
+    """Receiver of the groups that have been recovered."""
+
+    def __call__(self, group: rank_groups.Group, held_step: int | None) -> None:
+        """Handle a recovered group; `held_step` is None if it was not held."""
+
+
 class SwitchRecovery:
     """Completes unfinished switches under the fence of this instance."""
 
@@ -25,49 +50,122 @@
         engines: rank_control.RankControl,
         lease: leader_lease.LeaderLease,
         distributor: order_distribution.OrderDistributor,
+        on_recovered: RecoveryListener,
     ) -> None:
         """Initialize the recovery before any leadership."""
         self._engines = engines
         self._lease = lease
         self._distributor = distributor
+        self._on_recovered = on_recovered
         self._fence: int | None = None
-        self._unrecovered_groups: set[str] = set()
+        self._recovered_by_group: dict[str, Formation] = {}
         self._failures_by_group: dict[str, int] = {}
+        self._due_at_by_group: dict[str, float] = {}
+        self._busy_groups: set[str] = set()
 
     @property
     def is_pending(self) -> bool:
         """Return whether recovery has not started yet for the current fence."""
         return self._lease.fence != self._fence
 
-    def start(self, groups: tuple[rank_groups.Group, ...]) -> None:
-        """Start a leadership; an earlier leader may hold any of the groups."""
+    def start(self) -> None:
+        """Start a leadership; an earlier leader may hold any group."""
         self._fence = self._lease.fence
-        self._unrecovered_groups = {group.name for group in groups}
+        self._recovered_by_group.clear()
         self._failures_by_group.clear()
+        self._due_at_by_group.clear()
 
     def mark_for_recovery(self, group: rank_groups.Group) -> None:
         """Mark a group that may have received orders from another leader."""
-        self._unrecovered_groups.add(group.name)
+        self._recovered_by_group.pop(group.name, None)
 
     def needs_recovery(self, group: rank_groups.Group) -> bool:
         """Return whether a group must be recovered before its next switch."""
-        return group.name in self._unrecovered_groups
+        return self._recovered_by_group.get(group.name) != _formation(group)
+
+    @contextlib.contextmanager
+    def paused(self, group: rank_groups.Group) -> typing.Iterator[None]:
+        """Leave a group alone while it is switched."""
+        self._busy_groups.add(group.name)
+        try:
+            yield
+        finally:
+            self._busy_groups.discard(group.name)
+
+    async def run(
+        self,
+        find_groups: typing.Callable[[], tuple[rank_groups.Group, ...]],
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Recover the groups that need it until cancelled.
+
+        A recovery that has begun in `tasks` goes on then.
+        """
+        while True:
+            for group in find_groups():
+                if self._is_due(group):
+                    tasks.start_soon(self._recover, group)
+            await anyio.sleep(const.RECOVERY_CHECK_INTERVAL_SECONDS)
+
+    def _is_due(self, group: rank_groups.Group) -> bool:
+        """Return whether to begin the recovery of a group now."""
+        if self._lease.is_retiring or self.is_pending:
+            return False
+        if group.name in self._busy_groups or not self.needs_recovery(group):
+            return False
+        due_at = self._due_at_by_group.get(group.name, 0)
+        return anyio.current_time() >= due_at
 
-    async def recover(self, group: rank_groups.Group) -> int | None:
-        """Complete an unfinished switch; return its held step, None if none.
+    async def _recover(self, group: rank_groups.Group) -> None:
+        """Recover a group, or try again later.
 
-        A group stays marked for recovery until all of its ranks respond.
         After several failures the lease is given up, since another instance
         may be able to reach the ranks.
         """
-        reports_by_id = await self._read_fenced_reports(group)
+        fence = self._fence
+        with self.paused(group):
+            reports_by_id = await self._read_fenced_reports(group)
+            if reports_by_id is not None:
+                held_step = await self._complete(group, reports_by_id)
+        if self._lease.fence != fence or self._fence != fence:
+            return
         if reports_by_id is None:
-            failures = self._failures_by_group.get(group.name, 0) + 1
-            self._failures_by_group[group.name] = failures
-            if failures >= const.RESUME_ATTEMPTS_LIMIT:
-                await self._lease.resign()
-            return None
-        self._unrecovered_groups.discard(group.name)
+            await self._on_failure(group)
+            return
+        self._recovered_by_group[group.name] = _formation(group)
+        self._failures_by_group.pop(group.name, None)
+        logs.decision(
+            'expert-map:recovered',
+            group=group.name,
+            epoch=group.epoch,
+            fence=fence,
+            held_step=held_step,
+        )
+        self._on_recovered(group, held_step)
+
+    async def _on_failure(self, group: rank_groups.Group) -> None:
+        """Count a failed recovery; give up the lease after several."""
+        failures = self._failures_by_group.get(group.name, 0) + 1
+        self._failures_by_group[group.name] = failures
+        self._due_at_by_group[group.name] = (
+            anyio.current_time() + const.RECOVERY_RETRY_SECONDS
+        )
+        logs.decision(
+            'expert-map:not-recovered',
+            group=group.name,
+            epoch=group.epoch,
+            fence=self._fence,
+            failures=failures,
+        )
+        if failures >= const.RESUME_ATTEMPTS_LIMIT:
+            await self._lease.resign()
+
+    async def _complete(
+        self,
+        group: rank_groups.Group,
+        reports_by_id: typing.Mapping[str, switches.Report],
+    ) -> int | None:
+        """Complete an unfinished switch; return its held step, None if none."""
         first_decision = switches.resume(group.member_ids, reports_by_id)
         if first_decision is None:
             return None
@@ -157,3 +255,10 @@
                 outcomes.append(outcome)
                 return
             await anyio.sleep(const.ORDER_RETRY_SECONDS)
+
+
+def _formation(group: rank_groups.Group) -> Formation:
+    """Return the present formation of a group."""
+    return Formation(
+        group.epoch, tuple(member.incarnation for member in group.members)
+    )
--- /dev/null
+++ b/tests/expert_balancing/test_group_recovery.py
@@ -0,0 +1,82 @@
+"""Groups that nobody else would release are found and released."""
+
+import anyio
+import testtools
+
+from tests.expert_balancing import lockstep_groups
+from tests.expert_balancing import simulated_fleet
+
+_CHECK_SECONDS = 0.005
+_RECOVERY_SECONDS = 6
+# Ends the run if what it waits for never comes.
+_WAIT_LIMIT_SECONDS = 60
+
+
+class GroupRecoveryTest(testtools.TestCase):
+    """Two entries, one of which leads, and groups of three ranks."""
+
+    # Guards against a group that is held for good, since it was not complete
+    # in the registrations that a new leader began with.
+    def test_registrations_that_return_after_a_take_over(self):
+        """The group is recovered once all of its ranks are registered."""
+        for returning_ranks in (1, lockstep_groups.RANKS):
+            self._run_kill_while_held(returning_ranks, groups=1)
+
+    def test_one_of_two_groups_returns_late(self):
+        """Work on the other group makes no difference."""
+        self._run_kill_while_held(1, groups=2)
+
+    # Guards against a group that is held for good while there is nothing to
+    # balance, since its counters stand still.
+    def test_held_group_without_requests(self):
+        """It is released before the first request comes."""
+
+        async def _scenario(simulation):
+            await _kill_while_held(simulation, returning_ranks=1)
+            simulation.set_busy(is_busy=False)
+            await anyio.sleep(1)
+            simulation.register_all()
+            await anyio.sleep(_RECOVERY_SECONDS)
+            self.assertEqual([], simulation.groups[0].held_steps())
+
+        simulated_fleet.Simulation().run(_scenario)
+
+    def _run_kill_while_held(self, returning_ranks, groups):
+        """Let registrations return after all entries were killed in a hold."""
+
+        async def _scenario(simulation):
+            group = await _kill_while_held(simulation, returning_ranks)
+            await anyio.sleep(1)
+            self.assertIsNotNone(simulation.leader())
+            simulation.register_all()
+            held_step = group.step
+            await anyio.sleep(_RECOVERY_SECONDS)
+            self.assertTrue(group.step > held_step, (group.step, held_step))
+            self.assertEqual([], group.violations)
+
+        simulated_fleet.Simulation(groups=groups).run(_scenario)
+
+
+async def _kill_while_held(simulation, returning_ranks):
+    """Kill all entries in a hold; return the held group.
+
+    Registrations expire, and entries start before all of them return.
+    """
+    simulation.set_busy(is_busy=True)
+    group = simulation.groups[0]
+    await _wait_for(simulation, group.held_steps)
+    for entry in simulation.entries:
+        entry.kill()
+    for number in range(returning_ranks):
+        simulation.store.remove(group.member(number).upstream_id)
+    await _wait_for(simulation, simulation.leader)
+    return group
+
+
+async def _wait_for(simulation, condition):
+    """Shift the demand until a condition is met."""
+    with anyio.fail_after(_WAIT_LIMIT_SECONDS):
+        while not condition():
+            if simulation.generator.random() < _CHECK_SECONDS:
+                simulation.groups[0].shifts += 1
+            await anyio.sleep(_CHECK_SECONDS / 10)
