Release groups that a late order of their own leader holds

Callers saw: after a map switch of a group, no stream of it was answered any more until the leadership changed.

Cause: an order to hold without a response is sent again, and its first copy may be carried out seconds later, after newer orders. Ranks refuse it once the held step has begun. Between the release and that step they accept it: for some passes in a busy group, without end in an idle one. The switch has ended by then, so nobody sends the release. A held group counts nothing that would lead to another switch, and the fence does not keep off orders of the same leader.

Change: a leader keeps the last held step of each group and reads a report of the rank that holds 0.5 s after the release, and each 0.5 s until the step has begun or the epoch has ended. A group that is held before just that step, while nobody switches it, is recovered like one of an earlier leader. One more report a switch, as long as the group passes. Orders of earlier leaderships are fenced off, so a new one starts without.

The last held step is now kept by epoch, and through a switch that held nothing, which used to forget it; a group that formed anew started from the old one.

Ruled out: a new fence after each switch (fencing off all ranks and 0.4 s for it); a look only after holds without a response (an answer may be another's).

Evidence: before, test_late_hold_of_an_idle_group and test_late_hold_between_the_release_and_the_held_step failed, standing at step 125 with 126 held. A guard removes the look: red.

--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -236,6 +236,13 @@
         '_formation(group) is None',
         _GROUP_RECOVERY_TESTS,
     ),
+    Guard(
+        'recovery of a group that a late order holds again',
+        'nutmegtrail/expert_balancing/held_steps.py',
+        'if report.held_step != held_step:',
+        'if True:',
+        _GROUP_RECOVERY_TESTS,
+    ),
     Guard(
         'hold only after a report of the rank that holds',
         _SWITCH_EXECUTOR,
--- a/nutmegtrail/expert_balancing/const.py
+++ b/nutmegtrail/expert_balancing/const.py
@@ -89,6 +89,9 @@
 # Lost orders are sent again until this timeout.
 FENCE_TIMEOUT_SECONDS: typing.Final = 1.0
 RESUME_ATTEMPTS_LIMIT: typing.Final = 5
+# Between the release of a group and a look for a late hold, and between two
+# looks; longer than reports lag behind.
+HOLD_CHECK_INTERVAL_SECONDS: typing.Final = 0.5
 # How often the registrations are compared with the groups recovered so far.
 RECOVERY_CHECK_INTERVAL_SECONDS: typing.Final = 0.25
 # Between two tries, so that reports have caught up with a new epoch.
--- a/nutmegtrail/expert_balancing/expert_balancer.py
+++ b/nutmegtrail/expert_balancing/expert_balancer.py
@@ -9,6 +9,7 @@
 
 from nutmegtrail.expert_balancing import const
 from nutmegtrail.expert_balancing import counter_reader
+from nutmegtrail.expert_balancing import held_steps
 from nutmegtrail.expert_balancing import leader_lease
 from nutmegtrail.expert_balancing import order_distribution
 from nutmegtrail.expert_balancing import popularity
@@ -69,9 +70,9 @@
         self._wakes_early = anyio.Event()
         self._current_map_by_group: dict[str, CurrentMap] = {}
         self._last_version_by_group: dict[str, int] = {}
-        self._held_step_by_group: dict[str, int] = {}
+        self._held_steps = held_steps.HeldSteps(engines)
         self._switch_recovery = switch_recovery.SwitchRecovery(
-            engines, lease, distributor, self._on_recovered
+            engines, lease, distributor, self._held_steps, self._on_recovered
         )
         self._switch_count = 0
         self._ended = anyio.Event()
@@ -297,7 +298,7 @@
             group.epoch,
             version,
             layers,
-            self._held_step_by_group.get(group.name, 0),
+            self._held_steps.last_step(group),
         )
         copies = layer_placement.copies_by_rank(current.layers, layers)
         executor = switch_executor.SwitchExecutor(
@@ -311,7 +312,7 @@
         started_at_seconds = anyio.current_time()
         with self._switch_recovery.paused(group):
             switched = await executor.run()
-        self._held_step_by_group[group.name] = executor.held_step
+        self._held_steps.record(group, executor.held_step)
         if switched:
             self._current_map_by_group[group.name] = CurrentMap(
                 group.epoch,
@@ -328,13 +329,9 @@
             self._switch_recovery.mark_for_recovery(group)
             self._current_map_by_group.pop(group.name, None)
 
-    def _on_recovered(
-        self, group: rank_groups.Group, held_step: int | None
-    ) -> None:
+    def _on_recovered(self, group: rank_groups.Group) -> None:
         """Evaluate a recovered group at once; its map may have changed."""
         self._current_map_by_group.pop(group.name, None)
-        if held_step is not None:
-            self._held_step_by_group[group.name] = held_step
         self._wakes_early.set()
 
     def _groups(self, service: str) -> tuple[rank_groups.Group, ...]:
--- a/nutmegtrail/expert_balancing/switch_recovery.py
+++ b/nutmegtrail/expert_balancing/switch_recovery.py
@@ -14,6 +14,7 @@
 import anyio.abc
 
 from nutmegtrail.expert_balancing import const
+from nutmegtrail.expert_balancing import held_steps
 from nutmegtrail.expert_balancing import leader_lease
 from nutmegtrail.expert_balancing import order_distribution
 from nutmegtrail.expert_balancing import patience
@@ -35,13 +36,6 @@
     incarnations: tuple[models.Incarnation, ...]
 
 
-class RecoveryListener(typing.Protocol):
-    """Receiver of the groups that have been recovered."""
-
-    def __call__(self, group: rank_groups.Group, held_step: int | None) -> None:
-        """Handle a recovered group; `held_step` is None if it was not held."""
-
-
 class SwitchRecovery:
     """Completes unfinished switches under the fence of this instance."""
 
@@ -50,12 +44,14 @@
         engines: rank_control.RankControl,
         lease: leader_lease.LeaderLease,
         distributor: order_distribution.OrderDistributor,
-        on_recovered: RecoveryListener,
+        last_held_steps: held_steps.HeldSteps,
+        on_recovered: typing.Callable[[rank_groups.Group], None],
     ) -> None:
         """Initialize the recovery before any leadership."""
         self._engines = engines
         self._lease = lease
         self._distributor = distributor
+        self._held_steps = last_held_steps
         self._on_recovered = on_recovered
         self._fence: int | None = None
         self._recovered_by_group: dict[str, Formation] = {}
@@ -74,9 +70,10 @@
         self._recovered_by_group.clear()
         self._failures_by_group.clear()
         self._due_at_by_group.clear()
+        self._held_steps.start()
 
     def mark_for_recovery(self, group: rank_groups.Group) -> None:
-        """Mark a group that may have received orders from another leader."""
+        """Mark a group that may have received late orders, or another's."""
         self._recovered_by_group.pop(group.name, None)
 
     def needs_recovery(self, group: rank_groups.Group) -> bool:
@@ -105,6 +102,8 @@
             for group in find_groups():
                 if self._is_due(group):
                     tasks.start_soon(self._recover, group)
+                elif self._held_steps.is_check_due(group):
+                    tasks.start_soon(self._find_late_hold, group)
             await anyio.sleep(const.RECOVERY_CHECK_INTERVAL_SECONDS)
 
     def _is_due(self, group: rank_groups.Group) -> bool:
@@ -134,6 +133,7 @@
             return
         self._recovered_by_group[group.name] = _formation(group)
         self._failures_by_group.pop(group.name, None)
+        self._held_steps.record(group, held_step or 0)
         logs.decision(
             'expert-map:recovered',
             group=group.name,
@@ -141,7 +141,16 @@
             fence=fence,
             held_step=held_step,
         )
-        self._on_recovered(group, held_step)
+        self._on_recovered(group)
+
+    async def _find_late_hold(self, group: rank_groups.Group) -> None:
+        """Mark a group that an order of this leader holds once more.
+
+        While the group is switched, its ranks tell by their refusals.
+        """
+        is_held = await self._held_steps.find_late_hold(group)
+        if is_held and group.name not in self._busy_groups:
+            self.mark_for_recovery(group)
 
     async def _on_failure(self, group: rank_groups.Group) -> None:
         """Count a failed recovery; give up the lease after several."""
--- a/tests/expert_balancing/test_group_recovery.py
+++ b/tests/expert_balancing/test_group_recovery.py
@@ -3,9 +3,11 @@
 import anyio
 import testtools
 
+from nutmegtrail.expert_map import switch
 from tests.expert_balancing import lockstep_groups
 from tests.expert_balancing import simulated_fleet
 
+_WARM_UP_SECONDS = 3
 _CHECK_SECONDS = 0.005
 _RECOVERY_SECONDS = 6
 # Ends the run if what it waits for never comes.
@@ -41,6 +43,44 @@
 
         simulated_fleet.Simulation().run(_scenario)
 
+    # Guards against a group that is held for good by an order that its leader
+    # repeated, and that was carried out after the group was released.
+    def test_late_hold_of_an_idle_group(self):
+        """The leader that sent the order releases the group again."""
+        for seed in range(6):
+            simulation = simulated_fleet.Simulation(seed=seed)
+            simulation.run(self._hold_late)
+
+    def test_late_hold_between_the_release_and_the_held_step(self):
+        """Neither does a group with requests stay held."""
+
+        async def _scenario(simulation):
+            group = simulation.groups[0]
+            simulation.set_busy(is_busy=True)
+            await anyio.sleep(_WARM_UP_SECONDS)
+            step = await _wait_for_release(simulation)
+            self.assertEqual(200, _hold(group, step))
+            await anyio.sleep(_RECOVERY_SECONDS)
+            self.assertTrue(group.step > step, (group.step, step))
+
+        for seed in range(10):
+            simulated_fleet.Simulation(seed=seed).run(_scenario)
+
+    async def _hold_late(self, simulation):
+        """Let a repeated hold be carried out late, while the group is idle."""
+        group = simulation.groups[0]
+        simulation.set_busy(is_busy=True)
+        await anyio.sleep(_WARM_UP_SECONDS)
+        step = await _wait_for_release(simulation)
+        simulation.set_busy(is_busy=False)
+        await anyio.sleep(simulation.generator.uniform(0.1, 4))
+        self.assertEqual(200, _hold(group, step))
+        await anyio.sleep(simulation.generator.uniform(0, 3))
+        simulation.set_busy(is_busy=True)
+        await anyio.sleep(_RECOVERY_SECONDS)
+        self.assertTrue(group.step > step, (group.step, step))
+        self.assertEqual([], group.violations)
+
     def _run_kill_while_held(self, returning_ranks, groups):
         """Let registrations return after all entries were killed in a hold."""
 
@@ -73,6 +113,24 @@
     return group
 
 
+def _hold(group, step):
+    """Return the status of a repeated order of the leader to hold a step."""
+    holder = group.ranks[0]
+    order = switch.Order(switch.Operation.HOLD, group.epoch, step=step)
+    return holder.take(order, holder.fence, group.step)
+
+
+async def _wait_for_release(simulation):
+    """Return the step of a hold that was ended before the step has begun."""
+    group = simulation.groups[0]
+    while True:
+        await _wait_for(simulation, group.held_steps)
+        step = group.held_steps()[0]
+        await _wait_for(simulation, group.is_released)
+        if group.step < step:
+            return step
+
+
 async def _wait_for(simulation, condition):
     """Shift the demand until a condition is met."""
     with anyio.fail_after(_WAIT_LIMIT_SECONDS):
