Take no answer for that to another order

The leader counted the rank as armed and released the group.

Cause: nothing tied an answer on a kept connection to its order. The same holds for reports: a new leader could take a state from before its fence.

Calls to the control API now carry an X-Nutmegtrail-Request-Id. An answer that names another call closes its connection and counts as none. One that names no call is taken for that of an order (to hold, arm, disarm, release), a report or a list of experts only if it is the first on its connection; for these calls a connection is kept only while each answer on it has named its call. An answer of another shape than was asked for closes the connection. Orders without an answer of their own are sent again, as before, and logged.

Ruled out: to release on reports of `armed`, which are 0.2 s old, so that each switch would hold the group beyond the longest pause or come that much later; `expected`, which says nothing of an answer.

--- a/nutmegtrail/adapters/http1/client.py
+++ b/nutmegtrail/adapters/http1/client.py
@@ -31,11 +31,14 @@
 class _Connection(typing.NamedTuple):
     """Open connection and the requests that were refused on it.
 
-    Its peer may write one of these refusals once more.
+    Its peer may write one of these refusals once more. `names_requests` is
+    set if each response on it has named its request.
     """
 
     stream: anyio.abc.SocketStream
     refused_ids: frozenset[str] = frozenset()
+    is_new: bool = True
+    names_requests: bool = False
 
 
 class _IdleConnection(typing.NamedTuple):
@@ -49,7 +52,9 @@
     """Request to an address; may require a new connection.
 
     `is_wanted` is asked once the connection is open, and the request is sent
-    only if it returns True. `request_id` is what refusals name.
+    only if it returns True. `request_id` is what refusals name. With
+    `needs_own_response`, only a connection is reused on which each response
+    has named its request, so that a response of an earlier one is told apart.
     """
 
     address: models.Address
@@ -60,26 +65,35 @@
     needs_new_connection: bool = False
     is_wanted: typing.Callable[[], bool] | None = None
     request_id: str = ''
+    needs_own_response: bool = False
 
 
 class Response:
     """Response whose body is received in parts.
 
-    `is_refusal` and `names_request` are set by callers that understand the
-    response.
+    `is_refusal`, `names_request` and `is_foreign` are set by callers that
+    understand the response. After a foreign one, each later response on the
+    connection may be that of an earlier request, so that it is closed.
     """
 
     def __init__(
         self,
         stream: anyio.abc.ByteStream,
         reader: messages.ResponseReader,
+        *,
+        is_first: bool,
     ) -> None:
-        """Initialize the response; its head has been read."""
+        """Initialize the response; its head has been read.
+
+        `is_first` is set if there was none before it on the connection.
+        """
         self._stream = stream
         self._reader = reader
+        self.is_first = is_first
         self.head = typing.cast('messages.Head', reader.head)
         self.is_refusal = False
         self.names_request = False
+        self.is_foreign = False
 
     async def receive(self) -> bytes:
         """Return the next part of the body, b'' at its end."""
@@ -129,11 +143,11 @@
         kept: _Connection | None = None
         try:
             await _send(connection.stream, call)
-            response = await _read_head(connection.stream, reader)
+            response = await _read_head(connection, reader)
             yield response
             kept = _after_response(connection, response, reader, call)
         finally:
-            if kept is None or not self._keep_idle(call.address, kept, reader):
+            if kept is None or not self._keep_idle(call, kept, reader):
                 with anyio.CancelScope(shield=True):
                     await connection.stream.aclose()
 
@@ -170,40 +184,52 @@
         return _Connection(stream)
 
     async def _take_idle(self, call: Call) -> _Connection | None:
-        """Return the newest idle connection that is still open.
+        """Return the newest suitable connection that is still open.
 
         One on which this request was refused is closed.
         """
-        idle_connections = self._idle_by_address.get(call.address, [])
-        while idle_connections:
-            connection, usable_until_seconds = idle_connections.pop()
+        while True:
+            idle = self._pop_idle(call)
+            if idle is None:
+                return None
+            connection, usable_until_seconds = idle
             raw = connection.stream.extra(anyio.abc.SocketAttribute.raw_socket)
             is_unexpired = anyio.current_time() < usable_until_seconds
             is_fresh = call.request_id not in connection.refused_ids
             if is_unexpired and is_fresh and not _is_readable(raw):
                 return connection
             await connection.stream.aclose()
+
+    def _pop_idle(self, call: Call) -> _IdleConnection | None:
+        """Remove and return the newest idle connection that suits a call."""
+        idle_connections = self._idle_by_address.get(call.address, [])
+        for idle in reversed(idle_connections):
+            if idle.connection.names_requests or not call.needs_own_response:
+                idle_connections.remove(idle)
+                return idle
         return None
 
     def _keep_idle(
         self,
-        address: models.Address,
+        call: Call,
         connection: _Connection,
         reader: messages.ResponseReader,
     ) -> bool:
         """Keep a connection for the keep-alive timeout of its peer.
 
-        Returns False if it must be closed instead.
+        Returns False if it must be closed instead. Calls that need their own
+        response would add one each, so that only the first of these is kept.
         """
         head = typing.cast('messages.Head', reader.head)
         timeout = _KEEP_ALIVE_TIMEOUT.search(head.header(b'keep-alive'))
         if timeout is None:
             return False
         idle_seconds = int(timeout.group(1)) - const.IDLE_MARGIN_SECONDS
-        idle_connections = self._idle_by_address.setdefault(address, [])
-        is_full = (
-            len(idle_connections) >= const.MAX_IDLE_CONNECTIONS_PER_ADDRESS
-        )
+        idle_connections = self._idle_by_address.setdefault(call.address, [])
+        limit = const.MAX_IDLE_CONNECTIONS_PER_ADDRESS
+        if call.needs_own_response and not connection.names_requests:
+            limit = 1
+        is_full = len(idle_connections) >= limit
         if is_full or idle_seconds <= 0:
             return False
         usable_until = anyio.current_time() + idle_seconds
@@ -221,8 +247,13 @@
 
     A refusal that names no request could be taken for that of any later one.
     """
-    if not reader.keeps_alive():
+    if response.is_foreign or not reader.keeps_alive():
         return None
+    connection = connection._replace(
+        is_new=False,
+        names_requests=response.names_request
+        and (connection.is_new or connection.names_requests),
+    )
     if not response.is_refusal:
         return connection
     refused_ids = connection.refused_ids | {call.request_id}
@@ -263,13 +294,13 @@
 
 
 async def _read_head(
-    stream: anyio.abc.ByteStream,
+    connection: _Connection,
     reader: messages.ResponseReader,
 ) -> Response:
     """Return the response as soon as its head has arrived."""
     while reader.head is None:
-        await _read_more(stream, reader)
-    return Response(stream, reader)
+        await _read_more(connection.stream, reader)
+    return Response(connection.stream, reader, is_first=connection.is_new)
 
 
 async def _read_more(
--- a/nutmegtrail/adapters/http1/const.py
+++ b/nutmegtrail/adapters/http1/const.py
@@ -51,3 +51,6 @@
 )
 # A connection with more refusals is closed.
 MAX_REFUSALS_PER_CONNECTION: typing.Final = 64
+
+# Tells the requests of a process from those of others.
+REQUEST_ID_PREFIX_BYTES: typing.Final = 4
--- a/nutmegtrail/adapters/http1/json_client.py
+++ b/nutmegtrail/adapters/http1/json_client.py
@@ -1,5 +1,13 @@
-"""HTTP client for JSON APIs, which tells why a response is missing."""
+"""HTTP client for JSON APIs, which tells why a response is missing.
 
+A peer may send a response twice, the second time where the response to a later
+request on the connection is expected. A response is therefore taken as that of
+its request if it names the request, or if it is the first one on its
+connection. Other responses are taken by calls that do not need their own.
+"""
+
+import itertools
+import secrets
 import typing
 
 import anyio
@@ -34,15 +42,50 @@
     is_refused: bool = False
 
 
+def _fits_any(_: Response) -> bool:
+    """Return that every response fits."""
+    return True
+
+
+class Demands(typing.NamedTuple):
+    """What a call demands of its connection and its response.
+
+    With `needs_own_response`, a response that may be that of an earlier
+    request counts as none. After one that does not fit the request, nothing
+    more is sent on its connection.
+    """
+
+    needs_new_connection: bool = False
+    needs_own_response: bool = False
+    fits: typing.Callable[[Response], bool] = _fits_any
+
+
+_NO_DEMANDS: typing.Final = Demands()
+
+
 class JsonClient:
     """Client that reuses its connections."""
 
     def __init__(
-        self, response_limit_bytes: int = const.JSON_RESPONSE_LIMIT_BYTES
+        self,
+        response_limit_bytes: int = const.JSON_RESPONSE_LIMIT_BYTES,
+        id_header: bytes = b'',
     ) -> None:
-        """Initialize the client without opening connections."""
+        """Initialize the client without opening connections.
+
+        Requests are named in the header `id_header`, in which peers may repeat
+        the name. They have no name if it is empty.
+        """
         self._http_client = client.Client()
         self._response_limit_bytes = response_limit_bytes
+        self._id_header = id_header
+        self._id_prefix = secrets.token_hex(const.REQUEST_ID_PREFIX_BYTES)
+        self._request_numbers = itertools.count(1)
+
+    @property
+    def connections_opened(self) -> int:
+        """Return how many connections were opened."""
+        return self._http_client.connections_opened
 
     async def close(self) -> None:
         """Close all connections."""
@@ -56,29 +99,53 @@
         headers: messages.Headers,
         body: bytes,
         timeout_seconds: float,
-        *,
-        needs_new_connection: bool = False,
+        demands: Demands = _NO_DEMANDS,
     ) -> Response | NoResponse:
         """Send a request and return the response, or why there is none."""
-        host = (b'host', str(address).encode())
-        request = client.Call(
+        request_id = f'{self._id_prefix}{next(self._request_numbers):08x}'
+        names: messages.Headers = ((b'host', str(address).encode()),)
+        if self._id_header:
+            names = (*names, (self._id_header, request_id.encode()))
+        call = client.Call(
             address,
             method,
             target,
-            (host, *headers),
+            (*names, *headers),
             body,
-            needs_new_connection,
+            demands.needs_new_connection,
+            request_id=request_id,
+            needs_own_response=demands.needs_own_response,
         )
         try:
             with anyio.fail_after(timeout_seconds):
-                head, received = await self._http_client.fetch(
-                    request,
-                    self._response_limit_bytes,
-                )
+                return await self._exchange(call, demands.fits)
         except errors.ConnectionRefused as error:
             return NoResponse(str(error), is_refused=True)
         except (errors.NotConnected, errors.ExchangeBroken) as error:
             return NoResponse(str(error))
         except TimeoutError:
             return NoResponse(f'no response within {timeout_seconds} s')
-        return Response(head.status, received, head.headers)
+
+    async def _exchange(
+        self, call: client.Call, fits: typing.Callable[[Response], bool]
+    ) -> Response:
+        """Return the response to a call; raise ExchangeBroken if not its own."""
+        async with self._http_client.open(call) as opened:
+            self._check_name(call, opened)
+            received = await opened.read(self._response_limit_bytes)
+            head = opened.head
+            response = Response(head.status, received, head.headers)
+            opened.is_foreign = not fits(response)
+            return response
+
+    def _check_name(self, call: client.Call, opened: client.Response) -> None:
+        """Raise ExchangeBroken if a response may be that of another request."""
+        named_id = b''
+        if self._id_header:
+            named_id = opened.head.header(self._id_header)
+        opened.names_request = named_id == call.request_id.encode()
+        if named_id and not opened.names_request:
+            raise errors.ExchangeBroken('response to another request')
+        is_own = opened.names_request or opened.is_first
+        if call.needs_own_response and not is_own:
+            raise errors.ExchangeBroken('response that names no request')
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -24,6 +24,8 @@
 EXPERT_COUNTS_PATH: typing.Final = b'/api/picked'
 EXPERT_LISTS_PATH: typing.Final = b'/api/picked?lists=1'
 ORDER_PATH: typing.Final = b'/api/order'
+# Fields that a report or counters have, and responses to orders do not.
+READ_FIELDS: typing.Final = frozenset(('counts', 'queued'))
 
 # The store raises this number whenever it comes back from an earlier copy.
 STORE_ERA_HEADER: typing.Final = b'store-era'
--- a/nutmegtrail/platform/engines.py
+++ b/nutmegtrail/platform/engines.py
@@ -1,5 +1,6 @@
 """Client for the engines' control API."""
 
+import functools
 import http
 import json
 import typing
@@ -42,7 +43,7 @@
         `on_signals` is called with what upstreams say of themselves in their
         responses.
         """
-        self._client = json_client.JsonClient()
+        self._client = json_client.JsonClient(id_header=const.REQUEST_ID_HEADER)
         self._on_signals = on_signals
 
     async def close(self) -> None:
@@ -66,7 +67,7 @@
             (_expected_upstream_header(upstream),),
             b'',
             const.ENGINE_READ_TIMEOUT_SECONDS,
-            needs_new_connection=True,
+            json_client.Demands(needs_new_connection=True),
         )
         self._record_signals(upstream, response, asked_at_seconds)
         if isinstance(response, json_client.NoResponse):
@@ -83,7 +84,12 @@
         upstream: models.Upstream,
     ) -> switch.Report | None:
         """Return an engine's state, about 200 ms old; None if unreadable."""
-        return await self._get(upstream, const.REPORT_PATH, _decode_report)
+        return await self._get(
+            upstream,
+            const.REPORT_PATH,
+            _decode_report,
+            needs_own_response=True,
+        )
 
     async def choices(
         self,
@@ -100,7 +106,10 @@
     ) -> layer_placement.Layer | None:
         """Return the experts on a rank by layer, None if unreadable."""
         return await self._get(
-            upstream, const.EXPERT_LISTS_PATH, _decode_held_experts
+            upstream,
+            const.EXPERT_LISTS_PATH,
+            _decode_held_experts,
+            needs_own_response=True,
         )
 
     async def order(
@@ -110,7 +119,11 @@
         fence: int,
         patience: float = 1,
     ) -> rank_control.OrderOutcome:
-        """Send an order; without a response it may still be executed."""
+        """Send an order; without a response it may still be executed.
+
+        A rank that has not prepared a map refuses to be armed with it, so
+        that only the other orders need their own response.
+        """
         body: json_client.JsonObject = {
             'operation': order.operation.value,
             'epoch': order.epoch,
@@ -132,9 +145,25 @@
             (_expected_upstream_header(upstream), *json_client.JSON_HEADERS),
             orjson.dumps(body),
             timeout_seconds * patience,
+            json_client.Demands(
+                needs_own_response=(
+                    order.operation is not switch.Operation.PREPARE
+                ),
+                fits=_fits_order,
+            ),
         )
-        self._record_signals(upstream, response, asked_at_seconds)
         if isinstance(response, json_client.NoResponse):
+            logs.decision(
+                'order:unanswered',
+                upstream=upstream.upstream_id,
+                operation=order.operation.value,
+                version=order.version,
+                step=order.step,
+                detail=response.detail,
+            )
+            return rank_control.OrderOutcome.UNANSWERED
+        self._record_signals(upstream, response, asked_at_seconds)
+        if not _fits_order(response):
             return rank_control.OrderOutcome.UNANSWERED
         if response.status in {http.HTTPStatus.OK, http.HTTPStatus.ACCEPTED}:
             return rank_control.OrderOutcome.ACCEPTED
@@ -147,6 +176,8 @@
         upstream: models.Upstream,
         target: bytes,
         decode: typing.Callable[[json_client.JsonObject], _Decoded],
+        *,
+        needs_own_response: bool = False,
     ) -> _Decoded | None:
         """Return the decoded response to a GET request, None if unreadable."""
         asked_at_seconds = anyio.current_time()
@@ -157,6 +188,10 @@
             (_expected_upstream_header(upstream),),
             b'',
             const.ENGINE_READ_TIMEOUT_SECONDS,
+            json_client.Demands(
+                needs_own_response=needs_own_response,
+                fits=functools.partial(_is_readable, decode),
+            ),
         )
         self._record_signals(upstream, response, asked_at_seconds)
         try:
@@ -206,6 +241,29 @@
     return document
 
 
+def _is_readable(
+    decode: typing.Callable[[json_client.JsonObject], object],
+    response: json_client.Response,
+) -> bool:
+    """Return whether a response to a GET request can be decoded."""
+    try:
+        decode(_decode_body(response))
+    except _REPORT_ERRORS:
+        return False
+    return True
+
+
+def _fits_order(response: json_client.Response) -> bool:
+    """Return whether a response is not that of a report or of counters."""
+    try:
+        document = _decode_body(response)
+    except _DECODE_ERRORS:
+        return True
+    return not (
+        isinstance(document, dict) and const.READ_FIELDS.intersection(document)
+    )
+
+
 def _has_restarted(
     response: json_client.Response, upstream: models.Upstream
 ) -> bool:
