Call upstreams behind sidecars on a connection each

A read could get the answer to an earlier one, and a rank's state that to an earlier question, where an upstream sends an answer twice on a kept connection.

Cause: the clients of the sidecar kept connections, and nothing in an answer names its request. Calls that must not be repeated had their own connections already; now all have, also those to the rank.

Ruled out: to compare `x-request-id`, which upstreams need not repeat.

tests/adapters/test_repeated_answers.py failed before: the second read had the state m0 instead of m1, and `first` instead of `second`. tests/daemons: 32 passed.

--- a/nutmegtrail/adapters/rank_engine/http.py
+++ b/nutmegtrail/adapters/rank_engine/http.py
@@ -29,13 +29,18 @@
 
 
 class HttpRankEngine:
-    """Implements `ports.rank_engine.RankEngine`."""
+    """Implements `ports.rank_engine.RankEngine`.
+
+    Each call has a connection of its own, on which no answer to an earlier
+    call can come.
+    """
 
     def __init__(self, address: shared_models.Address, rank: int) -> None:
         """Initialize the client without opening connections."""
         self._client = httpx.AsyncClient(
             base_url=f'http://{address}/ranks/{rank}',
             timeout=_TIMEOUT_SECONDS,
+            limits=httpx.Limits(max_keepalive_connections=0),
         )
 
     async def close(self) -> None:
--- a/nutmegtrail/adapters/upstream_http/client.py
+++ b/nutmegtrail/adapters/upstream_http/client.py
@@ -14,7 +14,6 @@
 _EVENT_SEPARATOR: typing.Final = b'\n\n'
 _EVENT_STREAM: typing.Final = 'text/event-stream'
 _CONNECT_TIMEOUT_SECONDS: typing.Final = 1.0
-_KEEP_ALIVE_CONNECTIONS_LIMIT: typing.Final = 64
 _PROBE_TIMEOUT_SECONDS: typing.Final = 2.0
 _NOT_SENT_ERRORS: typing.Final = (httpx.ConnectError, httpx.ConnectTimeout)
 
@@ -25,16 +24,25 @@
     def __init__(self, address: shared_models.Address) -> None:
         """Initialize the client without opening connections.
 
-        A call that must not be repeated uses a new connection: a failure on a
-        reused connection does not tell whether the request was received.
+        Each call uses a new connection: a failure on a reused one does not
+        tell whether the request was received, and an upstream may repeat the
+        answer to an earlier request on it.
         """
-        self._client = _create_client(address, _KEEP_ALIVE_CONNECTIONS_LIMIT)
-        self._fresh_client = _create_client(address, 0)
+        self._client = httpx.AsyncClient(
+            base_url=f'http://{address}',
+            timeout=httpx.Timeout(
+                shared_const.REQUEST_TIMEOUT_SECONDS,
+                connect=_CONNECT_TIMEOUT_SECONDS,
+            ),
+            limits=httpx.Limits(
+                max_connections=None,
+                max_keepalive_connections=0,
+            ),
+        )
 
     async def close(self) -> None:
         """Close all connections."""
         await self._client.aclose()
-        await self._fresh_client.aclose()
 
     async def probe(self) -> bool:
         """Return whether the health check of the upstream succeeds."""
@@ -53,15 +61,14 @@
         call: models.Call,
     ) -> collections.abc.AsyncIterator[upstream.Response]:
         """Send a request; leaving the context cancels the response."""
-        client = self._client if call.idempotent else self._fresh_client
-        request = client.build_request(
+        request = self._client.build_request(
             call.method,
             call.path,
             content=call.body,
             headers=_headers(call),
         )
         try:
-            response = await client.send(request, stream=True)
+            response = await self._client.send(request, stream=True)
         except _NOT_SENT_ERRORS as error:
             raise upstream.NotSent(str(error)) from error
         except httpx.HTTPError as error:
@@ -72,24 +79,6 @@
             await response.aclose()
 
 
-def _create_client(
-    address: shared_models.Address,
-    keep_alive_connections: int,
-) -> httpx.AsyncClient:
-    """Create a client that keeps up to this number of idle connections."""
-    return httpx.AsyncClient(
-        base_url=f'http://{address}',
-        timeout=httpx.Timeout(
-            shared_const.REQUEST_TIMEOUT_SECONDS,
-            connect=_CONNECT_TIMEOUT_SECONDS,
-        ),
-        limits=httpx.Limits(
-            max_connections=None,
-            max_keepalive_connections=keep_alive_connections,
-        ),
-    )
-
-
 def _headers(call: models.Call) -> dict[str, str]:
     """Return the headers of the request to an upstream."""
     headers = {
