Name batches of relayed orders in their outcomes

The leader could take the outcomes of an earlier batch for those of the next one, where the call for this one got lost on a kept connection: ranks counted as prepared that had no new map, and the group was held until they were asked in vain for 0.5 s.

A batch now has a name in `x-request-id`, which the other instance repeats. Outcomes with another name close the connection; without a name, as an instance of an earlier version sends them, they count only if they are the first on their connection. The leader then sends these orders itself.

tests/adapters/test_repeated_answers.py::RepeatedAnswerTest::test_order_relay failed before: {} was expected, i-1 accepted was returned.

--- a/nutmegtrail/adapters/order_relay/const.py
+++ b/nutmegtrail/adapters/order_relay/const.py
@@ -3,6 +3,8 @@
 import typing
 
 RELAY_PATH: typing.Final = b'/relay-orders'
+# Names a batch, and in the response the batch that the outcomes belong to.
+ID_HEADER: typing.Final = b'x-request-id'
 
 HEADER_LIMIT_BYTES: typing.Final = 16_384
 COMPRESSED_LIMIT_BYTES: typing.Final = 1_048_576
--- a/nutmegtrail/adapters/order_relay/http.py
+++ b/nutmegtrail/adapters/order_relay/http.py
@@ -32,7 +32,9 @@
 
     def __init__(self) -> None:
         """Initialize the client without opening connections."""
-        self._json_client = json_client.JsonClient(const.RESPONSE_LIMIT_BYTES)
+        self._json_client = json_client.JsonClient(
+            const.RESPONSE_LIMIT_BYTES, const.ID_HEADER
+        )
 
     async def close(self) -> None:
         """Close all connections."""
@@ -49,6 +51,7 @@
             (),
             documents.encode_batch(batch),
             const.RELAY_TIMEOUT_SECONDS,
+            json_client.Demands(needs_own_response=True),
         )
         if isinstance(response, json_client.NoResponse):
             _log_failure(address, batch, response.detail)
@@ -88,9 +91,10 @@
             await exchange.respond(http.HTTPStatus.BAD_REQUEST, (), b'')
             return
         outcomes_by_id = await self._handler(batch)
+        request_id = messages.find_header(request.headers, const.ID_HEADER)
         await exchange.respond(
             http.HTTPStatus.OK,
-            _RESPONSE_HEADERS,
+            (*_RESPONSE_HEADERS, (const.ID_HEADER, request_id)),
             documents.encode_outcomes(outcomes_by_id),
         )
 
--- a/tests/adapters/test_repeated_answers.py
+++ b/tests/adapters/test_repeated_answers.py
@@ -3,8 +3,13 @@
 import anyio
 import testtools
 
+from nutmegtrail.adapters.order_relay import documents
+from nutmegtrail.adapters.order_relay import http as order_relay_http
 from nutmegtrail.adapters.rank_engine import http as rank_engine_http
 from nutmegtrail.adapters.upstream_http import client as upstream_http
+from nutmegtrail.expert_map import switch
+from nutmegtrail.ports import order_relay
+from nutmegtrail.ports import rank_control
 from nutmegtrail.wire import models
 from tests import loopback
 
@@ -85,6 +90,22 @@
 
         self._run([b'first', b'second'], _scenario)
 
+    def test_order_relay(self):
+        """Outcomes of a batch are not those of an earlier batch."""
+        outcomes_by_id = {'i-1': rank_control.OrderOutcome.ACCEPTED}
+        order = switch.Order(switch.Operation.PREPARE, 3, 9, layers=(((0,),),))
+
+        async def _scenario(address):
+            relay = order_relay_http.OrderRelayClient()
+            for fence, expected in ((1, outcomes_by_id), (2, {})):
+                batch = order_relay.Batch(order, fence, ('i-1',))
+                outcomes = await relay.relay(address, batch)
+                self.assertEqual(expected, outcomes)
+            await relay.close()
+
+        answers = [documents.encode_outcomes(outcomes_by_id), b'{}']
+        self._run(answers, _scenario)
+
 
 def _call():
     """Return a read, which may be repeated."""
