Tell answers of the store from those to earlier calls

A write counted as done, a lease as granted or renewed, and changes of one prefix as those of another, where the store's answer to an earlier call came once more on a kept connection. So an entry could lead without having written that it does.

Cause: any 200 was taken. On a kept connection an answer now counts only with the field of its call, keys under its prefix, a lease that is new, and a revision that is not below those known before the call, above them for writes. Another one closes the connection and counts as no answer. On a new connection every answer is that of its call. A renewal after a renewal is not told apart; fences bound that.

--- a/nutmegtrail/adapters/http1/json_client.py
+++ b/nutmegtrail/adapters/http1/json_client.py
@@ -25,11 +25,15 @@
 
 
 class Response(typing.NamedTuple):
-    """Status, body and headers of a received response."""
+    """Status, body and headers of a received response.
+
+    `is_own` is set if it cannot be that of an earlier request.
+    """
 
     status: int
     body: bytes
     headers: messages.Headers = ()
+    is_own: bool = True
 
 
 class NoResponse(typing.NamedTuple):
@@ -131,21 +135,24 @@
     ) -> Response:
         """Return the response to a call; raise ExchangeBroken if not its own."""
         async with self._http_client.open(call) as opened:
-            self._check_name(call, opened)
+            is_own = self._is_own(call, opened)
+            if call.needs_own_response and not is_own:
+                raise errors.ExchangeBroken('response that names no request')
             received = await opened.read(self._response_limit_bytes)
             head = opened.head
-            response = Response(head.status, received, head.headers)
+            response = Response(head.status, received, head.headers, is_own)
             opened.is_foreign = not fits(response)
             return response
 
-    def _check_name(self, call: client.Call, opened: client.Response) -> None:
-        """Raise ExchangeBroken if a response may be that of another request."""
+    def _is_own(self, call: client.Call, opened: client.Response) -> bool:
+        """Return whether a response cannot be that of another request.
+
+        Raises ExchangeBroken if it names another one.
+        """
         named_id = b''
         if self._id_header:
             named_id = opened.head.header(self._id_header)
         opened.names_request = named_id == call.request_id.encode()
         if named_id and not opened.names_request:
             raise errors.ExchangeBroken('response to another request')
-        is_own = opened.names_request or opened.is_first
-        if call.needs_own_response and not is_own:
-            raise errors.ExchangeBroken('response that names no request')
+        return opened.names_request or opened.is_first
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -1,5 +1,6 @@
 """Names, paths and timeouts of the platform's APIs."""
 
+import types
 import typing
 
 SETTINGS_PATH_VARIABLE: typing.Final = 'NUTMEGTRAIL_BOOT'
@@ -19,6 +20,17 @@
 LEASE_RENEW_PATH: typing.Final = '/api/kv-keep'
 LEASE_REVOKE_PATH: typing.Final = '/api/kv-lease-end'
 
+# Field that a response to a call has, and those to others have not.
+FIELD_BY_PATH: typing.Final[typing.Mapping[str, str]] = types.MappingProxyType(
+    {
+        RANGE_PATH: 'items',
+        WATCH_PATH: 'events',
+        TRANSACTION_PATH: 'revision',
+        LEASE_GRANT_PATH: 'lease',
+    }
+)
+CALL_FIELDS: typing.Final = frozenset(FIELD_BY_PATH.values())
+
 # Paths of the engines' control API.
 REPORT_PATH: typing.Final = b'/api/report'
 EXPERT_COUNTS_PATH: typing.Final = b'/api/picked'
--- a/nutmegtrail/platform/store.py
+++ b/nutmegtrail/platform/store.py
@@ -62,6 +62,58 @@
     document: json_client.JsonObject
 
 
+class _Question(typing.NamedTuple):
+    """What is known when a request is sent, to tell its response by.
+
+    `newest_revision` was read or written in the `era` before, and `leases`
+    were granted.
+    """
+
+    path: str
+    query: typing.Mapping[str, str]
+    has_writes: bool
+    era: int
+    newest_revision: int
+    leases: frozenset[int]
+
+    def fits(self, response: json_client.Response) -> bool:
+        """Return whether a response is not that of an earlier request."""
+        if response.is_own or response.status != http.HTTPStatus.OK:
+            return True
+        try:
+            document = decode_body(response.body)
+        except ValueError:
+            return False
+        field = const.FIELD_BY_PATH.get(self.path)
+        if field is None:
+            return const.CALL_FIELDS.isdisjoint(document)
+        if field not in document:
+            return False
+        if self.path == const.LEASE_GRANT_PATH:
+            return document[field] not in self.leases
+        if era.read(response.headers) != self.era:
+            return True
+        try:
+            return self._is_current(document)
+        except _DECODE_ERRORS:
+            return False
+
+    def _is_current(self, document: json_client.JsonObject) -> bool:
+        """Return whether the keys and the revision can be those asked for."""
+        if self.path == const.TRANSACTION_PATH:
+            least_revision = self.newest_revision + int(self.has_writes)
+            return int(document['revision']) >= least_revision
+        rows = document.get('items') or document.get('events') or ()
+        prefix = self.query['prefix']
+        if not all(row['key'].startswith(prefix) for row in rows):
+            return False
+        least_revision = self.newest_revision
+        if self.path == const.WATCH_PATH:
+            # Other prefixes may have changed since the last event.
+            least_revision = int(self.query['after'])
+        return int(document['current_rev']) >= least_revision
+
+
 class PlatformStore:
     """Implements `ports.watched_store` and the leases of `ports.key_value`.
 
@@ -75,6 +127,7 @@
         self._address = address
         self._client = json_client.JsonClient()
         self._last_era = _UNKNOWN_ERA
+        self._newest_revision = 0
         self._watch_scopes: set[anyio.CancelScope] = set()
         self._last_handle = 0
         self._leases_by_handle: collections.OrderedDict[int, _Lease] = (
@@ -341,6 +394,7 @@
         """
         if response_era <= self._last_era:
             return
+        self._newest_revision = 0
         if self._last_era != _UNKNOWN_ERA:
             for scope in self._watch_scopes:
                 scope.cancel()
@@ -375,6 +429,35 @@
             return None
         return lease
 
+    def _question(
+        self,
+        path: str,
+        query: typing.Mapping[str, str],
+        body: json_client.JsonObject,
+    ) -> _Question:
+        """Return what is known before a request is sent."""
+        return _Question(
+            path,
+            query,
+            bool(body.get('writes')),
+            self._last_era,
+            self._newest_revision,
+            frozenset(
+                lease.lease_id
+                for lease in self._leases_by_handle.values()
+                if lease.era == self._last_era
+            ),
+        )
+
+    def _observe(self, response: _Response) -> _Response:
+        """Keep the newest revision that was written or listed."""
+        for field in ('revision', 'current_rev'):
+            revision = response.document.get(field)
+            is_current = response.era == self._last_era
+            if is_current and isinstance(revision, int):
+                self._newest_revision = max(self._newest_revision, revision)
+        return response
+
     async def _request(
         self,
         method: bytes,
@@ -387,6 +470,7 @@
         target = path
         if query:
             target = f'{path}?{urllib.parse.urlencode(query, safe="/")}'
+        question = self._question(path, query or {}, body or {})
         response = await self._client.send(
             self._address,
             method,
@@ -394,14 +478,21 @@
             json_client.JSON_HEADERS,
             b'' if body is None else json.dumps(body).encode(),
             timeout_seconds,
+            json_client.Demands(fits=question.fits),
         )
         if isinstance(response, json_client.NoResponse):
             return watched_store.StoreUnavailable(f'{path}: {response.detail}')
+        if not question.fits(response):
+            return watched_store.StoreUnavailable(
+                f'{path}: response to an earlier request'
+            )
         response_era = era.read(response.headers)
         self._observe_era(response_era)
         try:
-            return _Response(
-                response.status, response_era, decode_body(response.body)
+            return self._observe(
+                _Response(
+                    response.status, response_era, decode_body(response.body)
+                )
             )
         except ValueError as error:
             return watched_store.StoreUnavailable(
