Close the connection of an answer to another request

After an engine had answered a read twice, later reads on that connection failed, each on the answer to the one before it, until it was closed.

Cause: an answer that names another request was given up, but its connection was kept if the answer was complete. It is closed now, as by calls to the control API.

tests/platform/test_upstream_framing.py::ReuseTest::test_answer_to_another_request failed before: 3 requests on the connection of the answer, 1 expected.

--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -283,6 +283,7 @@
             )
         kind = classification.response_kind
         if kind is models.ResponseKind.FOREIGN:
+            opened.record_foreign()
             return attempts.Broken(upstream.upstream_id, 'foreign response')
         self._crash_guard.record_response(upstream)
         if kind is models.ResponseKind.SUCCESS:
--- a/nutmegtrail/gateway/opened_response.py
+++ b/nutmegtrail/gateway/opened_response.py
@@ -125,6 +125,10 @@
         self._received.is_refusal = True
         self._received.names_request = names_request
 
+    def record_foreign(self) -> None:
+        """Record that the response belongs to another request."""
+        self._received.is_foreign = True
+
     async def close(self) -> None:
         """Close the connection unless it can be reused, and free the slot."""
         with anyio.CancelScope(shield=True):
--- a/tests/platform/test_upstream_framing.py
+++ b/tests/platform/test_upstream_framing.py
@@ -555,3 +555,15 @@
         answers = [framed(_PLAIN) for _ in range(4)]
         site, _ = self._ask_all(_PLAIN_PATH, answers, 4)
         self.assertTrue(max(site.connections) > 1)
+
+    # Guards against attempts that fail one after the other, each on the answer
+    # to the one before it.
+    def test_answer_to_another_request(self):
+        """Nothing more is asked on a connection with a foreign answer."""
+
+        async def _foreign(stream, _):
+            return await framed(_PLAIN)(stream, b'other')
+
+        answers = [_foreign, *(framed(_PLAIN) for _ in range(6))]
+        site, _ = self.ask_each(_PLAIN_PATH, answers, range(3), engines=1)
+        self.assertEqual(1, site.connections[0])
