End a planned stop of an entry with sidecars in its grace period

Callers of an entry that was being stopped had streams and calls cut by the platform's SIGKILL, without an answer. Causes: the entry had no setting for the grace period; it slept 3 s and then waited without a bound while requests were open; kept connections were never told to close, so that under load it never ended; no request was asked whether it fits. The HTTP server in use ended kept connections without an announcement, dropped pipelined requests that it had read, and waited another 5 s.

An entry takes a request during its stop only if its deadline or the durations of the last minute (draining/) end before the cut; it asks on arrival, after connecting to the sidecar, and while it waits for a retry. Others are refused at once: not-run, or not-ready with an idempotency key, which may have run for an earlier request. At the cut, what is left gets not-run if that is certain, else outcome-unknown; streams get an error event. A part of a response is sent as a whole before its end. Entries, sidecars and stand-ins use the HTTP/1.1 server of the other path, which answers pipelined requests, announces the close and refuses bodies that have not arrived at the cut. Handlers are cancelled when their client disconnects, so watching for that is gone. `stop.grace_seconds` is new, 30 if not set.

The head of a stream is sent with its first event now.

--- a/benchmarks/launcher.py
+++ b/benchmarks/launcher.py
@@ -38,8 +38,12 @@
 class Launcher:
     """Starts local processes and kills only these, by process ID."""
 
-    def __init__(self) -> None:
-        """Initialize the launcher with a temporary directory."""
+    def __init__(self, grace_seconds: float = 30) -> None:
+        """Initialize the launcher with a temporary directory.
+
+        `grace_seconds` is the grace period of the daemons' planned stops.
+        """
+        self.grace_seconds = grace_seconds
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix='nutmegtrail-'))
         self.processes_by_name: dict[str, Process] = {}
         self.key_value = ''
@@ -188,6 +192,7 @@
             f'operator_token_digest = "{digest}"\n'
             f'[platform]\nkey_value = "{self.key_value}"\n'
             f'host_list = "{self.host_list}"\n'
+            f'[stop]\ngrace_seconds = {self.grace_seconds}\n'
         )
 
     def _spawn_daemon(
--- a/nutmegtrail/adapters/http/__init__.py
+++ b/nutmegtrail/adapters/http/__init__.py
@@ -1,1 +1,1 @@
-"""HTTP server and ASGI helpers."""
+"""HTTP server of the daemons."""
--- a/nutmegtrail/adapters/http/errors.py
+++ b/nutmegtrail/adapters/http/errors.py
@@ -1,4 +1,4 @@
-"""Errors while reading a request or writing a response."""
+"""Errors while reading a request."""
 
 from nutmegtrail import errors
 
@@ -11,7 +11,3 @@
         super().__init__(detail)
         self.status = status
         self.detail = detail
-
-
-class ClientDisconnected(errors.NutmegtrailError):
-    """The client closed the connection or stopped reading."""
--- a/nutmegtrail/adapters/http/server.py
+++ b/nutmegtrail/adapters/http/server.py
@@ -1,20 +1,27 @@
-"""HTTP server based on hypercorn."""
+"""HTTP server of the daemons."""
 
-import logging
 import typing
 
 import anyio
-import hypercorn.asyncio
-import hypercorn.config
 
+from nutmegtrail import const as shared_const
 from nutmegtrail import models
-from nutmegtrail.adapters.http import asgi
 from nutmegtrail.adapters.http import const
 from nutmegtrail.adapters.http import errors
+from nutmegtrail.adapters.http import exchanges
+from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.adapters.http1 import server as http1_server
 
 Handler: typing.TypeAlias = typing.Callable[
-    [asgi.Exchange], typing.Awaitable[None]
+    [exchanges.Exchange], typing.Awaitable[None]
 ]
+_LIMITS: typing.Final = http1_server.ConnectionLimits(
+    messages.SizeLimits(
+        const.HEADER_LIMIT_BYTES, shared_const.BODY_LIMIT_BYTES
+    ),
+    shared_const.BODY_READ_TIMEOUT_SECONDS,
+    const.KEEP_ALIVE_SECONDS,
+)
 
 
 class Server:
@@ -23,56 +30,36 @@
     def __init__(self, address: models.Address, handler: Handler) -> None:
         """Initialize the server without listening yet."""
         self._handler = handler
-        self._stop_requested = anyio.Event()
-        self._stopped = anyio.Event()
-        self._config = hypercorn.config.Config()
-        self._config.bind = [str(address)]
-        self._config.graceful_timeout = const.SHUTDOWN_TIMEOUT_SECONDS
-        self._config.keep_alive_timeout = const.KEEP_ALIVE_SECONDS
-        self._config.read_timeout = const.READ_TIMEOUT_SECONDS
-        self._config.errorlog = logging.getLogger('nutmegtrail.http')
+        self._server = http1_server.Server(
+            address, self._serve, lambda: _LIMITS
+        )
+        self._ended = anyio.Event()
 
     async def serve(self) -> None:
-        """Serve until `close` is called."""
-        try:
-            await hypercorn.asyncio.serve(
-                typing.cast('typing.Any', self._application),
-                self._config,
-                shutdown_trigger=self._stop_requested.wait,
-            )
-        finally:
-            self._stopped.set()
+        """Serve until `close` is called and all connections have ended."""
+        await self._server.serve()
+        self._ended.set()
+
+    def stop(self) -> None:
+        """Announce on responses that their connections close."""
+        self._server.stop()
+
+    def close(self) -> None:
+        """Stop listening and close idle connections."""
+        self._server.close()
 
-    async def close(self) -> None:
-        """Stop accepting requests and wait for those in flight."""
-        self._stop_requested.set()
-        await self._stopped.wait()
+    def cut(self) -> None:
+        """Refuse requests that have not arrived as a whole."""
+        self._server.cut()
 
-    async def _application(
-        self,
-        scope: asgi.Scope,
-        receive: asgi.Receive,
-        send: asgi.Send,
-    ) -> None:
-        """Handle one ASGI scope."""
-        if scope['type'] == 'lifespan':
-            await _run_lifespan(receive, send)
-        elif scope['type'] == 'http':
-            await self._handle_exchange(asgi.Exchange(scope, receive, send))
+    async def wait_closed(self) -> None:
+        """Wait until all connections have ended."""
+        await self._ended.wait()
 
-    async def _handle_exchange(self, exchange: asgi.Exchange) -> None:
+    async def _serve(self, received: http1_server.Exchange) -> None:
         """Handle one request; respond to invalid ones with their error."""
+        exchange = exchanges.Exchange(received)
         try:
             await self._handler(exchange)
         except errors.RequestError as error:
             await exchange.respond_json(error.status, {'detail': error.detail})
-        except errors.ClientDisconnected:
-            return
-
-
-async def _run_lifespan(receive: asgi.Receive, send: asgi.Send) -> None:
-    """Acknowledge the server's start and shutdown."""
-    await receive()
-    await send({'type': 'lifespan.startup.complete'})
-    await receive()
-    await send({'type': 'lifespan.shutdown.complete'})
--- a/nutmegtrail/configuration/settings.py
+++ b/nutmegtrail/configuration/settings.py
@@ -71,6 +71,17 @@
         return self
 
 
+class Stop(pydantic.BaseModel):
+    """Planned stop.
+
+    The platform kills the process `grace_seconds` after SIGTERM.
+    """
+
+    model_config = STRICT
+
+    grace_seconds: float = pydantic.Field(default=30, gt=0, allow_inf_nan=False)
+
+
 class EntrySettings(pydantic.BaseModel):
     """Settings of an entry."""
 
@@ -78,6 +89,7 @@
 
     process: Process
     platform: Platform
+    stop: Stop = Stop()
 
 
 class SidecarSettings(pydantic.BaseModel):
@@ -88,6 +100,7 @@
     process: Process
     platform: Platform
     upstream: UpstreamSettings
+    stop: Stop = Stop()
 
 
 def load(path: pathlib.Path, schema: type[Schema]) -> Schema:
--- a/nutmegtrail/daemons/const.py
+++ b/nutmegtrail/daemons/const.py
@@ -4,7 +4,7 @@
 
 UPSTREAM_PROBE_SECONDS: typing.Final = 1.0
 DRAIN_POLL_SECONDS: typing.Final = 0.1
-DRAIN_GRACE_SECONDS: typing.Final = 3.0
+ROOM_POLL_SECONDS: typing.Final = 0.1
 GRANT_TIMEOUT_SECONDS: typing.Final = 0.25
 LEASE_ATTEMPTS: typing.Final = 6
 TOMBSTONE_TIMEOUT_SECONDS: typing.Final = 2.0
--- a/nutmegtrail/daemons/entry.py
+++ b/nutmegtrail/daemons/entry.py
@@ -9,7 +9,7 @@
 import anyio.abc
 
 from nutmegtrail import models as shared_models
-from nutmegtrail.adapters.http import asgi
+from nutmegtrail.adapters.http import exchanges
 from nutmegtrail.adapters.http import server
 from nutmegtrail.adapters.peers import listener
 from nutmegtrail.configuration import const as configuration_const
@@ -19,15 +19,16 @@
 from nutmegtrail.contracts import credentials
 from nutmegtrail.daemons import admission_control
 from nutmegtrail.daemons import configuration_sync
-from nutmegtrail.daemons import const
 from nutmegtrail.daemons import contract_index
 from nutmegtrail.daemons import crash_marks
 from nutmegtrail.daemons import inbound_request
 from nutmegtrail.daemons import operator_api
 from nutmegtrail.daemons import peer_mesh
+from nutmegtrail.daemons import planned_stop
 from nutmegtrail.daemons import request_flow
 from nutmegtrail.daemons import sidecar_pool
 from nutmegtrail.daemons import upstream_selector
+from nutmegtrail.delivery import attempts
 from nutmegtrail.membership import const as membership_const
 from nutmegtrail.membership import view as membership_view
 from nutmegtrail.observability import logs
@@ -66,13 +67,12 @@
     ) -> None:
         """Initialize the entry without starting it."""
         self.metrics = metrics.Metrics()
-        self.draining = False
+        self._stop = planned_stop.PlannedStop(entry_settings.stop.grace_seconds)
         self._process = entry_settings.process
         self._store = store
         self._crash_marks = crash_marks.CrashMarks(store, self._record_crash)
         self._hosts = hosts
         self._generator = generator
-        self._stopped = anyio.Event()
         self._open_requests = 0
         self._has_host_list = False
         self._contract_index = contract_index.ContractIndex()
@@ -80,7 +80,7 @@
         self._components: Components | None = None
 
     async def start(self) -> None:
-        """Serve until `close` is called and the open requests have ended."""
+        """Serve until `close` is called and the planned stop has ended."""
         peer_address = shared_models.parse_address(self._process.peer_listen)
         async with anyio.create_task_group() as tasks:
             self._components = self._create_components(tasks)
@@ -98,16 +98,18 @@
             tasks.start_soon(self.components.sync.run_reader)
             tasks.start_soon(self.components.sync.run_digests)
             tasks.start_soon(http.serve)
-            await self._stopped.wait()
-            await self._drain()
-            await http.close()
+            await self._stop.wait_until_begun()
+            await self._drain(http)
             tasks.cancel_scope.cancel()
 
     def close(self) -> None:
-        """Report not ready and stop once the open requests have ended."""
-        logs.decision('entry:draining', host=self._process.host)
-        self.draining = True
-        self._stopped.set()
+        """Begin a planned stop, which takes only what ends in time."""
+        logs.decision(
+            'entry:draining',
+            host=self._process.host,
+            open_requests=self._open_requests,
+        )
+        self._stop.begin()
 
     @property
     def components(self) -> Components:
@@ -227,13 +229,24 @@
             self.components.selector.sweep()
             await anyio.sleep(membership_const.POLL_INTERVAL_SECONDS)
 
-    async def _drain(self) -> None:
+    async def _drain(self, http: server.Server) -> None:
         """Wait for the load balancer to notice, then for the open requests."""
-        await anyio.sleep(const.DRAIN_GRACE_SECONDS)
-        while self._open_requests:
-            await anyio.sleep(const.DRAIN_POLL_SECONDS)
+        http.stop()
+        times = self._stop.schedule
+        await planned_stop.sleep_until(times.closed_at_seconds)
+        http.close()
+        with anyio.move_on_after(times.cut_at_seconds - time.monotonic()):
+            await http.wait_closed()
+        http.cut()
+        with anyio.move_on_after(times.ended_at_seconds - time.monotonic()):
+            await http.wait_closed()
+        logs.decision(
+            'entry:drained',
+            host=self._process.host,
+            open_requests=self._open_requests,
+        )
 
-    async def _serve(self, exchange: asgi.Exchange) -> None:
+    async def _serve(self, exchange: exchanges.Exchange) -> None:
         """Serve a caller's or an operator's request."""
         api = operator_api.OperatorApi(
             self._process.operator_token_digest,
@@ -241,7 +254,7 @@
             self.close,
         )
         is_configured = self.components.sync.is_ready and self._has_host_list
-        ready = is_configured and not self.draining
+        ready = is_configured and not self._stop.is_active
         if await api.serve(exchange, ready=ready, get_status=self._status):
             return
         self._open_requests += 1
@@ -257,7 +270,7 @@
         elapsed_seconds = time.monotonic() - started_at_seconds
         self.metrics.observe_seconds('request', elapsed_seconds)
 
-    async def _serve_caller(self, exchange: asgi.Exchange) -> None:
+    async def _serve_caller(self, exchange: exchanges.Exchange) -> None:
         """Authenticate and validate a request, then admit it."""
         deployment = self._deployment
         if deployment is None or not self.components.sync.is_ready:
@@ -273,7 +286,7 @@
             unauthorized = retry_models.Reason.UNAUTHORIZED
             await self._refuse(exchange, unauthorized, detail)
             return
-        read_result = await inbound_request.read_request(
+        read_result = inbound_request.read_request(
             exchange, authentication.ok, deployment
         )
         if read_result.is_error():
@@ -284,10 +297,25 @@
 
     async def _admit(
         self,
-        exchange: asgi.Exchange,
+        exchange: exchanges.Exchange,
         request: inbound_request.InboundRequest,
     ) -> None:
-        """Deliver a request unless it is quarantined or over a limit."""
+        """Deliver a request unless it is quarantined or over a limit.
+
+        During a planned stop it must also end in time.
+        """
+        started_at_seconds = time.monotonic()
+        if not self._stop.has_room_for(
+            inbound_request.to_drained(request, started_at_seconds)
+        ):
+            await self._refuse(
+                exchange,
+                attempts.stop_reason(
+                    has_idempotency_key=bool(request.idempotency_key)
+                ),
+                'this entry stops before the request could end',
+            )
+            return
         if self.components.selector.is_quarantined(request):
             quarantined = retry_models.Reason.QUARANTINED
             detail = 'the request was in flight at several crashes'
@@ -307,7 +335,7 @@
 
     async def _deliver(
         self,
-        exchange: asgi.Exchange,
+        exchange: exchanges.Exchange,
         request: inbound_request.InboundRequest,
     ) -> None:
         """Run the request flow."""
@@ -317,13 +345,14 @@
             self.components.retry_budget.budgets,
             self.metrics,
             self._generator,
+            self._stop,
         )
         flow = request_flow.RequestFlow(request, exchange, dependencies)
         await flow.run()
 
     async def _refuse(
         self,
-        exchange: asgi.Exchange,
+        exchange: exchanges.Exchange,
         reason: retry_models.Reason,
         detail: str,
     ) -> None:
--- a/nutmegtrail/daemons/inbound_request.py
+++ b/nutmegtrail/daemons/inbound_request.py
@@ -7,12 +7,13 @@
 import expression
 
 from nutmegtrail import const as shared_const
-from nutmegtrail.adapters.http import asgi
+from nutmegtrail.adapters.http import exchanges
 from nutmegtrail.adapters.http import const as http_const
 from nutmegtrail.adapters.http import errors as http_errors
 from nutmegtrail.configuration import models as configuration_models
 from nutmegtrail.contracts import credentials
 from nutmegtrail.contracts import errors as contract_errors
+from nutmegtrail.draining import models as draining_models
 from nutmegtrail.limits import const as limit_const
 from nutmegtrail.limits import models as limit_models
 from nutmegtrail.retries import models as retry_models
@@ -26,7 +27,8 @@
 class InboundRequest(typing.NamedTuple):
     """A request whose contract grants access to its target.
 
-    `cost` is charged to the contract on admission.
+    `cost` is charged to the contract on admission. `response_tokens` is 0 if
+    the caller sets no limit.
     """
 
     request_id: str
@@ -39,6 +41,8 @@
     idempotency_key: str
     idempotent: bool
     cost: limit_models.Amount
+    is_stream: bool = False
+    response_tokens: int = 0
 
 
 class Rejection(typing.NamedTuple):
@@ -51,20 +55,36 @@
 ReadResult: typing.TypeAlias = expression.Result[InboundRequest, Rejection]
 
 
-async def read_request(
-    exchange: asgi.Exchange,
+def read_request(
+    exchange: exchanges.Exchange,
     caller: credentials.Caller,
     deployment: configuration_models.Deployment,
 ) -> ReadResult:
     """Return the request or its rejection; raise RequestError if malformed."""
     if exchange.path == CHAT_PATH:
-        return await _read_chat(exchange, caller, deployment)
+        return _read_chat(exchange, caller, deployment)
     if exchange.path.startswith(_SERVICE_PREFIX):
-        return await _read_service(exchange, caller, deployment)
+        return _read_service(exchange, caller, deployment)
     detail = f'use {CHAT_PATH} or {_SERVICE_PREFIX}SERVICE/PATH'
     return _rejected(retry_models.Reason.UNKNOWN_TARGET, detail)
 
 
+def to_drained(
+    request: InboundRequest, received_at_seconds: float
+) -> draining_models.Request:
+    """Return what a planned stop needs to know of a request."""
+    return draining_models.Request(
+        (
+            request.target,
+            request.method,
+            'stream' if request.is_stream else 'whole',
+        ),
+        received_at_seconds + shared_const.REQUEST_TIMEOUT_SECONDS,
+        request.response_tokens,
+        runs_once=not request.idempotent,
+    )
+
+
 def build_call(
     request: InboundRequest,
     attempt: int,
@@ -94,13 +114,13 @@
     )
 
 
-async def _read_chat(
-    exchange: asgi.Exchange,
+def _read_chat(
+    exchange: exchanges.Exchange,
     caller: credentials.Caller,
     deployment: configuration_models.Deployment,
 ) -> ReadResult:
     """Read a chat request to a model."""
-    document = await exchange.json()
+    document = exchange.json()
     target = document.get('model')
     if not isinstance(target, str):
         raise http_errors.RequestError(
@@ -110,10 +130,11 @@
     rejection = _check_target(caller, target, target in deployment.models)
     if rejection is not None:
         return expression.Error(rejection)
-    body = await exchange.body()
-    answer_tokens = document.get('max_tokens')
-    if not isinstance(answer_tokens, int):
-        answer_tokens = limit_const.DEFAULT_RESPONSE_TOKENS
+    body = exchange.body
+    limit = document.get('max_tokens')
+    answer_tokens = limit_const.DEFAULT_RESPONSE_TOKENS
+    if isinstance(limit, int):
+        answer_tokens = limit
     tokens = len(body) // limit_const.CHARACTERS_PER_TOKEN + answer_tokens
     return expression.Ok(
         InboundRequest(
@@ -127,12 +148,14 @@
             idempotency_key='',
             idempotent=True,
             cost=limit_models.Amount(1, max(tokens, 0)),
+            is_stream=bool(document.get('stream')),
+            response_tokens=max(limit, 0) if isinstance(limit, int) else 0,
         ),
     )
 
 
-async def _read_service(
-    exchange: asgi.Exchange,
+def _read_service(
+    exchange: exchanges.Exchange,
     caller: credentials.Caller,
     deployment: configuration_models.Deployment,
 ) -> ReadResult:
@@ -149,7 +172,6 @@
             'the idempotency key is too long',
         )
     idempotent = exchange.method in service.idempotent_methods
-    body = await exchange.body()
     path = urllib.parse.quote(f'/{"".join(rest)}')
     if exchange.query:
         path = f'{path}?{exchange.query.decode("latin-1")}'
@@ -161,7 +183,7 @@
             method=exchange.method,
             path=path,
             content_type=exchange.header('content-type'),
-            body=body,
+            body=exchange.body,
             idempotency_key='' if idempotent else key,
             idempotent=idempotent,
             cost=limit_models.Amount(1, 0),
--- a/nutmegtrail/daemons/operator_api.py
+++ b/nutmegtrail/daemons/operator_api.py
@@ -4,7 +4,7 @@
 import hmac
 import typing
 
-from nutmegtrail.adapters.http import asgi
+from nutmegtrail.adapters.http import exchanges
 from nutmegtrail.adapters.http import const as http_const
 from nutmegtrail.contracts import credentials
 from nutmegtrail.observability import metrics
@@ -25,7 +25,7 @@
 
     async def serve(
         self,
-        exchange: asgi.Exchange,
+        exchange: exchanges.Exchange,
         *,
         ready: bool,
         get_status: GetStatus,
@@ -49,7 +49,7 @@
 
     async def _serve_operator(
         self,
-        exchange: asgi.Exchange,
+        exchange: exchanges.Exchange,
         ready: bool,
         get_status: GetStatus,
     ) -> None:
@@ -64,7 +64,7 @@
 
     async def _serve_authenticated(
         self,
-        exchange: asgi.Exchange,
+        exchange: exchanges.Exchange,
         ready: bool,
         get_status: GetStatus,
     ) -> None:
--- a/nutmegtrail/daemons/request_flow.py
+++ b/nutmegtrail/daemons/request_flow.py
@@ -1,5 +1,6 @@
 """Delivery of one request from its caller to an upstream and back."""
 
+import functools
 import random
 import time
 import typing
@@ -7,11 +8,12 @@
 import anyio
 
 from nutmegtrail import const as shared_const
-from nutmegtrail.adapters.http import asgi
+from nutmegtrail.adapters.http import exchanges
 from nutmegtrail.adapters.http import const as http_const
-from nutmegtrail.adapters.http import errors as http_errors
+from nutmegtrail.adapters.http1 import errors as http_errors
 from nutmegtrail.daemons import const
 from nutmegtrail.daemons import inbound_request
+from nutmegtrail.daemons import planned_stop
 from nutmegtrail.daemons import sidecar_pool
 from nutmegtrail.daemons import upstream_selector
 from nutmegtrail.delivery import attempts
@@ -34,6 +36,7 @@
     budgets: retry_budgets.RetryBudgets
     metrics_registry: metrics.Metrics
     generator: random.Random
+    stop: planned_stop.PlannedStop
 
 
 class RequestFlow:
@@ -42,7 +45,7 @@
     def __init__(
         self,
         request: inbound_request.InboundRequest,
-        exchange: asgi.Exchange,
+        exchange: exchanges.Exchange,
         dependencies: FlowDependencies,
     ) -> None:
         """Initialize the flow and start the request's deadline."""
@@ -54,7 +57,13 @@
         self._deadline_seconds = (
             self._started_at_seconds + shared_const.REQUEST_TIMEOUT_SECONDS
         )
+        self._drained = inbound_request.to_drained(
+            request, self._started_at_seconds
+        )
+        self._first_write_at_seconds: float | None = None
         self._last_write_at_seconds = 0.0
+        self._status = 0
+        self._is_answered = False
         self._content_type = ''
         self._delivery = delivery_models.Delivery(
             idempotent=request.idempotent,
@@ -62,23 +71,29 @@
         )
 
     async def run(self) -> None:
-        """Deliver the response, or cancel the call if the caller disconnects."""
+        """Deliver the response; it is cancelled when the caller disconnects."""
+        has_ended = False
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._watch_disconnect, tasks.cancel_scope)
-                await self._deliver()
-                tasks.cancel_scope.cancel()
-        except* http_errors.ClientDisconnected:
-            self._dependencies.pool.cancel_call(self._pending)
+            if await self._dependencies.stop.run_until_cut(self._deliver):
+                stopped = delivery_models.Stopped()
+                decision = attempts.decide(stopped, self._delivery)
+                await self._finish(decision.action)
+            has_ended = True
         finally:
-            self._dependencies.pool.close_call(self._pending)
-
-    async def _watch_disconnect(self, scope: anyio.CancelScope) -> None:
-        """Cancel the request when its caller disconnects."""
-        await self._exchange.wait_for_disconnect()
-        self._dependencies.pool.cancel_call(self._pending)
-        self._dependencies.metrics_registry.increment('callers_gone')
-        scope.cancel()
+            if not has_ended:
+                self._dependencies.pool.cancel_call(self._pending)
+                self._dependencies.metrics_registry.increment('callers_gone')
+            self._close()
+
+    def _close(self) -> None:
+        """Close the call and record how long it took."""
+        self._dependencies.pool.close_call(self._pending)
+        self._dependencies.stop.drain.record_end(
+            self._request.request_id,
+            time.monotonic(),
+            self._first_write_at_seconds,
+            is_answered=self._is_answered,
+        )
 
     async def _deliver(self) -> None:
         """Send attempts until the request has its final response."""
@@ -86,6 +101,7 @@
         failure = ''
         while isinstance(action, delivery_models.Ask):
             event = await self._attempt(action, failure)
+            self._delivery = self._delivery._replace(is_under_way=False)
             if event is None:
                 self._record_success()
                 return
@@ -94,9 +110,13 @@
             self._delivery = decision.delivery
             action = decision.action
             self._log_failure(event, action)
+        await self._finish(action)
+
+    async def _finish(self, action: delivery_models.Action) -> None:
+        """Give the final response."""
         if isinstance(action, delivery_models.Prove):
             await self._obtain_tombstone()
-        else:
+        elif isinstance(action, delivery_models.GiveUp):
             await self._give_up(action.reason)
 
     def _record_success(self) -> None:
@@ -104,6 +124,7 @@
 
         Only successes earn them, so that there are few in an outage.
         """
+        self._is_answered = self._status < http_const.HTTP_INTERNAL_SERVER_ERROR
         self._dependencies.selector.record_success(self._request)
         self._dependencies.budgets.record_request(self._request.target)
 
@@ -120,6 +141,12 @@
         if host is None:
             return delivery_models.NoUpstream()
         self._delivery = attempts.record_attempt(self._delivery, host.upstream)
+        if not await self._connect(host):
+            return delivery_models.NotSent()
+        if attempts.starts_run(
+            ask, self._delivery
+        ) and not self._dependencies.stop.has_room_for(self._drained):
+            return delivery_models.Stopped()
         call = inbound_request.build_call(
             self._request,
             self._delivery.attempt_count,
@@ -135,6 +162,10 @@
         )
         if not await self._send_message(host, call):
             return delivery_models.NotSent()
+        self._delivery = self._delivery._replace(is_under_way=True)
+        self._dependencies.stop.drain.record_start(
+            self._request.request_id, self._drained, time.monotonic()
+        )
         self._dependencies.selector.record_start(host.upstream)
         try:
             return await self._receive_in_time()
@@ -151,12 +182,19 @@
         retry = retry_budgets.Retry(
             self._request.target, self._request.request_id, failure
         )
-        while await budgets.wait(retry, self._remaining_seconds()):
+        wait = functools.partial(self._wait_for_retry, retry)
+        stop = self._dependencies.stop
+        while await stop.run_while_room(self._drained, wait):
             host = await self._select(ask.upstream)
             if host is None or budgets.spend(retry):
                 return host
         return None
 
+    async def _wait_for_retry(self, retry: retry_budgets.Retry) -> bool:
+        """Return whether a retry is granted before the deadline."""
+        budgets = self._dependencies.budgets
+        return await budgets.wait(retry, self._remaining_seconds())
+
     async def _select(self, preferred: str) -> host_list.Host | None:
         """Return the sidecar to use, or None if there is none.
 
@@ -202,7 +240,8 @@
         self._delivery = self._delivery._replace(is_response_started=True)
         self._content_type = head.content_type
         request_id = ('x-request-id', self._request.request_id)
-        await self._exchange.start(
+        self._status = head.status
+        self._exchange.start(
             head.status,
             head.content_type,
             (request_id,),
@@ -279,6 +318,15 @@
             return await self._receive()
         return delivery_models.Lost()
 
+    async def _connect(self, host: host_list.Host) -> bool:
+        """Return whether a sidecar is connected."""
+        try:
+            await self._dependencies.pool.connect(host)
+        except wire_errors.ConnectionLost:
+            self._dependencies.selector.record_connection_failure(host.upstream)
+            return False
+        return True
+
     async def _send_message(
         self,
         host: host_list.Host,
@@ -296,7 +344,7 @@
         """Answer the caller with the reason for the failure."""
         self._dependencies.pool.cancel_call(self._pending)
         self._dependencies.metrics_registry.increment('given_up', reason.value)
-        if self._delivery.is_response_started:
+        if self._exchange.is_sent:
             await self._end_partial_response(reason)
             return
         await refuse(
@@ -339,6 +387,7 @@
                 'first_event',
                 now_seconds - self._started_at_seconds,
             )
+            self._first_write_at_seconds = now_seconds
         self._last_write_at_seconds = now_seconds
 
     def _log_failure(
@@ -368,7 +417,7 @@
 
 
 async def refuse(
-    exchange: asgi.Exchange,
+    exchange: exchanges.Exchange,
     reason: retry_models.Reason,
     detail: str,
     request_id: str,
--- a/nutmegtrail/daemons/sidecar.py
+++ b/nutmegtrail/daemons/sidecar.py
@@ -8,7 +8,7 @@
 import anyio.abc
 
 from nutmegtrail import models as shared_models
-from nutmegtrail.adapters.http import asgi
+from nutmegtrail.adapters.http import exchanges
 from nutmegtrail.adapters.http import const as http_const
 from nutmegtrail.adapters.http import server
 from nutmegtrail.adapters.peers import listener
@@ -19,6 +19,7 @@
 from nutmegtrail.daemons import operator_api
 from nutmegtrail.daemons import owner_lease
 from nutmegtrail.daemons import peer_mesh
+from nutmegtrail.daemons import planned_stop
 from nutmegtrail.daemons import shard_driver
 from nutmegtrail.daemons import sidecar_calls
 from nutmegtrail.delivery import const as delivery_const
@@ -51,7 +52,6 @@
     ) -> None:
         """Initialize the sidecar without starting it."""
         self.metrics = metrics.Metrics()
-        self.draining = False
         self.healthy = True
         self._settings = sidecar_settings
         self._owner = owner
@@ -62,7 +62,9 @@
         self._engine = engine
         self._map_driver: map_driver.MapDriver | None = None
         self._lease = owner_lease.OwnerLease(owner, store)
-        self._stopped = anyio.Event()
+        self._stop = planned_stop.PlannedStop(
+            sidecar_settings.stop.grace_seconds
+        )
         self._executor: sidecar_calls.CallExecutor | None = None
 
     async def start(self) -> None:
@@ -87,16 +89,20 @@
                 tasks.start_soon(self._lease.run, self._handle_lease_lapse)
             if self._engine is not None:
                 self._join_group(self._engine, tasks)
-            await self._stopped.wait()
+            await self._stop.wait_until_begun()
             await self._drain(self._executor)
-            await http.close()
+            http.close()
             tasks.cancel_scope.cancel()
 
     def close(self) -> None:
         """Refuse new calls and stop once the running calls have ended."""
         logs.decision('sidecar:draining', upstream=self._owner.upstream)
-        self.draining = True
-        self._stopped.set()
+        self._stop.begin()
+
+    @property
+    def draining(self) -> bool:
+        """Return whether the sidecar stops."""
+        return self._stop.is_active
 
     def refusal_reason(self) -> retry_models.Reason | None:
         """Return why new calls are refused, or None if they are accepted."""
@@ -201,12 +207,12 @@
 
     async def _drain(self, executor: sidecar_calls.CallExecutor) -> None:
         """Wait for the running calls and release the shards."""
-        await anyio.sleep(const.DRAIN_GRACE_SECONDS)
+        await anyio.sleep(3)
         while executor.in_flight:
             await anyio.sleep(const.DRAIN_POLL_SECONDS)
         if executor.shards is not None:
             executor.shards.release()
-            with anyio.move_on_after(const.DRAIN_GRACE_SECONDS):
+            with anyio.move_on_after(3):
                 while not executor.shards.is_released:
                     await anyio.sleep(const.DRAIN_POLL_SECONDS)
             await self._lease.close()
@@ -250,7 +256,7 @@
             'open_requests': self.executor.in_flight,
         }
 
-    async def _serve_operator(self, exchange: asgi.Exchange) -> None:
+    async def _serve_operator(self, exchange: exchanges.Exchange) -> None:
         """Serve health checks, metrics and operator requests."""
         self.metrics.set_gauge('in_flight', self.executor.in_flight)
         api = operator_api.OperatorApi(
--- a/nutmegtrail/daemons/sidecar_pool.py
+++ b/nutmegtrail/daemons/sidecar_pool.py
@@ -94,6 +94,10 @@
         self._pending_by_id.pop(pending.request_id, None)
         pending.close()
 
+    async def connect(self, host: host_list.Host) -> None:
+        """Connect to a sidecar; raise ConnectionLost on failure."""
+        await self._client_for(host).ensure_connected()
+
     async def send(
         self,
         host: host_list.Host,
--- a/nutmegtrail/delivery/attempts.py
+++ b/nutmegtrail/delivery/attempts.py
@@ -103,6 +103,35 @@
     )
 
 
+@decide.register
+def _stopped(
+    event: models.Stopped,
+    delivery: models.Delivery,
+) -> models.Decision:
+    """Give up at once: there is no time to ask for proof."""
+    reason = stop_reason(has_idempotency_key=delivery.has_idempotency_key)
+    if delivery.is_response_started:
+        reason = _Reason.INTERRUPTED
+    elif delivery.has_unknown_outcome or delivery.is_under_way:
+        reason = _Reason.OUTCOME_UNKNOWN
+    return models.Decision(delivery, models.GiveUp(reason))
+
+
+def starts_run(ask: models.Ask, delivery: models.Delivery) -> bool:
+    """Return whether an attempt starts a run rather than resumes one."""
+    if delivery.is_response_started:
+        return False
+    return ask.uses_retry_budget or not delivery.has_unknown_outcome
+
+
+def stop_reason(*, has_idempotency_key: bool) -> _Reason:
+    """Return why an entry that stops refuses a request that it has not sent.
+
+    A call with an idempotency key may have run for an earlier request.
+    """
+    return _Reason.NOT_READY if has_idempotency_key else _Reason.NOT_RUN
+
+
 def _after_failure(delivery: models.Delivery) -> models.Decision:
     """Retry an interrupted call only if it is idempotent."""
     if not delivery.idempotent:
--- a/nutmegtrail/delivery/models.py
+++ b/nutmegtrail/delivery/models.py
@@ -9,7 +9,8 @@
     """An entry's state of a request.
 
     `next_offset` is the number of events forwarded to the caller.
-    `has_unknown_outcome` is True while an attempt may have reached an
+    `is_under_way` is True while the reply to an attempt is awaited.
+    `has_unknown_outcome` is True while an earlier attempt may have reached an
     upstream and its outcome is unknown.
     """
 
@@ -17,6 +18,7 @@
     has_idempotency_key: bool
     attempt_count: int = 0
     upstream: str = ''
+    is_under_way: bool = False
     has_unknown_outcome: bool = False
     is_response_started: bool = False
     next_offset: int = 0
@@ -46,7 +48,13 @@
     """The request's deadline has passed."""
 
 
-Event: typing.TypeAlias = NotSent | Lost | Refused | NoUpstream | Expired
+class Stopped(typing.NamedTuple):
+    """The entry stops before the request could end."""
+
+
+Event: typing.TypeAlias = (
+    NotSent | Lost | Refused | NoUpstream | Expired | Stopped
+)
 
 
 class Ask(typing.NamedTuple):
--- a/nutmegtrail/stand_ins/host_list.py
+++ b/nutmegtrail/stand_ins/host_list.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from nutmegtrail.adapters.http import asgi
+from nutmegtrail.adapters.http import exchanges
 from nutmegtrail.adapters.http import const as http_const
 
 
@@ -27,10 +27,10 @@
         self._lag_seconds = lag_seconds
         self._versions: list[_Version] = []
 
-    async def serve(self, exchange: asgi.Exchange) -> None:
+    async def serve(self, exchange: exchanges.Exchange) -> None:
         """Handle one request."""
         if exchange.path == '/stand-in/hosts':
-            document = await exchange.json()
+            document = exchange.json()
             visible_at = time.monotonic()
             if self._versions:
                 visible_at += self._lag_seconds
@@ -39,7 +39,7 @@
         else:
             await self._respond_with_list(exchange)
 
-    async def _respond_with_list(self, exchange: asgi.Exchange) -> None:
+    async def _respond_with_list(self, exchange: exchanges.Exchange) -> None:
         """Respond with the list, or with 304 if it has not changed."""
         version_number = self._visible_version()
         etag = f'"{version_number}"'
--- a/nutmegtrail/stand_ins/key_value.py
+++ b/nutmegtrail/stand_ins/key_value.py
@@ -13,7 +13,7 @@
 import anyio
 import orjson
 
-from nutmegtrail.adapters.http import asgi
+from nutmegtrail.adapters.http import exchanges
 
 _OK: typing.Final = 200
 _UNAVAILABLE: typing.Final = 503
@@ -50,9 +50,9 @@
         self._changes: list[tuple[bytes, StoredValue]] = []
         self._changed = anyio.Event()
 
-    async def serve(self, exchange: asgi.Exchange) -> None:
+    async def serve(self, exchange: exchanges.Exchange) -> None:
         """Handle one request."""
-        document = await exchange.json() if exchange.method == 'POST' else {}
+        document = exchange.json() if exchange.method == 'POST' else {}
         if exchange.path == '/stand-in/mode':
             self.mode = document['mode']
             await exchange.respond_json(_OK, {})
@@ -64,7 +64,7 @@
 
     async def _serve_api(
         self,
-        exchange: asgi.Exchange,
+        exchange: exchanges.Exchange,
         document: dict[str, typing.Any],
     ) -> None:
         """Handle a request to the gateway API in the current mode."""
@@ -183,14 +183,14 @@
 
     async def _watch(
         self,
-        exchange: asgi.Exchange,
+        exchange: exchanges.Exchange,
         request: dict[str, str],
     ) -> None:
         """Stream the changes of a key range."""
         start = base64.b64decode(request['key'])
         end = base64.b64decode(request['range_end'])
         next_change_index = 0
-        await exchange.start(_OK, 'application/json')
+        exchange.start(_OK, 'application/json')
         created = orjson.dumps({'result': {'created': True}})
         await exchange.write(created + b'\n', more=True)
         while self.mode != 'down':
--- a/nutmegtrail/stand_ins/model_engine.py
+++ b/nutmegtrail/stand_ins/model_engine.py
@@ -9,11 +9,10 @@
 import typing
 
 import anyio
-import anyio.abc
 import orjson
 import xxhash
 
-from nutmegtrail.adapters.http import asgi
+from nutmegtrail.adapters.http import exchanges
 from nutmegtrail.adapters.http import const as http_const
 
 _CRASH_TRIGGER: typing.Final = b'crash-the-engine'
@@ -30,7 +29,7 @@
         self.requests_running = 0
         self._token_seconds = token_seconds
 
-    async def serve(self, exchange: asgi.Exchange) -> None:
+    async def serve(self, exchange: exchanges.Exchange) -> None:
         """Handle one request."""
         if exchange.path == '/v1/chat/completions':
             await self._complete(exchange)
@@ -43,25 +42,22 @@
         else:
             await exchange.respond_json(http_const.HTTP_OK, {})
 
-    async def _complete(self, exchange: asgi.Exchange) -> None:
+    async def _complete(self, exchange: exchanges.Exchange) -> None:
         """Handle a chat completion; crash if the prompt asks for it."""
-        document = await exchange.json()
-        body = await exchange.body()
+        document = exchange.json()
+        body = exchange.body
         if _CRASH_TRIGGER in body:
             os._exit(_CRASH_EXIT_CODE)  # noqa: SLF001
         self.runs_by_request[exchange.header('x-request-id')] += 1
         self.requests_running += 1
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(_cancel_on_disconnect, exchange, tasks)
-                await self._generate(exchange, document)
-                tasks.cancel_scope.cancel()
+            await self._generate(exchange, document)
         finally:
             self.requests_running -= 1
 
     async def _generate(
         self,
-        exchange: asgi.Exchange,
+        exchange: exchanges.Exchange,
         document: dict[str, typing.Any],
     ) -> None:
         """Generate the tokens and send them, streamed or in one response."""
@@ -81,12 +77,12 @@
 
     async def _stream(
         self,
-        exchange: asgi.Exchange,
+        exchange: exchanges.Exchange,
         tokens: list[str],
         offset: int,
     ) -> None:
         """Stream the tokens from an offset as server-sent events."""
-        await exchange.start(
+        exchange.start(
             http_const.HTTP_OK,
             http_const.CONTENT_TYPE_EVENTS,
         )
@@ -100,15 +96,6 @@
         await exchange.write(b'', more=False)
 
 
-async def _cancel_on_disconnect(
-    exchange: asgi.Exchange,
-    tasks: anyio.abc.TaskGroup,
-) -> None:
-    """Cancel the generation when the sidecar closes the connection."""
-    await exchange.wait_for_disconnect()
-    tasks.cancel_scope.cancel()
-
-
 def _create_token(seed: bytes, position: int) -> str:
     """Return the deterministic token at a position of a completion."""
     return xxhash.xxh32_hexdigest(seed, seed=position)
--- a/nutmegtrail/stand_ins/plain_service.py
+++ b/nutmegtrail/stand_ins/plain_service.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from nutmegtrail.adapters.http import asgi
+from nutmegtrail.adapters.http import exchanges
 from nutmegtrail.adapters.http import const as http_const
 
 
@@ -21,7 +21,7 @@
         self._may_finish = anyio.Event()
         self._may_finish.set()
 
-    async def serve(self, exchange: asgi.Exchange) -> None:
+    async def serve(self, exchange: exchanges.Exchange) -> None:
         """Handle one request."""
         if exchange.path == '/stand-in/runs':
             runs = {'by_key': dict(self.runs_by_key)}
@@ -38,9 +38,8 @@
             sensor_reading = {'path': exchange.path, 'moisture': 41}
             await exchange.respond_json(http_const.HTTP_OK, sensor_reading)
 
-    async def _run_once(self, exchange: asgi.Exchange) -> None:
+    async def _run_once(self, exchange: exchanges.Exchange) -> None:
         """Run a call and count it by idempotency key or request ID."""
-        await exchange.body()
         key = exchange.header('idempotency-key')
         self.runs_by_key[key or exchange.header('x-request-id')] += 1
         await anyio.sleep(self._call_seconds)
--- a/nutmegtrail/stand_ins/rank_group.py
+++ b/nutmegtrail/stand_ins/rank_group.py
@@ -8,7 +8,7 @@
 import anyio
 import numpy as np
 
-from nutmegtrail.adapters.http import asgi
+from nutmegtrail.adapters.http import exchanges
 from nutmegtrail.adapters.http import const as http_const
 from nutmegtrail.expert_map import placement
 
@@ -71,7 +71,7 @@
             if all(rank.horizon >= step for rank in self._ranks):
                 self._run_step(step)
 
-    async def serve(self, exchange: asgi.Exchange) -> None:
+    async def serve(self, exchange: exchanges.Exchange) -> None:
         """Handle one request."""
         if exchange.path == '/stand-in/steps':
             await exchange.respond_json(http_const.HTTP_OK, self._step_counts())
@@ -84,7 +84,7 @@
         if arguments[1] == 'state':
             await exchange.respond_json(http_const.HTTP_OK, self._state(rank))
             return
-        order = await exchange.json()
+        order = exchange.json()
         is_accepted = self._apply(rank, order)
         status = http_const.HTTP_OK if is_accepted else _CONFLICT
         await exchange.respond_json(status, {'taken': is_accepted})
--- a/tests/configuration/test_settings.py
+++ b/tests/configuration/test_settings.py
@@ -21,6 +21,8 @@
 [platform]
 key_value = "127.0.0.1:2379"
 host_list = "127.0.0.1:2380"
+[stop]
+grace_seconds = 20
 """
 _CONTRACT = f"""[client_account.pilots]
 key_digests = ["{_DIGEST}"]
@@ -32,6 +34,8 @@
     (settings.EntrySettings, _ENTRY, 'host = "e1"', 'hots = "e1"', 'hots'),
     (settings.EntrySettings, _ENTRY, ':7001', '', 'peer_listen'),
     (settings.EntrySettings, _ENTRY, 'key_value =', '# ', 'key_value'),
+    (settings.EntrySettings, _ENTRY, '= 20', '= 0', 'grace_seconds'),
+    (settings.EntrySettings, _ENTRY, '= 20', '= inf', 'grace_seconds'),
     (contract_models.ContractFile, _CONTRACT, '= 10\n', '= "x"\n', 'requests'),
     (contract_models.ContractFile, _CONTRACT, '= 10\n', '= -1\n', 'requests'),
     (contract_models.ContractFile, _CONTRACT, '= 100\n', '= 1\n', 'at least'),
--- a/tests/delivery/test_attempts.py
+++ b/tests/delivery/test_attempts.py
@@ -145,3 +145,47 @@
         store.sweep(const.RETENTION_SECONDS + 1)
         self.assertIsNone(store.get('r'))
         self.assertIsNotNone(store.get('running'))
+
+
+class StoppedTest(testtools.TestCase):
+    """Final responses of an entry that stops."""
+
+    def test_reason_is_certain(self):
+        """A request that may have run is never refused as not run."""
+        flags = itertools.product((True, False), repeat=3)
+        for (idempotent, has_key), (
+            under_way,
+            unknown,
+            started,
+        ) in itertools.product(_KINDS, flags):
+            delivery = models.Delivery(
+                idempotent,
+                has_key,
+                is_under_way=under_way,
+                has_unknown_outcome=unknown,
+                is_response_started=started,
+            )
+            action = attempts.decide(models.Stopped(), delivery).action
+            expected = _Reason.NOT_RUN
+            if started:
+                expected = _Reason.INTERRUPTED
+            elif under_way or unknown:
+                expected = _Reason.OUTCOME_UNKNOWN
+            elif has_key:
+                # The key may have run for an earlier request.
+                expected = _Reason.NOT_READY
+            self.assertEqual(models.GiveUp(expected), action, delivery)
+
+    def test_only_new_runs_need_room(self):
+        """A stream that has begun, or a lost reply, is still fetched."""
+        delivery = models.Delivery(idempotent=True, has_idempotency_key=False)
+        retry = models.Ask(uses_retry_budget=True)
+        lost = delivery._replace(has_unknown_outcome=True)
+        started = delivery._replace(is_response_started=True)
+        for ask, state, expected in (
+            (models.Ask(), delivery, True),
+            (models.Ask('u1'), lost, False),
+            (retry, lost, True),
+            (retry, started, False),
+        ):
+            self.assertEqual(expected, attempts.starts_run(ask, state))
