End a planned stop of a sidecar in its grace period

A sidecar that was being stopped waited without a bound while calls ran. The platform's SIGKILL then cut them: a stream broke off until the heartbeats failed, and the claims and shards of keyed calls were left behind until the lease ran out. A call that waited for a slot was started at any time.

The sidecar ends its calls a second before the end of the grace period, a quarter of it at most. What waits is handed back (draining), runs that may be repeated are interrupted, so that the entry goes on with them elsewhere, others have an unknown outcome. A call that gets a slot or its claim during the stop is sent only if it has room. Shards are released from the signal on, once more after the cut, and not resumed if the upstream recovers meanwhile; a shard used to stay with the sidecar until all its calls had ended.

--- a/nutmegtrail/daemons/const.py
+++ b/nutmegtrail/daemons/const.py
@@ -5,6 +5,9 @@
 UPSTREAM_PROBE_SECONDS: typing.Final = 1.0
 DRAIN_POLL_SECONDS: typing.Final = 0.1
 ROOM_POLL_SECONDS: typing.Final = 0.1
+# Time in which a sidecar that stops stores what became of its last calls.
+HANDOVER_SECONDS: typing.Final = 1.0
+MAX_HANDOVER_RATIO: typing.Final = 0.25
 GRANT_TIMEOUT_SECONDS: typing.Final = 0.25
 LEASE_ATTEMPTS: typing.Final = 6
 TOMBSTONE_TIMEOUT_SECONDS: typing.Final = 2.0
--- a/nutmegtrail/daemons/sidecar.py
+++ b/nutmegtrail/daemons/sidecar.py
@@ -62,13 +62,17 @@
         self._engine = engine
         self._map_driver: map_driver.MapDriver | None = None
         self._lease = owner_lease.OwnerLease(owner, store)
+        grace_seconds = sidecar_settings.stop.grace_seconds
+        self._reserve_seconds = min(
+            const.HANDOVER_SECONDS, grace_seconds * const.MAX_HANDOVER_RATIO
+        )
         self._stop = planned_stop.PlannedStop(
-            sidecar_settings.stop.grace_seconds
+            grace_seconds, self._reserve_seconds
         )
         self._executor: sidecar_calls.CallExecutor | None = None
 
     async def start(self) -> None:
-        """Serve until `close` is called and the running calls have ended."""
+        """Serve until `close` is called and the planned stop has ended."""
         process = self._settings.process
         async with anyio.create_task_group() as tasks:
             self._executor = self._create_executor(tasks)
@@ -95,7 +99,7 @@
             tasks.cancel_scope.cancel()
 
     def close(self) -> None:
-        """Refuse new calls and stop once the running calls have ended."""
+        """Begin a planned stop, in which new calls are refused."""
         logs.decision('sidecar:draining', upstream=self._owner.upstream)
         self._stop.begin()
 
@@ -132,6 +136,7 @@
             self.metrics,
             tasks,
         )
+        executor.running.drain = self._stop.drain
         if upstream.kind == 'plain-service':
             executor.shards = shard_driver.ShardDriver(
                 upstream.target,
@@ -206,15 +211,32 @@
             self.executor.shards.handle_lease_lapse()
 
     async def _drain(self, executor: sidecar_calls.CallExecutor) -> None:
-        """Wait for the running calls and release the shards."""
-        await anyio.sleep(3)
-        while executor.in_flight:
-            await anyio.sleep(const.DRAIN_POLL_SECONDS)
+        """Release the shards and wait for the running calls."""
         if executor.shards is not None:
             executor.shards.release()
-            with anyio.move_on_after(3):
-                while not executor.shards.is_released:
-                    await anyio.sleep(const.DRAIN_POLL_SECONDS)
+        times = self._stop.schedule
+        with anyio.move_on_after(times.cut_at_seconds - time.monotonic()):
+            await planned_stop.sleep_until(times.closed_at_seconds)
+            while executor.in_flight:
+                await anyio.sleep(const.DRAIN_POLL_SECONDS)
+        executor.cut()
+        if executor.shards is not None:
+            await self._hand_over(executor.shards)
+        # The last replies leave.
+        await anyio.sleep(const.DRAIN_POLL_SECONDS)
+        logs.decision(
+            'sidecar:drained',
+            upstream=self._owner.upstream,
+            open_requests=executor.in_flight,
+        )
+
+    async def _hand_over(self, shards: shard_driver.ShardDriver) -> None:
+        """Let other sidecars acquire the shards."""
+        shards.release()
+        with anyio.move_on_after(self._reserve_seconds / 2):
+            while not shards.is_released:
+                await anyio.sleep(const.DRAIN_POLL_SECONDS)
+        with anyio.move_on_after(self._reserve_seconds / 2):
             await self._lease.close()
 
     async def _watch_upstream(self) -> None:
@@ -236,7 +258,7 @@
         shards = self.executor.shards
         if shards is None:
             return
-        if healthy:
+        if healthy and not self.draining:
             shards.resume()
         else:
             shards.release()
--- a/nutmegtrail/daemons/sidecar_calls.py
+++ b/nutmegtrail/daemons/sidecar_calls.py
@@ -7,6 +7,7 @@
 import anyio.abc
 
 from nutmegtrail import const as shared_const
+from nutmegtrail.daemons import running_calls
 from nutmegtrail.daemons import shard_driver
 from nutmegtrail.delivery import const as delivery_const
 from nutmegtrail.delivery import responses
@@ -37,13 +38,13 @@
         """Initialize the executor without calls."""
         self.store = responses.ResponseStore()
         self.shards: shard_driver.ShardDriver | None = None
+        self.running = running_calls.RunningCalls()
         self._name = name
         self._upstream = upstream
         self._metrics = metrics_registry
         self._tasks = tasks
         self._queue = fair_queue.Queue(slots)
         self._calls_by_id: dict[str, models.Call] = {}
-        self._scopes_by_id: dict[str, anyio.CancelScope] = {}
 
     @property
     def in_flight(self) -> int:
@@ -111,12 +112,25 @@
         call = self._calls_by_id.get(request_id)
         if call is None or not call.idempotent or call.idempotency_key:
             return
-        scope = self._scopes_by_id.get(request_id)
-        if scope is not None:
-            scope.cancel()
+        self.running.cancel(request_id)
         self._release_slot(request_id)
         self.store.drop(request_id)
 
+    def cut(self) -> None:
+        """Give up all calls at the end of a planned stop.
+
+        Calls that have a claim are refused by its shard.
+        """
+        for request_id, call in tuple(self._calls_by_id.items()):
+            if call.idempotency_key and self.shards is not None:
+                continue
+            reason = _Reason.DRAINING
+            if request_id in self.running:
+                reason = _reason_of_cut_run(call)
+            self._refuse(request_id, reason)
+            self._calls_by_id.pop(request_id)
+        self.running.cut()
+
     def handle_connection_loss(self, send_reply: responses.SendMessage) -> None:
         """Unsubscribe a lost connection.
 
@@ -128,7 +142,7 @@
     def run_claimed(self, run: idempotency_models.Run) -> None:
         """Run a call whose claim is stored."""
         call = self._calls_by_id.get(run.request_id)
-        if call is not None:
+        if call is not None and self.running.has_room_for(call):
             self._tasks.start_soon(self._run_claimed, call, run.record_id)
         elif self.shards is not None:
             event = idempotency_models.UpstreamNotSent(run.record_id)
@@ -177,14 +191,12 @@
         """Return why a call must not start here, or None if it may."""
         if may_have_run_before(call, keeps_claims=self.shards is not None):
             return _Reason.OUTCOME_UNKNOWN
-        if call.suspect and self._has_suspect_call():
+        if call.suspect and any(
+            other.suspect for other in self._calls_by_id.values()
+        ):
             return _Reason.OVERLOADED
         return None
 
-    def _has_suspect_call(self) -> bool:
-        """Return whether a call here was in flight at an earlier crash."""
-        return any(call.suspect for call in self._calls_by_id.values())
-
     def _claim(
         self,
         call: models.Call,
@@ -228,7 +240,11 @@
         self._queue = outcome.queue
         for request_id in outcome.started_ids:
             call = self._calls_by_id[request_id]
-            self._tasks.start_soon(self._run, call)
+            if self.running.has_room_for(call):
+                self._tasks.start_soon(self._run, call)
+            else:
+                self._refuse(request_id, _Reason.DRAINING)
+                self._release_slot(request_id)
         for refused_id in outcome.refused_ids:
             self._calls_by_id.pop(refused_id)
             self._refuse(refused_id, _Reason.OVERLOADED)
@@ -236,14 +252,13 @@
     async def _run(self, call: models.Call) -> None:
         """Run an unclaimed call, which may be cancelled and repeated."""
         recording = self.store.get(call.request_id)
-        if recording is None:
+        if recording is None or call.request_id not in self._calls_by_id:
             return
-        with anyio.CancelScope() as scope:
-            self._scopes_by_id[call.request_id] = scope
+        with self.running.track(call) as run:
             reason = await self._record_response(call, recording)
+            run.is_answered = reason is None
             if reason is not None:
                 self._refuse(call.request_id, reason, self._crash_id(reason))
-        self._scopes_by_id.pop(call.request_id, None)
         self._release_slot(call.request_id)
 
     async def _record_response(
@@ -266,7 +281,14 @@
 
     async def _run_claimed(self, call: models.Call, record_id: str) -> None:
         """Run a claimed call and submit its outcome to its shard."""
-        event = await self._execute_claimed(call, record_id)
+        event: idempotency_models.Event = (
+            idempotency_models.UpstreamInterrupted(record_id)
+        )
+        with self.running.track(call) as run:
+            event = await self._execute_claimed(call, record_id)
+            run.is_answered = isinstance(
+                event, idempotency_models.UpstreamResponded
+            )
         if self.shards is not None:
             self.shards.submit(record_id, event)
 
@@ -351,6 +373,13 @@
     return call.attempt > 1 and not call.idempotent and not is_claimed
 
 
+def _reason_of_cut_run(call: models.Call) -> retry_models.Reason:
+    """Return the reason for giving up a run without a claim."""
+    if call.idempotent:
+        return _Reason.INTERRUPTED
+    return _Reason.OUTCOME_UNKNOWN
+
+
 def _tombstone_recording_id(waiter: idempotency_models.Waiter) -> str:
     """Return the recording identifier of a tombstone request."""
     return f'{waiter.request_id}#{waiter.attempt}'
