--- a/tests/platform/entries.py
+++ b/tests/platform/entries.py
@@ -165,13 +165,18 @@
             await entry.start()
         await anyio.sleep(0.3)
 
-    def configure(self, version):
-        """Write a configuration that routes all streams to `drafts`."""
+    def configure(self, version, **route_changes):
+        """Write a configuration that routes all streams to `drafts`.
+
+        The changes apply to all routes.
+        """
         document = json.loads(json.dumps(samples.CONFIG))
         document['version'] = version
         document['tenants'].append({'name': 'board', 'api_keys': ['key-9']})
         document['routes'][1].pop('traffic_split')
         document['routes'][1]['service'] = 'drafts'
+        for route in document['routes']:
+            route.update(route_changes)
         self.store.put('op/config', json.dumps(document).encode())
 
     def run_times(self, body, account=engine_process.FATAL_ACCOUNT):
@@ -243,8 +248,17 @@
         self.response_by_id[request_id] = response
 
 
-def run(scenario, engine_count, entry_count, create_engine=create_desk_engine):
-    """Run a scenario with a started deployment."""
+def run(
+    scenario,
+    engine_count,
+    entry_count,
+    create_engine=create_desk_engine,
+    run_main=anyio.run,
+):
+    """Run a scenario with a started deployment.
+
+    `run_main` may run it in simulated time.
+    """
 
     async def _main():
         with anyio.fail_after(_SCENARIO_TIMEOUT_SECONDS):
@@ -256,4 +270,4 @@
                 await scenario(deployment)
                 tasks.cancel_scope.cancel()
 
-    anyio.run(_main)
+    run_main(_main)
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -1,12 +1,11 @@
 """Entries that are stopped as planned while callers go on."""
 
-import base64
 import itertools
-import json
 
 import anyio
 import testtools
 
+from tests import simulated_time
 from tests.platform import entries
 from tests.platform import kept_connections
 from tests.platform import lasting_engine
@@ -68,10 +67,18 @@
                 await anyio.sleep(_AFTER_SECONDS)
                 tasks.cancel_scope.cancel()
             self.runs = [
-                run for engine in deployment.engines for run in engine.runs
+                request_id
+                for engine in deployment.engines
+                for request_id, _, _ in engine.runs
             ]
 
-        entries.run(_scenario, _ENGINES, 1, lasting_engine.create_engine)
+        entries.run(
+            _scenario,
+            _ENGINES,
+            1,
+            lasting_engine.create_engine,
+            simulated_time.run,
+        )
         replies = {
             load: tuple(replies_by_id.values())
             for load, replies_by_id in replies_by_load.items()
@@ -126,6 +133,17 @@
             self.assertEqual([], self._late(replies[load], -9, _NOT_RUN))
             self.assertTrue(self._late(replies[load], 2, 200))
 
+    def test_new_connections_while_requests_run(self):
+        """The entry is there for new connections while it has to wait.
+
+        Where all entries stopped at once, callers found nobody while these
+        waited for their last streams.
+        """
+        streams = _stream(6)
+        calls = _call(0.1)
+        replies = self._stop(streams, calls)
+        self.assertTrue(self._late(replies[calls], 4, 200))
+
     def test_short_grace(self):
         """The grace period may be shorter than the balancer's reaction."""
         streams = _stream(1.2)
@@ -157,12 +175,7 @@
 
 async def _prepare(deployment, grace_seconds):
     """Configure long timeouts and the grace period of the entry."""
-    deployment.configure(_VERSION)
-    item = deployment.store.items_by_key['op/config']
-    document = json.loads(base64.b64decode(item['value']))
-    for route in document['routes']:
-        route['timeout_ms'] = _ROUTE_TIMEOUT_MS
-    deployment.store.put('op/config', json.dumps(document).encode())
+    deployment.configure(_VERSION, timeout_ms=_ROUTE_TIMEOUT_MS)
     entry = deployment.entries[0]
     entry.kill()
     entry.grace_seconds = grace_seconds
