Accept connections while an entry with sidecars waits for requests

The listener stays open until the requests have ended that ran when the balancer had noticed the stop.

test_new_connection_while_a_stream_runs shows it (refused connection before, by the code; not run on the old one).

--- a/nutmegtrail/adapters/http/server.py
+++ b/nutmegtrail/adapters/http/server.py
@@ -44,6 +44,10 @@
         """Announce on responses that their connections close."""
         self._server.stop()
 
+    async def wait_for_open_requests(self) -> None:
+        """Wait until the requests that are handled now have ended."""
+        await self._server.wait_for_open_requests()
+
     def close(self) -> None:
         """Stop listening and close idle connections."""
         self._server.close()
--- a/nutmegtrail/daemons/entry.py
+++ b/nutmegtrail/daemons/entry.py
@@ -233,7 +233,9 @@
         """Wait for the load balancer to notice, then for the open requests."""
         http.stop()
         times = self._stop.schedule
-        await planned_stop.sleep_until(times.closed_at_seconds)
+        await planned_stop.sleep_until(times.noticed_at_seconds)
+        with anyio.move_on_after(times.cut_at_seconds - time.monotonic()):
+            await http.wait_for_open_requests()
         http.close()
         with anyio.move_on_after(times.cut_at_seconds - time.monotonic()):
             await http.wait_closed()
--- a/nutmegtrail/daemons/sidecar.py
+++ b/nutmegtrail/daemons/sidecar.py
@@ -216,7 +216,7 @@
             executor.shards.release()
         times = self._stop.schedule
         with anyio.move_on_after(times.cut_at_seconds - time.monotonic()):
-            await planned_stop.sleep_until(times.closed_at_seconds)
+            await planned_stop.sleep_until(times.noticed_at_seconds)
             while executor.in_flight:
                 await anyio.sleep(const.DRAIN_POLL_SECONDS)
         executor.cut()
