--- a/nutmegtrail/daemons/entry.py
+++ b/nutmegtrail/daemons/entry.py
@@ -236,9 +236,9 @@
         await planned_stop.sleep_until(times.noticed_at_seconds)
         with anyio.move_on_after(times.cut_at_seconds - time.monotonic()):
             await http.wait_for_open_requests()
-            http.close()
-            await http.wait_closed()
         http.close()
+        with anyio.move_on_after(times.cut_at_seconds - time.monotonic()):
+            await http.wait_closed()
         http.cut()
         with anyio.move_on_after(times.ended_at_seconds - time.monotonic()):
             await http.wait_closed()
