--- a/tests/expert_balancing/test_group_recovery.py
+++ b/tests/expert_balancing/test_group_recovery.py
@@ -13,6 +13,8 @@
 _SEARCH_SEEDS = (6, 5)
 _SEARCH_EPISODES = 10
 _RECOVERY_SECONDS = 6
+# Reports tell the new epoch at the second try.
+_FORMATION_SECONDS = 2
 # Ends the run if what it waits for never comes.
 _WAIT_LIMIT_SECONDS = 60
 
@@ -46,6 +48,28 @@
 
         simulated_fleet.Simulation().run(_scenario)
 
+    # Guards against orders of an earlier leader to a rank that has started
+    # again, which has forgotten the fence.
+    def test_group_that_forms_anew(self):
+        """Its ranks know the fence before the next switch."""
+
+        async def _scenario(simulation):
+            group = simulation.groups[0]
+            simulation.set_busy(is_busy=True)
+            await anyio.sleep(_WARM_UP_SECONDS)
+            simulation.set_busy(is_busy=False)
+            group.crash(1)
+            await anyio.sleep(1)
+            group.form()
+            simulation.register_all()
+            await anyio.sleep(_FORMATION_SECONDS)
+            self.assertEqual(
+                {simulation.leader().lease.fence},
+                {rank.fence for rank in group.ranks},
+            )
+
+        simulated_fleet.Simulation().run(_scenario)
+
     # Guards against a group that is held for good by an order that its leader
     # repeated, and that was carried out after the group was released.
     def test_late_hold_of_an_idle_group(self):
