--- a/nutmegtrail/adapters/http/server.py
+++ b/nutmegtrail/adapters/http/server.py
@@ -56,10 +56,6 @@
         """Refuse requests that have not arrived as a whole."""
         self._server.cut()
 
-    async def wait_for_open_requests(self) -> None:
-        """Wait until the requests that are handled now have ended."""
-        await self._server.wait_for_open_requests()
-
     async def wait_closed(self) -> None:
         """Wait until all connections have ended."""
         await self._ended.wait()
--- a/nutmegtrail/daemons/request_flow.py
+++ b/nutmegtrail/daemons/request_flow.py
@@ -85,17 +85,13 @@
             if not has_ended:
                 self._dependencies.pool.cancel_call(self._pending)
                 self._dependencies.metrics_registry.increment('callers_gone')
-            self._close()
-
-    def _close(self) -> None:
-        """Close the call and record how long it took."""
-        self._dependencies.pool.close_call(self._pending)
-        self._dependencies.stop.drain.record_end(
-            self._request.request_id,
-            time.monotonic(),
-            self._first_write_at_seconds,
-            is_answered=self._is_answered,
-        )
+            self._dependencies.pool.close_call(self._pending)
+            self._dependencies.stop.drain.record_end(
+                self._request.request_id,
+                time.monotonic(),
+                self._first_write_at_seconds,
+                is_answered=self._is_answered,
+            )
 
     async def _deliver(self) -> None:
         """Send attempts until the request has its final response."""
@@ -184,19 +180,15 @@
         retry = retry_budgets.Retry(
             self._request.target, self._request.request_id, failure
         )
-        wait = functools.partial(self._wait_for_retry, retry)
-        stop = self._dependencies.stop
-        while await stop.run_while_room(self._drained, wait):
+        while await self._dependencies.stop.run_while_room(
+            self._drained,
+            functools.partial(budgets.wait, retry, self._remaining_seconds()),
+        ):
             host = await self._select(ask.upstream)
             if host is None or budgets.spend(retry):
                 return host
         return None
 
-    async def _wait_for_retry(self, retry: retry_budgets.Retry) -> bool:
-        """Return whether a retry is granted before the deadline."""
-        budgets = self._dependencies.budgets
-        return await budgets.wait(retry, self._remaining_seconds())
-
     async def _select(self, preferred: str) -> host_list.Host | None:
         """Return the sidecar to use, or None if there is none.
 
