Let no earlier incarnation take the place of a live one

Cause: the last write won, although the entry knew that its incarnation had ended. Class: a known removal that is given up. Change: an earlier incarnation that is known to have ended replaces no later one. An earlier start that is not known is used, as clocks may step. Tests: test_late_write_of_an_earlier_incarnation.

--- a/nutmegtrail/gateway/fleet.py
+++ b/nutmegtrail/gateway/fleet.py
@@ -97,6 +97,16 @@
             return False
         return upstream.incarnation in self.removed_at_by_incarnation
 
+    def latest(self, upstream: models.Upstream) -> models.Upstream:
+        """Return the known upstream if the other one is known to have ended.
+
+        A late write may put an earlier incarnation in the place of a live one,
+        until that registers again.
+        """
+        known = self.upstreams_by_id.get(upstream.upstream_id, upstream)
+        is_earlier = upstream.started_at_ms < known.started_at_ms
+        return known if is_earlier and self.was_removed(upstream) else upstream
+
     def has_grace(self, upstream: models.Upstream, now_seconds: float) -> bool:
         """Return whether an outage may have removed a registration."""
         return (
@@ -222,7 +232,9 @@
     updated = fleet._replace(
         upstreams_by_id=pyrsistent.pmap(
             {
-                upstream.upstream_id: _keep_leaving(fleet, upstream)
+                upstream.upstream_id: _keep_leaving(
+                    fleet, fleet.latest(upstream)
+                )
                 for upstream in event.upstreams
                 if upstream.upstream_id not in deferred
             },
@@ -246,7 +258,7 @@
 @decide.register
 def _registered(event: Registered, fleet: Fleet, now_seconds: float) -> Fleet:
     """Add or update an upstream."""
-    upstream = _keep_leaving(fleet, event.upstream)
+    upstream = _keep_leaving(fleet, fleet.latest(event.upstream))
     known = fleet.upstreams_by_id.get(upstream.upstream_id)
     if known is not None:
         fleet = fleet.remember_replaced(known, upstream, now_seconds)
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -312,6 +312,27 @@
                 9, updated.upstreams_by_id['u1'].started_at_ms, known
             )
 
+    # Guards against a live upstream that gives place to its own past.
+    def test_late_write_of_an_earlier_incarnation(self):
+        """An incarnation that is known to have ended replaces no later one."""
+        earlier = samples.upstream('u1')
+        later = samples.upstream('u1', started_at_ms=9)
+        for written in (
+            fleet.Registered(earlier),
+            fleet.SnapshotReceived((earlier,)),
+        ):
+            updated = _decide(
+                fleet.Fleet(),
+                (0, _BOTH),
+                (1, fleet.Removed('u1')),
+                (2, fleet.Registered(later)),
+                (3, written),
+            )
+            self.assertEqual(later, updated.upstreams_by_id['u1'])
+        unknown = fleet.Registered(samples.upstream('u1', started_at_ms=4))
+        updated = _decide(updated, (4, unknown))
+        self.assertEqual(4, updated.upstreams_by_id['u1'].started_at_ms)
+
     # Guards against live upstreams that are dropped while a watch that will
     # fail has not failed yet.
     def test_time_alone_removes_nothing(self):
