Go on talking to entries that are heard after their registrations lapse

Seen by callers: after an outage of the store that ends the entries' registrations, each entry kept the limits of upstreams alone until the others had registered again (their renewals are 3 s apart), and took itself for the only one when it divided budgets and capacity. Cause: datagrams went to registered entries only. Once the registrations were read as gone, nobody told anybody, so that all fell silent for each other. Class: a lapsed registration taken for an entry that has ended. Change: those that were heard within 1 s are told, too. Why it works: entries that hear each other keep each other in; one that ends falls silent and is dropped after 1 s as before.

--- a/nutmegtrail/gateway/gossip.py
+++ b/nutmegtrail/gateway/gossip.py
@@ -304,7 +304,9 @@
                 dict(self._dispatcher.counts.local_by_id),
             )
             for address, payload in _address_reports(
-                payloads, self._peer_addresses, self.shares
+                payloads,
+                _audience(self._peer_addresses, self._heard_at_by_address),
+                self.shares,
             ):
                 async with self._sending:
                     await _send_datagram(datagrams, payload, address)
@@ -315,7 +317,9 @@
         payloads: list[bytes],
     ) -> None:
         """Send datagrams to every other instance."""
-        for address in self._peer_addresses:
+        for address in _audience(
+            self._peer_addresses, self._heard_at_by_address
+        ):
             for payload in payloads:
                 async with self._sending:
                     await _send_datagram(datagrams, payload, address)
@@ -468,6 +472,18 @@
     }
 
 
+def _audience(
+    registered: set[models.Address],
+    heard_at_by_address: dict[models.Address, float],
+) -> set[models.Address]:
+    """Return the other instances to talk to.
+
+    The registration of one that is heard may have expired in an outage of the
+    store.
+    """
+    return registered | set(_heard_lately(heard_at_by_address))
+
+
 def _registration_expiry() -> float:
     """Return until when the others know an instance that registers now."""
     return anyio.current_time() + const.REGISTRATION_TTL_SECONDS
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -8,6 +8,7 @@
 import testtools
 
 from nutmegtrail import models
+from nutmegtrail.gateway import const
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import evacuation_recorder
 from nutmegtrail.gateway import gossip
@@ -20,6 +21,7 @@
 from nutmegtrail.ports import key_value
 from nutmegtrail.ports import watched_store
 from nutmegtrail.warmup import sightings
+from tests import loopback
 from tests import simulated_time
 
 
@@ -64,13 +66,19 @@
         self.sent += 1
 
 
-def _gossip(own, dispatcher, store=None, size=share_exchange.UNKNOWN_SIZE):
+def _gossip(
+    own,
+    dispatcher,
+    store=None,
+    size=share_exchange.UNKNOWN_SIZE,
+    name='front-1/new',
+):
     """Return the exchange of an instance at an address."""
     evacuations = evacuation_recorder.EvacuationRecorder(
         dispatcher, metrics.Metrics()
     )
     return gossip.Gossip(
-        'front-1/new',
+        name,
         own,
         store,
         dispatcher,
@@ -341,6 +349,47 @@
             simulated_time.run(_main),
         )
 
+    # Guards against limits that each instance keeps alone after an outage that
+    # ended their registrations.
+    def test_registrations_that_an_outage_removed(self):
+        """Instances that hear each other go on doing so."""
+        addresses = [loopback.free_address() for _ in range(2)]
+        dispatchers = [dispatching.Dispatcher('a') for _ in addresses]
+        instances = [
+            _gossip(
+                gateway_models.Peer(address, 'a'),
+                dispatcher,
+                _Store(),
+                name=f'front-{address.port}',
+            )
+            for address, dispatcher in zip(addresses, dispatchers, strict=True)
+        ]
+        registered = tuple(
+            watched_store.Item(
+                f'{gossip.REGISTRATION_PREFIX}front-{address.port}',
+                1,
+                f'{address}/a'.encode(),
+            )
+            for address in addresses
+        )
+
+        async def _main():
+            async with anyio.create_task_group() as tasks:
+                for instance in instances:
+                    instance.on_snapshot(registered)
+                    tasks.start_soon(instance.run)
+                await anyio.sleep(0.5)
+                for instance in instances:
+                    instance.on_snapshot(())
+                await anyio.sleep(2 * const.GOSSIP_TIMEOUT_SECONDS)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(_main)
+        for dispatcher in dispatchers:
+            self.assertEqual(2, dispatcher.entries)
+            sharing = dispatcher.limiter.sharing
+            self.assertEqual(sorted(map(str, addresses)), list(sharing.members))
+
     # Guards against an exchange that ended with each second writer at once.
     def test_two_writers(self):
         """Reports and signals are sent one after the other."""
