--- a/nutmegtrail/daemons/request_flow.py
+++ b/nutmegtrail/daemons/request_flow.py
@@ -74,17 +74,16 @@
 
     async def run(self) -> None:
         """Deliver the response; it is cancelled when the caller disconnects."""
-        has_ended = False
         try:
             if await self._dependencies.stop.run_until_cut(self._deliver):
                 stopped = delivery_models.Stopped()
                 decision = attempts.decide(stopped, self._delivery)
                 await self._finish(decision.action)
-            has_ended = True
+        except BaseException:
+            self._dependencies.pool.cancel_call(self._pending)
+            self._dependencies.metrics_registry.increment('callers_gone')
+            raise
         finally:
-            if not has_ended:
-                self._dependencies.pool.cancel_call(self._pending)
-                self._dependencies.metrics_registry.increment('callers_gone')
             self._dependencies.pool.close_call(self._pending)
             self._dependencies.stop.drain.record_end(
                 self._request.request_id,
