Name no calls that have a connection of their own

A request ran that no client had sent (UNASKED): services without a control API took a probe for one, as it had the identifier of a request.

Calls are named so that their answers can be told from those to others on the same connection. A probe has a connection of its own, where no other answer comes; it has no name any more.

test_call_has_no_request_id failed before.

--- a/nutmegtrail/adapters/http1/json_client.py
+++ b/nutmegtrail/adapters/http1/json_client.py
@@ -78,7 +78,8 @@
         """Initialize the client without opening connections.
 
         Requests are named in the header `id_header`, in which peers may repeat
-        the name. They have no name if it is empty.
+        the name. They have no name if it is empty, or if they need a new
+        connection, on which no other response can come.
         """
         self._http_client = client.Client()
         self._response_limit_bytes = response_limit_bytes
@@ -106,9 +107,10 @@
         demands: Demands = _NO_DEMANDS,
     ) -> Response | NoResponse:
         """Send a request and return the response, or why there is none."""
-        request_id = f'{self._id_prefix}{next(self._request_numbers):08x}'
+        request_id = ''
         names: messages.Headers = ((b'host', str(address).encode()),)
-        if self._id_header:
+        if self._id_header and not demands.needs_new_connection:
+            request_id = f'{self._id_prefix}{next(self._request_numbers):08x}'
             names = (*names, (self._id_header, request_id.encode()))
         call = client.Call(
             address,
@@ -149,9 +151,9 @@
 
         Raises ExchangeBroken if it names another one.
         """
-        named_id = b''
-        if self._id_header:
-            named_id = opened.head.header(self._id_header)
+        if not call.request_id:
+            return opened.is_first
+        named_id = opened.head.header(self._id_header)
         opened.names_request = named_id == call.request_id.encode()
         if named_id and not opened.names_request:
             raise errors.ExchangeBroken('response to another request')
--- a/tests/platform/test_engine_condition.py
+++ b/tests/platform/test_engine_condition.py
@@ -31,7 +31,7 @@
         """Run a scenario while the engine listens."""
 
         async def _serve(stream):
-            await stream.receive()
+            self.received.append(await stream.receive())
             await stream.send(response)
             # The connection breaks with the next request on it.
             await stream.receive()
@@ -48,6 +48,7 @@
             )
             self.accepting = anyio.CancelScope()
             self.leaving = []
+            self.received = []
             self.client = engines.EngineControlClient(self._record)
             self.listener = await anyio.create_tcp_listener(
                 local_host=self.address.ip, local_port=self.address.port
@@ -87,6 +88,18 @@
 
             self._run(_scenario, _response(status, body))
 
+    def test_call_has_no_request_id(self):
+        """A service without a control API takes no probe for a request.
+
+        It ran probes that had the identifier of a request.
+        """
+
+        async def _scenario():
+            await self.client.condition(self.upstream)
+            self.assertNotIn(b'request-id', self.received[0].lower())
+
+        self._run(_scenario, _response(b'400 Bad Request', b''))
+
     def test_leaving_engine(self):
         """Every answer of the control API tells that its engine leaves.
 
