Say that a call that is cut behind its head may have run

An attempt counted as running if it was cancelled before the head of its response arrived, and not while the body was awaited. A request whose attempt has no known outcome now counts as run when it is cut.

test_cut_calls_have_run failed before: 503 with one run.

--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -142,6 +142,7 @@
         """
         decision = attempts.decide(event, job.delivery)
         job.delivery = decision.delivery
+        job.is_under_way = False
         action = decision.action
         self._log.record_failure(job, event, action)
         if isinstance(action, attempts.GiveUp):
@@ -205,6 +206,7 @@
         opened = opened_response.OpenedResponse(
             assignment, functools.partial(self._release, assignment)
         )
+        job.is_under_way = True
         try:
             with self._crash_guard.watch(job, assignment.upstream) as watched:
                 event = await self._send(job, opened)
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -62,6 +62,8 @@
             budget_seconds = min(budget_seconds, caller.budget_seconds)
         self.deadline_seconds = exchange.received_at_seconds + budget_seconds
         self.choices: list[dict[str, object]] = []
+        # Set while the outcome of an attempt is not known.
+        self.is_under_way = False
         self._queued_count = 0
         self.dispatched_at_seconds = 0.0
         self.last_event_at_seconds = 0.0
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -122,7 +122,10 @@
                 return await self._runner.run(job)
             finally:
                 self._scopes.discard(scope)
-        return attempts.give_up(job.delivery)
+        delivery = job.delivery
+        if job.is_under_way:
+            delivery = delivery._replace(may_have_run=True)
+        return attempts.give_up(delivery)
 
     async def _admit(self, exchange: server.Exchange) -> jobs.Job | None:
         """Return a job for the request, None if it was rejected."""
--- a/tests/platform/kept_connections.py
+++ b/tests/platform/kept_connections.py
@@ -23,13 +23,14 @@
     """Requests that are alike.
 
     An upstream runs each of them for `seconds`; its caller waits for
-    `deadline_seconds`. `has_chunks` is set if the body is sent in chunks, with
+    `deadline_seconds`. With `has_early_head`, the response begins at once. `has_chunks` is set if the body is sent in chunks, with
     `chunk_pause_seconds` between them.
     """
 
     path: bytes
     seconds: float
     deadline_seconds: float = 12
+    has_early_head: bool = False
     has_chunks: bool = False
     chunk_pause_seconds: float = 0
 
@@ -215,6 +216,8 @@
 def _request_parts(request_id, load):
     """Return the head of a request and the parts of its body."""
     body = b'%f' % load.seconds
+    if load.has_early_head:
+        body += lasting_engine.EARLY_HEAD
     framing = b'content-length: %d' % len(body)
     parts = [body]
     if load.has_chunks:
--- a/tests/platform/lasting_engine.py
+++ b/tests/platform/lasting_engine.py
@@ -8,6 +8,8 @@
 from tests.platform import stand_in
 
 EVENT_SECONDS = 0.06
+# Ends the bodies of requests whose response begins at once.
+EARLY_HEAD = b' early'
 
 
 class LastingEngine(stand_in.Engine):
@@ -48,7 +50,10 @@
     async def _run(self, exchange, headers):
         """Send the response to a request."""
         request = exchange.request
-        seconds = float(request.body)
+        seconds = float(request.body.removesuffix(EARLY_HEAD))
+        if request.body.endswith(EARLY_HEAD):
+            await _respond_in_parts(exchange, headers, seconds)
+            return
         if self.service == 'desk':
             await anyio.sleep(seconds)
             await exchange.respond(200, headers, b'booked')
@@ -61,6 +66,14 @@
         await exchange.finish()
 
 
+async def _respond_in_parts(exchange, headers, seconds):
+    """Send the head and a part of the body long before the rest."""
+    await exchange.start_chunked(200, headers, b'bo')
+    await anyio.sleep(seconds)
+    await exchange.write(b'oked')
+    await exchange.finish()
+
+
 def create_engine(number, store, tasks):
     """Return an engine, the even ones of the service 'drafts'."""
     service = 'desk' if number % 2 else 'drafts'
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -23,6 +23,7 @@
 # A request that crosses the close of its connection gets no response.
 _CROSSING_SECONDS = 0.2
 _NOT_RUN = 503
+_UNKNOWN = 502
 
 
 def _stream(seconds, **changes):
@@ -95,6 +96,9 @@
             told = (moment, reply)
             if reply.status == _NOT_RUN:
                 self.assertEqual(0, runs, told)
+            elif reply.status == _UNKNOWN:
+                self.assertEqual(1, runs, told)
+                self.assertTrue(moment < 0, told)
             elif reply.status:
                 self.assertEqual(
                     (200, True), (reply.status, reply.is_whole), told
@@ -144,6 +148,16 @@
         replies = self._stop(streams, calls)
         self.assertTrue(self._late(replies[calls], 4, 200))
 
+    def test_cut_calls_have_run(self):
+        """A call that is cut after its response has begun may have run.
+
+        It was refused as not run (REFUSED).
+        """
+        calls = _call(30, deadline_seconds=40, has_early_head=True)
+        replies = self._stop(calls)
+        cut = [reply for reply in replies[calls] if reply.status == _UNKNOWN]
+        self.assertTrue(cut)
+
     def test_short_grace(self):
         """The grace period may be shorter than the balancer's reaction."""
         streams = _stream(1.2)
