Look at all durations late in a planned stop, and ignore single delays early

The longest of all requests of the last minute counts from 2 s after the signal on, when few new connections come. Until then one request in a hundred may be overdue, unless it must not be repeated. Eight times as many durations are kept.

--- a/nutmegtrail/draining/const.py
+++ b/nutmegtrail/draining/const.py
@@ -12,7 +12,9 @@
 
 # Requests that ended within this time tell how long others may take.
 MEMORY_SECONDS: typing.Final = 60.0
-REMEMBERED_DURATIONS: typing.Final = 512
+REMEMBERED_DURATIONS: typing.Final = 4_096
+# Load balancers have noticed the stop, most of them.
+LATE_SECONDS: typing.Final = 2.0
 # A single request that was held up says little about the others.
 DURATION_QUANTILE: typing.Final = 0.99
 # Requests may take longer than those before them.
--- a/nutmegtrail/draining/drain.py
+++ b/nutmegtrail/draining/drain.py
@@ -99,17 +99,30 @@
             request, outlook.profile, outlook.overdue
         )
 
+    def _is_late(self, now_seconds: float) -> bool:
+        """Return whether new connections hardly come here any more.
+
+        Then a request that is refused for nothing costs less than one that is
+        cut.
+        """
+        signalled_at = self.signalled_at_seconds
+        return signalled_at is not None and (
+            now_seconds > signalled_at + const.LATE_SECONDS
+        )
+
     def _outlook(self, request: models.Request, now_seconds: float) -> _Outlook:
         """Return what the requests of a kind tell of the next ones."""
         oldest_seconds = now_seconds - const.MEMORY_SECONDS
-        profile = estimate.profile(
-            [
-                duration
-                for duration in self._durations_by_kind[request.kind]
-                if duration.ended_at_seconds >= oldest_seconds
-            ],
-            runs_once=request.runs_once,
-        )
+        durations = [
+            duration
+            for duration in self._durations_by_kind[request.kind]
+            if duration.ended_at_seconds >= oldest_seconds
+        ]
+        quantile, ignored = 1.0, 0
+        if not request.runs_once and not self._is_late(now_seconds):
+            quantile = const.DURATION_QUANTILE
+            ignored = math.ceil(len(durations) * (1 - quantile))
+        profile = estimate.profile(durations, quantile)
         running = [
             other
             for other in self._running_by_key.values()
@@ -117,7 +130,7 @@
         ]
         return _Outlook(
             profile,
-            estimate.overdue_ratio(running, profile, now_seconds),
+            estimate.overdue_ratio(running, profile, now_seconds, ignored),
             now_seconds + const.REFRESH_SECONDS,
         )
 
--- a/nutmegtrail/draining/estimate.py
+++ b/nutmegtrail/draining/estimate.py
@@ -21,10 +21,9 @@
 
 
 def profile(
-    durations: collections.abc.Sequence[models.Duration], *, runs_once: bool
+    durations: collections.abc.Sequence[models.Duration], quantile: float
 ) -> Profile:
-    """Return the profile of requests that have ended."""
-    quantile = 1 if runs_once else const.DURATION_QUANTILE
+    """Return the profile of a part of the requests that have ended."""
     sized = [duration for duration in durations if duration.tokens]
     return Profile(
         _quantile([duration.seconds for duration in durations], quantile),
@@ -43,16 +42,18 @@
     running: collections.abc.Iterable[models.Running],
     known: Profile,
     now_seconds: float,
+    ignored: int,
 ) -> float:
-    """Return how many times longer than expected requests run already."""
-    return max(
-        (
-            (now_seconds - other.started_at_seconds)
-            / needed_seconds(other.request, known)
-            for other in running
-        ),
-        default=0,
+    """Return how many times longer than expected requests run already.
+
+    So many of those that are furthest behind do not count.
+    """
+    ratios = sorted(
+        (now_seconds - other.started_at_seconds)
+        / needed_seconds(other.request, known)
+        for other in running
     )
+    return ratios[-1 - ignored] if len(ratios) > ignored else 0
 
 
 def needed_seconds(
--- a/tests/draining/test_drain.py
+++ b/tests/draining/test_drain.py
@@ -107,15 +107,45 @@
         self.assertEqual(math.inf, _needed(_begin(decided)))
 
     def test_overdue_request(self):
-        """A request that runs for longer than any before it is a warning.
+        """Requests that run for longer than any before them are a warning.
 
         Requests of two durations used to be taken by the shorter one.
         """
         decided = _drain(itertools.repeat(0.1, 9))
-        decided.record_start('long', _request(), _SIGNAL - 3)
-        needed = _needed(_begin(decided))
+        for name in ('long', 'other'):
+            decided.record_start(name, _request(), _SIGNAL - 3)
+        self.assertAlmostEqual(6, _needed(_begin(decided)))
+
+    def test_overdue_request_that_runs_once(self):
+        """One is enough if requests must not be cut."""
+        decided = _drain(itertools.repeat(0.1, 9), runs_once=True)
+        decided.record_start('long', _request(runs_once=True), _SIGNAL - 3)
+        needed = _needed(_begin(decided), runs_once=True)
         self.assertAlmostEqual(6, needed)
 
+    def test_one_request_is_held_up(self):
+        """A single request that hangs does not refuse all others."""
+        decided = _drain(itertools.repeat(0.3, 99))
+        decided.record_start('held', _request(), _SIGNAL - 5)
+        needed = _needed(_begin(decided))
+        self.assertTrue(needed < 1, needed)
+
+    def test_rare_long_request_late_in_the_stop(self):
+        """The longest of all counts once new connections hardly come.
+
+        A rare long stream on a kept connection used to be taken and cut.
+        """
+        decided = _begin(_drain((*itertools.repeat(0.3, 199), 5)))
+        self.assertTrue(_needed(decided) < 1)
+        late = _SIGNAL + const.LATE_SECONDS + 0.1
+        self.assertTrue(_needed(decided, late) > 5)
+
+    def test_many_short_requests_after_a_long_one(self):
+        """A long request is remembered for the whole time."""
+        decided = _drain((5, *itertools.repeat(0.1, 999)), runs_once=True)
+        needed = _needed(_begin(decided), runs_once=True)
+        self.assertTrue(needed > 5, needed)
+
     def test_usual_request_runs(self):
         """A request that runs as long as usual is none."""
         decided = _drain([3, 3])
