Refuse requests that cross the close of a connection

Found by a review of the planned stops. A request that a caller sent while the response that announced the close was under way was read and dropped (LOST). And a connection that was closed with unread bytes was reset: of a response of 400,000 bytes a slow caller got 127,574, though it was logged as answered.

--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -232,6 +232,8 @@
         self._reader = messages.RequestReader(limits.sizes)
         self._has_served = False
         self._is_closing = False
+        # Whether requests may have been sent before the close was announced.
+        self._may_cross = False
         self._refusal: errors.RequestRefused | None = None
         self._request_since_seconds = math.inf
         self._header_timeout_seconds: float = 0
@@ -242,6 +244,8 @@
             request = await self._next_request()
             while request is not None and await self._serve(request):
                 request = await self._next_request()
+            if self._may_cross:
+                await self._refuse_crossing()
         except errors.RequestRefused as error:
             await self._reject(error)
 
@@ -380,6 +384,11 @@
             await self._respond_with_error(exchange)
         finally:
             self._server._open_exchanges.discard(exchange)
+        self._may_cross = (
+            exchange.is_complete
+            and self._server.is_stopping
+            and request.keep_alive
+        )
         return exchange.is_complete and exchange.keep_alive
 
     def _must_close(self) -> bool:
@@ -464,6 +473,27 @@
                 return
             self._feed(received)
 
+    async def _refuse_crossing(self) -> None:
+        """Refuse requests that were sent before the close was known.
+
+        Closing a connection with unread bytes would reset it, and the end of
+        the last response could be lost.
+        """
+        with anyio.move_on_after(const.CROSSING_SECONDS):
+            while True:
+                while self._reader.ready:
+                    self._reader.ready.popleft()
+                    await self._reject(
+                        errors.RequestRefused(
+                            http.HTTPStatus.SERVICE_UNAVAILABLE,
+                            'received after the last request',
+                        )
+                    )
+                received = await _receive_or_end(self._stream)
+                if not received:
+                    return
+                self._feed(received)
+
     async def _reject(self, error: errors.RequestRefused) -> None:
         """Send an error response to an invalid request."""
         logs.decision(
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -403,6 +403,52 @@
         response = self.run_scenario(self._stop_during_stream, _scenario)
         self._check_pipelined(response)
 
+    def test_request_that_crosses_the_close(self):
+        """A request sent behind the announced close is refused as not run.
+
+        It was read and dropped.
+        """
+        handled = []
+
+        async def _handle(exchange):
+            handled.append(exchange.request.target)
+            self.server.stop()
+            await exchange.start_chunked(200, (), b'part')
+            await anyio.sleep(1)
+            await exchange.finish()
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                for target in (b'/1', b'/2', b'/3'):
+                    await stream.send(_get(target))
+                    await anyio.sleep(0.52)
+                return await _receive_all(stream)
+
+        response = self.run_scenario(_handle, _scenario)
+        self.assertEqual([b'/1'], handled)
+        self.assertEqual(2, response.count(b'HTTP/1.1 503 '), response)
+
+    def test_large_response_at_the_close(self):
+        """A slow client gets the whole response if its next request crosses.
+
+        The connection was reset, and the rest of the response lost.
+        """
+        payload = b'x' * 400_000
+
+        async def _handle(exchange):
+            self.server.stop()
+            await exchange.respond(200, (), payload)
+
+        async def _scenario():
+            async with await self.connect() as stream:
+                await stream.send(_get(b'/1'))
+                received = await stream.receive()
+                await stream.send(_get(b'/2'))
+                return received + await _receive_all(stream)
+
+        response = self.run_scenario(_handle, _scenario)
+        self.assertEqual(len(payload), response.count(b'x'))
+
     def test_cut(self):
         """A request whose rest does not arrive in time is refused.
 
