Drop durations that a planned stop no longer looks at

They were kept by number, so that an entry with much traffic held those of more than the last minute.

--- a/nutmegtrail/draining/drain.py
+++ b/nutmegtrail/draining/drain.py
@@ -72,7 +72,11 @@
             return
         started_at = running.started_at_seconds
         first_at = first_event_at_seconds or started_at
-        self._durations_by_kind[running.request.kind].append(
+        durations = self._durations_by_kind[running.request.kind]
+        oldest_seconds = now_seconds - const.MEMORY_SECONDS
+        while durations and durations[0].ended_at_seconds < oldest_seconds:
+            durations.popleft()
+        durations.append(
             models.Duration(
                 now_seconds,
                 now_seconds - started_at,
