Ask in one place whether a request has room in a planned stop

The comparison with the latest start stood three times: for requests that arrive, for those about to be sent, and on the path with sidecars. Drain has it now. What a planned stop needs to know of a request was built anew for each of these questions, on the way of every request; it is kept.

No behaviour changes.

--- a/nutmegtrail/daemons/planned_stop.py
+++ b/nutmegtrail/daemons/planned_stop.py
@@ -56,8 +56,7 @@
 
     def has_room_for(self, request: models.Request) -> bool:
         """Return whether a request that is sent now ends in time."""
-        now_seconds = time.monotonic()
-        return now_seconds <= self.drain.latest_start(request, now_seconds)
+        return self.drain.has_room_for(request, time.monotonic())
 
     async def run_while_room(
         self,
--- a/nutmegtrail/draining/drain.py
+++ b/nutmegtrail/draining/drain.py
@@ -103,6 +103,10 @@
             request, outlook.profile, outlook.overdue
         )
 
+    def has_room_for(self, request: models.Request, now_seconds: float) -> bool:
+        """Return whether a request that is sent now ends in time."""
+        return now_seconds <= self.latest_start(request, now_seconds)
+
     def _is_late(self, now_seconds: float) -> bool:
         """Return whether new connections hardly come here any more.
 
--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -533,10 +533,12 @@
     assignment: opened_response.Assignment,
 ) -> bool:
     """Return whether an assigned request may still be sent."""
-    now = anyio.current_time()
-    latest_start = dispatcher.drain.latest_start(job.stoppable, now)
-    fits = job.delivery.has_sent_events or now <= latest_start
-    return fits and dispatcher.confirm(assignment.upstream, assignment.queue_id)
+    has_room = job.delivery.has_sent_events or dispatcher.drain.has_room_for(
+        job.stoppable, anyio.current_time()
+    )
+    return has_room and dispatcher.confirm(
+        assignment.upstream, assignment.queue_id
+    )
 
 
 def _is_closed(event: attempts.Event) -> bool:
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -119,7 +119,7 @@
             times.token_seconds,
         )
 
-    @property
+    @functools.cached_property
     def stoppable(self) -> draining_models.Request:
         """Return the request as planned stops see it."""
         return draining_models.Request(
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -177,8 +177,9 @@
 
     def _fits(self, job: jobs.Job) -> bool:
         """Return whether a request sent now ends before a planned stop."""
-        now = anyio.current_time()
-        return self._dispatcher.drain.latest_start(job.stoppable, now) >= now
+        return self._dispatcher.drain.has_room_for(
+            job.stoppable, anyio.current_time()
+        )
 
     async def _refuse_at_stop(self, job: jobs.Job) -> None:
         """Refuse a request so that its caller tries another host at once."""
