--- a/nutmegtrail/daemons/running_calls.py
+++ b/nutmegtrail/daemons/running_calls.py
@@ -37,10 +37,9 @@
     def has_room_for(self, call: models.Call) -> bool:
         """Return whether a call that is sent now ends before the sidecar."""
         now_seconds = time.monotonic()
-        latest_start = self.drain.latest_start(
+        return not self._is_cut and self.drain.has_room_for(
             _to_drained(call, now_seconds), now_seconds
         )
-        return not self._is_cut and now_seconds <= latest_start
 
     @contextlib.contextmanager
     def track(self, call: models.Call) -> collections.abc.Iterator[Run]:
