--- a/tests/adapters/test_cut_calls.py
+++ b/tests/adapters/test_cut_calls.py
@@ -6,7 +6,6 @@
 import orjson
 import testtools
 
-from nutmegtrail import models
 from nutmegtrail.adapters.host_list import http as host_list_http
 from nutmegtrail.adapters.key_value import etcd
 from nutmegtrail.adapters.rank_engine import http as rank_engine_http
@@ -45,8 +44,8 @@
 class CutCallsTest(testtools.TestCase):
     """A cut answer of the store, an engine or the platform is none."""
 
-    def _check(self, create_client, call, body, check):
-        """Check a call whose answer is cut, and whole at the end."""
+    def _run(self, scenario):
+        """Run a scenario with a peer that gives the answers in a list."""
 
         async def _main():
             address = loopback.free_address()
@@ -59,23 +58,29 @@
                     tasks.start_soon(
                         listener.serve, functools.partial(_serve, answers)
                     )
-                    client = create_client(address)
-                    for framing in _FRAMINGS:
-                        whole = _frame(framing, body)
-                        for removed in (*range(1, len(whole) + 1), 0):
-                            cut = whole[: len(whole) - removed]
-                            answers.append(cut)
-                            result = await call(client)
-                            self.assertEqual(
-                                bool(removed), result.is_error(), cut
-                            )
-                            if removed:
-                                check(result.error)
-                    await client.close()
+                    await scenario(address, answers)
                     tasks.cancel_scope.cancel()
 
         anyio.run(_main)
 
+    def _check(self, create_client, call, body, check):
+        """Check a call whose answer is cut, and whole at the end."""
+
+        async def _scenario(address, answers):
+            client = create_client(address)
+            for framing in _FRAMINGS:
+                whole = _frame(framing, body)
+                for removed in (*range(1, len(whole) + 1), 0):
+                    cut = whole[: len(whole) - removed]
+                    answers.append(cut)
+                    result = await call(client)
+                    self.assertEqual(bool(removed), result.is_error(), cut)
+                    if removed:
+                        check(result.error)
+            await client.close()
+
+        self._run(_scenario)
+
     def _ignore(self, _):
         """Accept any error."""
 
@@ -138,26 +143,15 @@
             }
         )
 
-        async def _main():
-            address = models.Address(*loopback.free_address())
-            listener = await anyio.create_tcp_listener(
-                local_host=address.ip, local_port=address.port
-            )
-            answers = []
-            with anyio.fail_after(_WAIT_SECONDS):
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(
-                        listener.serve, functools.partial(_serve, answers)
-                    )
-                    store = etcd.EtcdStore(address)
-                    body = line + b'\n' + line
-                    for removed in range(1, len(body) + 1):
-                        cut = body[:-removed]
-                        answers.append(_START + b'\r\n' + cut)
-                        seen = [entry async for entry in store.watch('a', 1)]
-                        self.assertEqual(line in cut, bool(seen), cut)
-                        self.assertTrue(len(seen) <= 1)
-                    await store.close()
-                    tasks.cancel_scope.cancel()
-
-        anyio.run(_main)
+        async def _scenario(address, answers):
+            store = etcd.EtcdStore(address)
+            body = line + b'\n' + line
+            for removed in range(1, len(body) + 1):
+                cut = body[:-removed]
+                answers.append(_START + b'\r\n' + cut)
+                seen = [entry async for entry in store.watch('a', 1)]
+                self.assertEqual(line in cut, bool(seen), cut)
+                self.assertTrue(len(seen) <= 1)
+            await store.close()
+
+        self._run(_scenario)
