Decide once whether a response fits its call

The client asked it to know whether it may keep the connection, and the clients of the store and of the engines asked again, which decoded each body once more: of a listing of the store three times in all. The response says it now, and the body is decoded twice.

No behaviour changes.

--- a/nutmegtrail/adapters/http1/json_client.py
+++ b/nutmegtrail/adapters/http1/json_client.py
@@ -27,13 +27,15 @@
 class Response(typing.NamedTuple):
     """Status, body and headers of a received response.
 
-    `is_own` is set if it cannot be that of an earlier request.
+    `is_own` is set if it cannot be that of an earlier request, and `fits` if
+    it is what the call demands.
     """
 
     status: int
     body: bytes
     headers: messages.Headers = ()
     is_own: bool = True
+    fits: bool = True
 
 
 class NoResponse(typing.NamedTuple):
@@ -143,7 +145,8 @@
             received = await opened.read(self._response_limit_bytes)
             head = opened.head
             response = Response(head.status, received, head.headers, is_own)
-            opened.is_foreign = not fits(response)
+            response = response._replace(fits=fits(response))
+            opened.is_foreign = not response.fits
             return response
 
     def _is_own(self, call: client.Call, opened: client.Response) -> bool:
--- a/nutmegtrail/platform/engines.py
+++ b/nutmegtrail/platform/engines.py
@@ -163,7 +163,7 @@
             )
             return rank_control.OrderOutcome.UNANSWERED
         self._record_signals(upstream, response, asked_at_seconds)
-        if not _fits_order(response):
+        if not response.fits:
             return rank_control.OrderOutcome.UNANSWERED
         if response.status in {http.HTTPStatus.OK, http.HTTPStatus.ACCEPTED}:
             return rank_control.OrderOutcome.ACCEPTED
--- a/nutmegtrail/platform/store.py
+++ b/nutmegtrail/platform/store.py
@@ -501,7 +501,7 @@
         )
         if isinstance(response, json_client.NoResponse):
             return watched_store.StoreUnavailable(f'{path}: {response.detail}')
-        if not question.fits(response):
+        if not response.fits:
             return watched_store.StoreUnavailable(
                 f'{path}: response to an earlier request'
             )
