--- a/tests/platform/entries.py
+++ b/tests/platform/entries.py
@@ -153,9 +153,7 @@
 
     async def start(self):
         """Start the store, the engines and the gateways."""
-        server = stand_in.create_server(self.store)
-        await server.start()
-        self._tasks.start_soon(server.serve)
+        await stand_in.serve(self.store, self._tasks)
         self._tasks.start_soon(self.store.expire_leases)
         self.configure(samples.CONFIG['version'])
         for engine in self.engines:
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -398,3 +398,10 @@
 def create_server(stand_in):
     """Create a server for a simulated service without starting it."""
     return server.Server(stand_in.address, stand_in.handle, lambda: _LIMITS)
+
+
+async def serve(stand_in, tasks):
+    """Listen for a simulated service, and serve it beside other tasks."""
+    service = create_server(stand_in)
+    await service.start()
+    tasks.start_soon(service.serve)
--- a/tests/platform/stream_engine.py
+++ b/tests/platform/stream_engine.py
@@ -25,9 +25,7 @@
 
     async def start(self):
         """Listen and register."""
-        server = stand_in.create_server(self)
-        await server.start()
-        self._tasks.start_soon(server.serve)
+        await stand_in.serve(self, self._tasks)
         self._store.put(f'servers/{self.name}', self.registration())
 
     def fall_silent(self, seconds):
--- a/tests/platform/test_limited_engine.py
+++ b/tests/platform/test_limited_engine.py
@@ -33,9 +33,7 @@
 
     async def start(self):
         """Listen and register."""
-        server = stand_in.create_server(self)
-        await server.start()
-        self._tasks.start_soon(server.serve)
+        await stand_in.serve(self, self._tasks)
         self.register()
 
     def register(self, slots=1):
