Accept the connections that wait when a server closes

The log shows that the process stood still for 0.245 s meanwhile; when it went on, its last request ended, and the listener was closed before it had accepted the connections of that time. The request was not read, so that nothing was lost, but its caller could not know.

The connections that wait at the close are accepted now, no later ones, and their first request is awaited for as long as one that crosses the close. The question whether a socket can be read stands in one place, for the client, too.

test_connection_that_is_not_accepted_yet failed before (connection reset).

--- a/nutmegtrail/adapters/http1/client.py
+++ b/nutmegtrail/adapters/http1/client.py
@@ -7,7 +7,6 @@
 
 import contextlib
 import re
-import select
 import socket
 import typing
 
@@ -18,6 +17,7 @@
 from nutmegtrail.adapters.http1 import const
 from nutmegtrail.adapters.http1 import errors
 from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.adapters.http1 import sockets
 
 _KEEP_ALIVE_TIMEOUT: typing.Final = re.compile(
     rb'timeout\s*=\s*(\d{1,9})(?!\d)'
@@ -196,7 +196,7 @@
             raw = connection.stream.extra(anyio.abc.SocketAttribute.raw_socket)
             is_unexpired = anyio.current_time() < usable_until_seconds
             is_fresh = call.request_id not in connection.refused_ids
-            if is_unexpired and is_fresh and not _is_readable(raw):
+            if is_unexpired and is_fresh and not sockets.is_readable(raw):
                 return connection
             await connection.stream.aclose()
 
@@ -332,10 +332,3 @@
     )
     for option, setting in options:
         raw.setsockopt(socket.IPPROTO_TCP, option, setting)
-
-
-def _is_readable(raw: socket.socket) -> bool:
-    """Return whether an idle connection was closed or received data."""
-    poller = select.poll()
-    poller.register(raw, select.POLLIN)
-    return bool(poller.poll(0))
--- a/nutmegtrail/adapters/http1/const.py
+++ b/nutmegtrail/adapters/http1/const.py
@@ -6,6 +6,7 @@
 JSON_RESPONSE_LIMIT_BYTES: typing.Final = 16_777_216
 LISTEN_BACKLOG: typing.Final = 1_024
 ACCEPT_RETRY_SECONDS: typing.Final = 0.05
+ACCEPT_PENDING_SECONDS: typing.Final = 0.02
 
 # Of interim responses, status line, headers, chunk sizes, chunk extensions and
 # trailers without any part of the body between them. The parser has no limit.
--- a/nutmegtrail/adapters/http1/server.py
+++ b/nutmegtrail/adapters/http1/server.py
@@ -7,18 +7,24 @@
 import anyio
 import anyio.abc
 import anyio.lowlevel
+import anyio.streams.stapled
 
 from nutmegtrail import const as shared_const
 from nutmegtrail import models
 from nutmegtrail.adapters.http1 import const
 from nutmegtrail.adapters.http1 import errors
 from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.adapters.http1 import sockets
 from nutmegtrail.observability import logs
 
 Handler: typing.TypeAlias = typing.Callable[
     ['Exchange'], typing.Awaitable[None]
 ]
 
+_Listener: typing.TypeAlias = anyio.streams.stapled.MultiListener[
+    anyio.abc.SocketStream
+]
+
 
 class ConnectionLimits(typing.NamedTuple):
     """Size limits and timeouts of a connection."""
@@ -134,7 +140,7 @@
         self.address = address
         self._handler = handler
         self._limits = limits
-        self._listener: anyio.abc.Listener[typing.Any] | None = None
+        self._listener: _Listener | None = None
         self._accept_scope: anyio.CancelScope | None = None
         self._idle_scopes: set[anyio.CancelScope] = set()
         self._partial_scopes: set[anyio.CancelScope] = set()
@@ -156,16 +162,19 @@
         """Serve connections until the listener is closed."""
         if self._listener is None:
             await self.start()
-        listener = typing.cast('anyio.abc.Listener[typing.Any]', self._listener)
+        listener = typing.cast('_Listener', self._listener)
         async with anyio.create_task_group() as tasks:
             self._accept_scope = anyio.CancelScope()
             with self._accept_scope:
                 await self._accept(listener, tasks)
+            # Closing the listener resets connections that are not accepted yet.
+            with anyio.move_on_after(const.ACCEPT_PENDING_SECONDS):
+                await self._accept_pending(listener, tasks)
             await listener.aclose()
 
     async def _accept(
         self,
-        listener: anyio.abc.Listener[typing.Any],
+        listener: _Listener,
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         """Accept connections; go on after a failure.
@@ -182,6 +191,25 @@
                 )
             await anyio.sleep(const.ACCEPT_RETRY_SECONDS)
 
+    async def _accept_pending(
+        self,
+        listener: _Listener,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Accept the connections that wait, but no later ones."""
+        for each in listener.listeners:
+            socket_listener = typing.cast('anyio.abc.SocketListener', each)
+            raw = each.extra(anyio.abc.SocketAttribute.raw_socket)
+            while sockets.is_readable(raw):
+                try:
+                    stream = await socket_listener.accept()
+                except OSError:
+                    logs.failure(
+                        'connection:not-accepted', address=str(self.address)
+                    )
+                    return
+                tasks.start_soon(self._serve_connection, stream)
+
     async def wait_for_open_requests(self) -> None:
         """Wait until the requests that are handled now have ended."""
         awaited = frozenset(self._open_exchanges)
@@ -280,9 +308,13 @@
         """Return received bytes, b'' at the end or after an idle timeout."""
         if self._reader.has_partial_request:
             return await self._receive_rest()
-        if self._server.is_closed and self._has_served:
-            return await self._receive_arrived()
-        return await self._receive_first()
+        if not self._server.is_closed:
+            return await self._receive_first()
+        if self._has_served:
+            return await self._receive_arrived(
+                const.ARRIVED_BYTES_TIMEOUT_SECONDS
+            )
+        return await self._receive_arrived(const.CROSSING_SECONDS)
 
     async def _receive_first(self) -> bytes:
         """Return the first bytes of a request, b'' after an idle timeout.
@@ -305,7 +337,7 @@
             current_seconds = self._server._limits().idle_timeout_seconds
             idle_until = idle_since + max(timeout_seconds, current_seconds)
             remaining_seconds = idle_until - anyio.current_time()
-        return await self._receive_arrived()
+        return await self._receive_arrived(const.ARRIVED_BYTES_TIMEOUT_SECONDS)
 
     async def _receive_rest(self) -> bytes:
         """Return more bytes of a request; refuse it after a timeout.
@@ -348,7 +380,7 @@
             + shared_const.BODY_READ_TIMEOUT_SECONDS,
         )
 
-    async def _receive_arrived(self) -> bytes:
+    async def _receive_arrived(self, timeout_seconds: float) -> bytes:
         """Return bytes that have arrived before the connection closes.
 
         A request among them is answered, the last one of the connection. The
@@ -356,7 +388,7 @@
         socket before the wait is cancelled.
         """
         self._is_closing = True
-        with anyio.move_on_after(const.ARRIVED_BYTES_TIMEOUT_SECONDS):
+        with anyio.move_on_after(timeout_seconds):
             return await _receive_or_end(self._stream)
         return b''
 
--- a/tests/adapters/http1/test_every_request_answered.py
+++ b/tests/adapters/http1/test_every_request_answered.py
@@ -289,6 +289,24 @@
         self.assertTrue(response.startswith(b'HTTP/1.1 200 '), response)
         self.assertIn(b'connection: close', response)
 
+    def test_connection_that_is_not_accepted_yet(self):
+        """A request on a connection that waits to be accepted is served.
+
+        The connection was reset if the process stood still before the close.
+        """
+
+        async def _scenario():
+            await anyio.sleep(0.1)
+            raw = socket.create_connection((self.address.ip, self.address.port))
+            self.addCleanup(raw.close)
+            raw.sendall(_get(b'/'))
+            self.server.close()
+            return await self.receive_blocking(raw)
+
+        response = self.run_scenario(_respond, _scenario)
+        self.assertTrue(response.startswith(b'HTTP/1.1 200 '), response)
+        self.assertIn(b'connection: close', response)
+
     def test_response_ends_after_close(self):
         """A request that arrives at the end of the last response is served.
 
--- a/tests/expert_balancing/engine_network.py
+++ b/tests/expert_balancing/engine_network.py
@@ -16,6 +16,7 @@
 from nutmegtrail import models
 from nutmegtrail.adapters.http1 import client
 from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.adapters.http1 import sockets
 from nutmegtrail.expert_map import switch
 from tests.expert_map import rank
 from tests.gateway import samples
@@ -236,7 +237,7 @@
         """Let the client of the engines connect in memory."""
         test.patch(anyio, 'connect_tcp', self.connect)
         test.patch(client, '_enable_keepalive', lambda _: None)
-        test.patch(client, '_is_readable', lambda raw: raw.is_readable)
+        test.patch(sockets, 'is_readable', lambda raw: raw.is_readable)
 
     async def run(self):
         """Begin steps until cancelled."""
