Let requests in late in a planned stop by their own limits only

Callers saw streams that they had sent 3.2 s after the SIGTERM on kept connections end in their middle, at the end of the grace period of 8 s, though the engines were sound and another entry could have served them (LOST). Half of them may not be resumed.

Cause: a request was taken if the durations of others in the last minute fitted, at any moment of the stop. They tell what is usual, not what ends a request. A limit of tokens was used in proportion to earlier answers, so that it did not help. On the path with sidecars an order was taken in the same way and ended as of unknown outcome.

From 2 s after the signal on, when load balancers have noticed the stop, a request is taken only if its deadline, or all tokens that its caller allows at the slowest pace of the last minute, end it in time. The moment at which it arrived counts, so that what was taken earlier is still queued and retried.

test_longer_requests_late_in_the_stop (tests/platform) and test_longer_call_late_in_the_stop (tests/daemons) failed before. Two tests of tests/platform/test_planned_stop.py asked for late requests with a deadline of 12 s to be served by the durations of others, which is the fault; they now ask that none is refused whose deadline is in the grace period, and none of the first 2 s.

--- a/nutmegtrail/daemons/inbound_request.py
+++ b/nutmegtrail/daemons/inbound_request.py
@@ -79,6 +79,7 @@
             request.method,
             'stream' if request.is_stream else 'whole',
         ),
+        received_at_seconds,
         received_at_seconds + shared_const.REQUEST_TIMEOUT_SECONDS,
         request.response_tokens,
         runs_once=not request.idempotent,
--- a/nutmegtrail/daemons/request_flow.py
+++ b/nutmegtrail/daemons/request_flow.py
@@ -110,6 +110,7 @@
                 time.monotonic(),
                 self._writes.first_at_seconds,
                 is_answered=self._is_answered,
+                events=self._writes.count,
             )
 
     async def _deliver(self) -> None:
--- a/nutmegtrail/daemons/running_calls.py
+++ b/nutmegtrail/daemons/running_calls.py
@@ -83,6 +83,7 @@
     """Return what a planned stop needs to know of a call."""
     return draining_models.Request(
         (call.target, call.method),
+        now_seconds,
         now_seconds + call.deadline_ms / shared_const.MILLISECONDS_PER_SECOND,
         runs_once=not call.idempotent,
     )
--- a/nutmegtrail/daemons/write_times.py
+++ b/nutmegtrail/daemons/write_times.py
@@ -13,12 +13,14 @@
     ) -> None:
         """Initialize without an event."""
         self.first_at_seconds: float | None = None
+        self.count = 0
         self._metrics = metrics_registry
         self._last_at_seconds = started_at_seconds
 
     def record(self) -> None:
         """Record that events were sent."""
         now_seconds = time.monotonic()
+        self.count += 1
         series = 'between_events'
         if self.first_at_seconds is None:
             series = 'first_event'
--- a/nutmegtrail/draining/const.py
+++ b/nutmegtrail/draining/const.py
@@ -14,7 +14,8 @@
 MEMORY_SECONDS: typing.Final = 60.0
 REMEMBERED_DURATIONS: typing.Final = 4_096
 REMEMBERED_SILENCES: typing.Final = 256
-# Load balancers have noticed the stop, most of them.
+# Load balancers have noticed the stop, most of them: requests come on kept
+# connections, whose callers can send them to another entry.
 LATE_SECONDS: typing.Final = 2.0
 # A single request that was held up says little about the others.
 DURATION_QUANTILE: typing.Final = 0.99
--- a/nutmegtrail/draining/drain.py
+++ b/nutmegtrail/draining/drain.py
@@ -15,11 +15,13 @@
 class _Outlook(typing.NamedTuple):
     """What is expected of a kind of request, for a moment.
 
-    `silenced` is the profile of the requests that may meet silences.
+    `silenced` is the profile of the requests that may meet silences, and
+    `longest` that of all requests.
     """
 
     profile: estimate.Profile
     silenced: estimate.Profile
+    longest: estimate.Profile
     overdue: float
     longest_silence_seconds: float
     refresh_at_seconds: float
@@ -29,7 +31,8 @@
     """Remembers how long requests take; knows when a planned stop ends them.
 
     A request is taken during a stop if it is over before the end of the grace
-    period, by its own deadline or by the durations of others.
+    period: by its own limits or, while new connections come, by the durations
+    of others.
     """
 
     def __init__(self) -> None:
@@ -98,6 +101,7 @@
         first_event_at_seconds: float | None = None,
         *,
         is_answered: bool,
+        events: int = 0,
     ) -> None:
         """Record the end of a request; only whole answers tell durations."""
         running = self._running_by_key.pop(key, None)
@@ -115,6 +119,7 @@
                 now_seconds - started_at,
                 max(first_at - started_at, 0),
                 running.request.tokens,
+                events,
             )
         )
 
@@ -184,24 +189,30 @@
 
         It is infinity if the request ends before the stop does, or without a
         stop, and minus infinity if nothing tells how long the request takes.
+        The durations of others tell it for requests that came early in the
+        stop: a later one may take any time up to its own limits.
         """
         signalled_at = self.signalled_at_seconds
         cut_at = self.schedule.cut_at_seconds
         if signalled_at is None or request.deadline_seconds <= cut_at:
             return math.inf
         outlook = self._current_outlook(request, now_seconds)
-        reserve_seconds = estimate.silence_reserve_seconds(
-            request, outlook.profile, outlook.longest_silence_seconds
+        reserve_seconds = min(
+            estimate.silence_reserve_seconds(
+                request, outlook.profile, outlook.longest_silence_seconds
+            ),
+            const.MAX_SILENCE_RATIO * (cut_at - signalled_at),
         )
+        if self._is_late(request.received_at_seconds):
+            limited_seconds = estimate.limited_seconds(
+                request, outlook.longest, outlook.overdue
+            )
+            return cut_at - limited_seconds - reserve_seconds
         needed_seconds = estimate.needed_seconds(
             request, outlook.profile, outlook.overdue
         )
-        silenced_seconds = estimate.usual_seconds(
-            request, outlook.silenced
-        ) + min(
-            reserve_seconds, const.MAX_SILENCE_RATIO * (cut_at - signalled_at)
-        )
-        return cut_at - max(needed_seconds, silenced_seconds)
+        silenced_seconds = estimate.usual_seconds(request, outlook.silenced)
+        return cut_at - max(needed_seconds, silenced_seconds + reserve_seconds)
 
     def has_room_for(self, request: models.Request, now_seconds: float) -> bool:
         """Return whether a request that is sent now ends in time."""
@@ -250,6 +261,7 @@
         return _Outlook(
             profile,
             estimate.profile(durations, silenced_quantile),
+            estimate.profile(durations, 1),
             estimate.overdue_ratio(running, profile, now_seconds, ignored),
             max(
                 (
--- a/nutmegtrail/draining/estimate.py
+++ b/nutmegtrail/draining/estimate.py
@@ -13,13 +13,15 @@
 
     `first_seconds` is the time up to the first event. `sized_first_seconds`
     and `token_seconds` are those of requests whose allowed tokens are known: up
-    to the first event, and for each such token.
+    to the first event, and for each such token. `event_seconds` is the time for
+    each event after the first.
     """
 
     seconds: float = math.inf
     first_seconds: float = math.inf
     sized_first_seconds: float = math.inf
     token_seconds: float = math.inf
+    event_seconds: float = math.inf
 
 
 def profile(
@@ -38,6 +40,15 @@
             ],
             quantile,
         ),
+        _quantile(
+            [
+                (duration.seconds - duration.first_seconds)
+                / (duration.events - 1)
+                for duration in durations
+                if duration.events > 1
+            ],
+            quantile,
+        ),
     )
 
 
@@ -67,10 +78,21 @@
     Requests of its kind that are overdue show that it may take longer than
     those that have ended.
     """
-    needed = usual_seconds(request, known)
-    if overdue > 1:
-        needed *= overdue * const.OVERDUE_RATIO
-    return needed
+    return _delayed(usual_seconds(request, known), overdue)
+
+
+def limited_seconds(
+    request: models.Request, known: Profile, overdue: float = 0
+) -> float:
+    """Return how long a request takes with all the tokens that it allows.
+
+    An event holds one token or more. Infinity if no tokens are allowed or the
+    time for an event is not known.
+    """
+    if not request.tokens:
+        return math.inf
+    seconds = known.first_seconds + known.event_seconds * request.tokens
+    return _delayed(_with_reserve(seconds), overdue)
 
 
 def usual_seconds(request: models.Request, known: Profile) -> float:
@@ -109,6 +131,11 @@
     return reserve
 
 
+def _delayed(seconds: float, overdue: float) -> float:
+    """Return a duration as requests that are overdue let it expect."""
+    return seconds * overdue * const.OVERDUE_RATIO if overdue > 1 else seconds
+
+
 def _with_reserve(seconds: float) -> float:
     """Return a duration that somewhat longer ones do not exceed."""
     return seconds * const.DURATION_RATIO + const.DURATION_RESERVE_SECONDS
--- a/nutmegtrail/draining/models.py
+++ b/nutmegtrail/draining/models.py
@@ -7,12 +7,14 @@
     """Request that a process may take while it stops.
 
     `kind` is equal for requests that take similar times and may be repeated
-    alike. The request ends at `deadline_seconds` at the latest. It may produce
-    `tokens` at most, 0 if not known. `runs_once` is set if it must not be
-    repeated, and `is_sent` once an upstream was asked.
+    alike. The request was complete at `received_at_seconds` and ends at
+    `deadline_seconds` at the latest. It may produce `tokens` at most, 0 if not
+    known. `runs_once` is set if it must not be repeated, and `is_sent` once an
+    upstream was asked.
     """
 
     kind: tuple[str, ...]
+    received_at_seconds: float
     deadline_seconds: float
     tokens: int = 0
     runs_once: bool = False
@@ -22,13 +24,15 @@
 class Duration(typing.NamedTuple):
     """How long a request took from when it was first sent to an upstream.
 
-    `first_seconds` is the part up to its first event.
+    `first_seconds` is the part up to its first event, and `events` is 0 if the
+    response had none.
     """
 
     ended_at_seconds: float
     seconds: float
     first_seconds: float = 0
     tokens: int = 0
+    events: int = 0
 
 
 class Running(typing.NamedTuple):
--- a/nutmegtrail/gateway/attempt_runner.py
+++ b/nutmegtrail/gateway/attempt_runner.py
@@ -484,6 +484,7 @@
     ) -> None:
         """Send events to the caller, the first ones with the head."""
         job.position = new_events.position
+        job.event_count += new_events.event_count
         if job.delivery.has_sent_events:
             await job.exchange.write(new_events.payload)
             return
--- a/nutmegtrail/gateway/events.py
+++ b/nutmegtrail/gateway/events.py
@@ -50,13 +50,14 @@
     """Events to forward, and the position and the run after them.
 
     `fault` says why the events after them do not belong to the stream, or is
-    empty.
+    empty. `event_count` is the number of events to forward.
     """
 
     position: Position
     run: Run
     payload: bytes
     fault: str = ''
+    event_count: int = 0
 
 
 class Splitter:
@@ -134,7 +135,7 @@
                 continue
             position = _move(position, number)
         payload.append(event)
-    return NewEvents(position, run, b''.join(payload), fault)
+    return NewEvents(position, run, b''.join(payload), fault, len(payload))
 
 
 def _is_after(number: int, position: Position) -> bool:
--- a/nutmegtrail/gateway/jobs.py
+++ b/nutmegtrail/gateway/jobs.py
@@ -76,6 +76,7 @@
         # Set once a response went on after its upstream had begun it.
         self.has_settled = False
         self.first_event_seconds: float | None = None
+        self.event_count = 0
         self.longest_pause_seconds = 0.0
         # How long upstreams were silent in the middle of the response.
         self.silent_seconds = 0.0
@@ -160,6 +161,7 @@
         """Return the request as planned stops see it before any attempt."""
         return draining_models.Request(
             (self.service, self.route.kind.value, str(self.route.resumable)),
+            self.exchange.received_at_seconds,
             self.deadline_seconds,
             self.caller.output_tokens_limit,
             runs_once=not self.route.is_retryable,
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -399,6 +399,7 @@
             anyio.current_time(),
             first_event_at,
             is_answered=job.exchange.is_complete and not job.failure_reason,
+            events=job.event_count,
         )
 
     def _stopping_seconds(self, job: jobs.Job) -> float | None:
--- a/tests/daemons/test_planned_stop.py
+++ b/tests/daemons/test_planned_stop.py
@@ -37,6 +37,8 @@
 # A kept connection may end while a request is on its way to it.
 _CROSSING_SECONDS = 0.5
 _REFUSAL_SECONDS = 1.5
+# The load balancer has noticed a stop, and the listener is open still.
+_LATE_SECONDS = 2.5
 _LAST_CHUNK = b'0\r\n\r\n'
 
 
@@ -411,6 +413,21 @@
         self.assertEqual(runs, self.engine_runs())
         self.check_exit('entry-a', stopping)
 
+    # Guards against calls that last longer than those before them: they were
+    # taken late in the grace period, and cut at its end.
+    def test_longer_call_late_in_the_stop(self):
+        """A late call is refused, however short the others were."""
+        self._teach()
+        stopping = self.stop('entry-a')
+        time.sleep(_LATE_SECONDS)
+        self.control_services('hold')
+        key = uuid.uuid4().hex
+        result = self.send('entry-a', _Request(key=key))
+        self.assertTrue(result.is_refused, result)
+        self.assertEqual(0, self.runs(key))
+        self.control_services('release')
+        self.check_exit('entry-a', stopping)
+
     def test_unknown_duration(self):
         """Without any experience only requests that end in time are taken."""
         stopping = self.stop('entry-a')
--- a/tests/draining/test_drain.py
+++ b/tests/draining/test_drain.py
@@ -19,7 +19,7 @@
 
 def _request(**changes):
     """Return a request that may last for longer than the grace period."""
-    return models.Request(_KIND, math.inf)._replace(**changes)
+    return models.Request(_KIND, _SIGNAL, math.inf)._replace(**changes)
 
 
 def _sent(**changes):
@@ -27,13 +27,22 @@
     return _request(is_sent=True, **changes)
 
 
-def _drain(seconds=(), **changes):
+def _late(**changes):
+    """Return a request that comes when the load balancers know of the stop."""
+    return _request(
+        received_at_seconds=_SIGNAL + const.LATE_SECONDS + 0.1, **changes
+    )
+
+
+def _drain(seconds=(), events=0, **changes):
     """Return a drain that has seen requests of some durations."""
     decided = drain.Drain()
     for number, lasted in enumerate(seconds):
         started_at = _SIGNAL - lasted
         decided.record_start(number, _request(**changes), started_at)
-        decided.record_end(number, _SIGNAL, is_answered=True)
+        decided.record_end(
+            number, _SIGNAL, started_at, is_answered=True, events=events
+        )
     return decided
 
 
@@ -204,6 +213,61 @@
         self.assertTrue(3 < needed < 4, needed)
 
 
+class LateRequestTest(testtools.TestCase):
+    """Requests that come when the load balancers have noticed the stop.
+
+    The durations of others let them in, and longer ones were cut at the end of
+    the grace period: they may take any time up to their own limits.
+    """
+
+    def test_no_limit(self):
+        """A request without limits is refused, however short others were."""
+        late = _late()
+        decided = _begin(_drain(itertools.repeat(0.1, 99)))
+        self.assertFalse(
+            decided.has_room_for(late, late.received_at_seconds), late
+        )
+
+    def test_early_request_that_waited(self):
+        """A request that came before that is still let in by durations."""
+        decided = _begin(_drain(itertools.repeat(0.1, 99)))
+        late = _late().received_at_seconds
+        self.assertTrue(decided.has_room_for(_request(), late))
+
+    def test_deadline(self):
+        """A request is let in if its deadline ends it in time."""
+        late = _late(deadline_seconds=_CUT_AT)
+        decided = _begin(_drain([99]))
+        self.assertTrue(decided.has_room_for(late, late.received_at_seconds))
+
+    def test_tokens(self):
+        """A stream is let in if all tokens that it allows end it in time.
+
+        The streams before it may have used few of the tokens they allowed.
+        """
+        decided = _begin(_drain([1], events=11, tokens=400))
+        for tokens, is_in in ((10, True), (400, False)):
+            late = _late(tokens=tokens)
+            self.assertEqual(
+                is_in, decided.has_room_for(late, late.received_at_seconds)
+            )
+
+    def test_tokens_of_whole_responses(self):
+        """Without events nothing tells how long a token takes."""
+        decided = _begin(_drain([1], tokens=400))
+        late = _late(tokens=10)
+        self.assertFalse(decided.has_room_for(late, late.received_at_seconds))
+
+    def test_slower_events(self):
+        """Streams that run for longer than any before them are a warning."""
+        decided = _drain([1], events=11, tokens=400)
+        decided.record_start('slow', _request(tokens=400), _SIGNAL - 9)
+        late = _late(tokens=10)
+        self.assertFalse(
+            _begin(decided).has_room_for(late, late.received_at_seconds)
+        )
+
+
 class SilenceTest(testtools.TestCase):
     """Upstreams that fall silent during a stop.
 
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -34,7 +34,7 @@
     now = anyio.current_time()
     return _queued_request(name)._replace(
         latest_start_seconds=now + 99,
-        stoppable=draining_models.Request((kind,), now + 99),
+        stoppable=draining_models.Request((kind,), now, now + 99),
         **changes,
     )
 
@@ -401,7 +401,7 @@
         async def _scenario(tasks):
             now = anyio.current_time()
             for kind, seconds in (('short', 0.1), ('long', 5)):
-                request = draining_models.Request((kind,), now + 99)
+                request = draining_models.Request((kind,), now, now + 99)
                 self.dispatcher.drain.record_start(kind, request, now - seconds)
                 self.dispatcher.drain.record_end(kind, now, is_answered=True)
             for name in ('r0', 'r1'):
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -18,6 +18,12 @@
 _INTERVAL_SECONDS = 0.2
 _KEPT_CONNECTIONS = 5
 _PIPELINED_SECONDS = 0.1
+# A deadline in the grace period for requests that are sent 5 s after the signal.
+_SHORT_DEADLINE_SECONDS = 2.5
+_IN_TIME_SECONDS = 5
+# From then on the durations of others let no request in.
+_LATE_SECONDS = 2
+_LATE_SENT_SECONDS = 3.2
 # Callers of a stopped entry go on for longer than its grace period.
 _AFTER_SECONDS = 0.5
 # A request that crosses the close of its connection gets no response.
@@ -41,9 +47,10 @@
 class PlannedStopTest(testtools.TestCase):
     """Requests that arrive around the signal, on new and kept connections."""
 
-    def _stop(self, *loads, grace_seconds=8, pipelined=()):
+    def _stop(self, *loads, grace_seconds=8, pipelined=(), late=()):
         """Stop an entry beside some loads and check all replies.
 
+        Requests of the `late` loads are sent some seconds after the signal.
         Returns the replies of each load, and under None those to requests that
         are sent at once on a connection just before the signal.
         """
@@ -64,6 +71,10 @@
                 tasks.start_soon(callers.pipeline, pipelined)
                 await anyio.sleep(_PIPELINED_SECONDS)
                 self.stopped_at = anyio.current_time()
+                for load in late:
+                    callers = kept_connections.Callers(entry, tasks, load.name)
+                    replies_by_load[load] = callers.replies_by_id
+                    tasks.start_soon(_send_late, callers, load, tasks)
                 await entry.stop()
                 await anyio.sleep(_AFTER_SECONDS)
                 tasks.cancel_scope.cancel()
@@ -129,13 +140,40 @@
             self.assertTrue(self._late(replies[load], 0, _NOT_RUN))
 
     def test_short_requests_are_served(self):
-        """Requests that fit into the rest of the grace period are served."""
-        streams = _stream(0.6)
-        calls = _call(0.5)
-        replies = self._stop(streams, calls)
-        for load in (streams, calls):
-            self.assertEqual([], self._late(replies[load], -9, _NOT_RUN))
-            self.assertTrue(self._late(replies[load], 2, 200))
+        """Requests that end within the grace period are served.
+
+        Their deadline tells it, and early in the stop the durations of others.
+        """
+        for deadline_seconds, until_seconds, served_after_seconds in (
+            (_SHORT_DEADLINE_SECONDS, _IN_TIME_SECONDS, 2),
+            (12, _LATE_SECONDS, 1.5),
+        ):
+            streams = _stream(0.6, deadline_seconds=deadline_seconds)
+            calls = _call(0.5, deadline_seconds=deadline_seconds)
+            replies = self._stop(streams, calls)
+            for load in (streams, calls):
+                refused = self._late(replies[load], -9, _NOT_RUN)
+                for reply in refused:
+                    self.assertTrue(
+                        reply.sent_at_seconds > self.stopped_at + until_seconds,
+                        reply,
+                    )
+                self.assertTrue(
+                    self._late(replies[load], served_after_seconds, 200)
+                )
+
+    # Guards against streams on kept connections that last longer than those
+    # before them: they were taken late in the grace period, and cut at its end.
+    def test_longer_requests_late_in_the_stop(self):
+        """Late requests are refused unless their own limits end them."""
+        usual = (_stream(0.6), _call(0.5))
+        longer = (_stream(6), _call(5.4))
+        replies = self._stop(*usual, late=longer)
+        for load in longer:
+            statuses = [reply.status for reply in replies[load]]
+            self.assertEqual(
+                [_NOT_RUN for _ in range(_KEPT_CONNECTIONS)], statuses
+            )
 
     def test_new_connections_while_requests_run(self):
         """The entry is there for new connections while it has to wait.
@@ -144,7 +182,7 @@
         waited for their last streams.
         """
         streams = _stream(6)
-        calls = _call(0.1)
+        calls = _call(0.1, deadline_seconds=_SHORT_DEADLINE_SECONDS)
         replies = self._stop(streams, calls)
         self.assertTrue(self._late(replies[calls], 4, 200))
 
@@ -187,6 +225,13 @@
         await anyio.sleep(_INTERVAL_SECONDS)
 
 
+async def _send_late(callers, load, tasks):
+    """Send requests some seconds after the signal."""
+    await anyio.sleep(_LATE_SENT_SECONDS)
+    for _ in range(_KEPT_CONNECTIONS):
+        tasks.start_soon(callers.once, load)
+
+
 async def _prepare(deployment, grace_seconds):
     """Configure long timeouts and the grace period of the entry."""
     deployment.configure(_VERSION, timeout_ms=_ROUTE_TIMEOUT_MS)
