Check keys if the configuration contains accounts, also an empty list

Cause: an empty list of tenants was taken for a configuration that does not speak of tenants, and lets everybody in.

Keys are now checked if the field is there, whatever is in it. The same cause elsewhere: an empty text among the keys of an account made requests without a key its own; the characters of a text in place of the list of keys were keys; no_auth of another type opened a route; behind sidecars a contract with the digest of the empty key let callers without a key in.

The preview denied such requests before, too; a test guards it.

--- a/nutmegtrail/contracts/credentials.py
+++ b/nutmegtrail/contracts/credentials.py
@@ -51,7 +51,10 @@
         return expression.Error(errors.UnknownCredential('key is too long'))
     if not authorization.lower().startswith(_SCHEME):
         return expression.Error(errors.UnknownCredential('send a bearer key'))
-    digest = digest_of(authorization[len(_SCHEME) :].strip())
+    key = authorization[len(_SCHEME) :].strip()
+    if not key:
+        return expression.Error(errors.UnknownCredential('the key is empty'))
+    digest = digest_of(key)
     caller = callers_by_digest.get(digest)
     if caller is None:
         return expression.Error(errors.UnknownCredential('unknown key'))
--- a/nutmegtrail/gateway/models.py
+++ b/nutmegtrail/gateway/models.py
@@ -152,7 +152,8 @@
     """Version of the configuration that operators publish.
 
     The routes of a host are sorted by descending prefix length.
-    `checks_keys` is False when no client accounts are configured.
+    `checks_keys` is False if the configuration does not speak of client
+    accounts. If it lists none, no key is valid.
     """
 
     version: int
--- a/nutmegtrail/platform/const.py
+++ b/nutmegtrail/platform/const.py
@@ -74,6 +74,8 @@
 
 DRAINING_STATE: typing.Final = 'draining'
 OPEN_STATE: typing.Final = 'open'
+# If a configuration has it, requests need the key of an account in it.
+ACCOUNTS_FIELD: typing.Final = 'tenants'
 # Fields of a service's engine that tell how long a pass lasts.
 STEP_TIME_FIELDS: typing.Final = (
     'stride',
--- a/nutmegtrail/platform/documents.py
+++ b/nutmegtrail/platform/documents.py
@@ -77,7 +77,7 @@
         route = _route(route_document)
         routes_by_host.setdefault(route.host, []).append(route)
     limits = document['limits']
-    accounts = document.get('tenants') or []
+    accounts = document.get(const.ACCOUNTS_FIELD) or []
     return models.Configuration(
         _integer(document['version']),
         {
@@ -95,9 +95,9 @@
                 _allowed_regions(account),
             )
             for account in accounts
-            for api_key in account['api_keys']
+            for api_key in _api_keys(account)
         },
-        bool(accounts),
+        const.ACCOUNTS_FIELD in document,
         models.Limits(
             _integer(limits['max_header_bytes']),
             _integer(limits['max_body_bytes']),
@@ -107,6 +107,18 @@
     )
 
 
+def _api_keys(account: _JsonObject) -> list[str]:
+    """Return the keys of an account; raise TypeError if they are no list.
+
+    The characters of a text would be taken for keys, and an empty key for that
+    of requests without one.
+    """
+    api_keys = account['api_keys']
+    if not isinstance(api_keys, list):
+        raise TypeError(f'api_keys must be a list, not {type(api_keys)}')
+    return [api_key for api_key in api_keys if api_key]
+
+
 def _longest_prefix_first(route: models.Route) -> int:
     """Return the sort key that puts longer path prefixes first."""
     return -len(route.prefix)
@@ -133,7 +145,7 @@
         _to_seconds(document.get('gap_aim_ms') or 0),
         int(document.get('priority') or 0),
         _integer(document.get('max_attempts') or 1),
-        not document.get('no_auth', False),
+        document.get('no_auth', False) is not True,
         bool(document.get('resumable', False)),
         _allowed_regions(document),
     )
--- a/tests/contracts/test_credentials.py
+++ b/tests/contracts/test_credentials.py
@@ -31,6 +31,24 @@
             caller = credentials.authenticate(header, _INDEX)
             self.assertEqual(is_accepted, caller.is_ok(), header[:20])
 
+    # Guards against access without a key where nothing is configured.
+    def test_nothing_configured(self):
+        """Without a contract no key is accepted, an empty one never."""
+        empty = credentials.index_by_digest(
+            {
+                'pilots': _CONTRACT.model_copy(
+                    update={'key_digests': (credentials.digest_of(''),)}
+                )
+            }
+        )
+        for header, index in (
+            ('Bearer right', {}),
+            ('Bearer ', empty),
+            ('Bearer', empty),
+        ):
+            caller = credentials.authenticate(header, index)
+            self.assertTrue(caller.is_error(), header)
+
     def test_targets(self):
         """A target that the contract does not list is refused."""
         caller = credentials.authenticate('Bearer right', _INDEX).ok
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -65,6 +65,50 @@
             json.dumps(config).encode(),
         )
 
+    # Guards against configurations whose last account is taken out: requests
+    # with any key and without one were served.
+    def test_no_accounts(self):
+        """A list of accounts that is empty makes no key valid."""
+        config = copy.deepcopy(samples.CONFIG)
+        for accounts in ([], None, [{'name': 'agency', 'api_keys': []}]):
+            config['tenants'] = accounts
+            decoded = documents.configuration(json.dumps(config).encode())
+            self.assertTrue(decoded.checks_keys, accounts)
+            self.assertEqual({}, decoded.account_by_key)
+        del config['tenants']
+        decoded = documents.configuration(json.dumps(config).encode())
+        self.assertFalse(decoded.checks_keys)
+
+    def test_empty_key(self):
+        """An empty key is none, so that requests without a key are denied."""
+        config = copy.deepcopy(samples.CONFIG)
+        config['tenants'] = [{'name': 'agency', 'api_keys': ['', 'key-1']}]
+        decoded = documents.configuration(json.dumps(config).encode())
+        self.assertEqual(['key-1'], list(decoded.account_by_key))
+
+    def test_keys_that_are_no_list(self):
+        """The characters of a text are no keys."""
+        config = copy.deepcopy(samples.CONFIG)
+        config['tenants'] = [{'name': 'agency', 'api_keys': 'key-1'}]
+        self.assertRaises(
+            errors.MalformedDocument,
+            documents.configuration,
+            json.dumps(config).encode(),
+        )
+
+    def test_only_true_opens_a_route(self):
+        """A route needs a key unless it is said to need none."""
+        config = copy.deepcopy(samples.CONFIG)
+        for no_auth, needs_key in ((True, False), (None, True), ('no', True)):
+            config['routes'][0]['no_auth'] = no_auth
+            decoded = documents.configuration(json.dumps(config).encode())
+            needs_key_by_route = {
+                route.name: route.needs_key
+                for route in decoded.routes_by_host['ficu95.example']
+            }
+            name = config['routes'][0]['name']
+            self.assertEqual(needs_key, needs_key_by_route[name], no_auth)
+
     def test_cold_services(self):
         """A service may bear fewer requests while an upstream is cold."""
         config = copy.deepcopy(samples.CONFIG)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -408,6 +408,23 @@
 
         self._run(_scenario)
 
+    # Guards against requests that run once the last account is taken out.
+    def test_no_accounts(self):
+        """Without any account in the configuration, all keys are rejected."""
+
+        async def _scenario():
+            self.configure(version=9, tenants=[])
+            await self._request_until(401, b'/long/b')
+            runs = len(self.desk[0].requests) + len(self.desk[1].requests)
+            for key in (b'key-1', b'wrong', b''):
+                status, _, _ = await self._request(b'/long/b', key=key)
+                self.assertEqual(401, status, key)
+            self.assertEqual(
+                runs, len(self.desk[0].requests) + len(self.desk[1].requests)
+            )
+
+        self._run(_scenario)
+
     def test_unknown_route(self):
         """A path without a route gets 404."""
 
--- a/tests/preview/test_requests.py
+++ b/tests/preview/test_requests.py
@@ -14,9 +14,17 @@
 _REGIONS = {'kandla-a': 'kutch', 'kandla-b': 'gujarat'}
 
 
-def _ask(upstreams, route=None, prepare=None, account='agency', path='/a/x'):
+def _ask(
+    upstreams,
+    route=None,
+    prepare=None,
+    account='agency',
+    path='/a/x',
+    configuration=None,
+):
     """Return the preview of a request and the prepared dispatcher."""
-    configuration = samples.configuration(route or samples.route())
+    if configuration is None:
+        configuration = samples.configuration(route or samples.route())
 
     async def _main():
         dispatcher = dispatching.Dispatcher('kandla-a')
@@ -70,6 +78,19 @@
         self.assertEqual(('r1', 3), (preview['route'], preview['priority']))
         self.assertEqual({'u1': '', 'u2': ''}, self._obstacles(preview))
 
+    def test_no_accounts(self):
+        """Without any account, requests are denied as the entry denies them."""
+        configuration = samples.configuration(samples.route())._replace(
+            account_by_key={}
+        )
+        for name in ('agency', ''):
+            preview = _ask(
+                (samples.upstream('u1'),),
+                account=name,
+                configuration=configuration,
+            )
+            self.assertEqual('denied', preview['outcome'])
+
     def test_full_upstream(self):
         """The request would wait."""
         preview = _ask((samples.upstream('u1'),), prepare=_fill)
