Refuse requests of a route none of whose services has a weight

With a weight of 0 for all services of a route, the last of them got all of its requests: nothing there stood for everything, as with the empty list of tenants. An operator who takes a service out by its weight had it serve on.

choose_service fell back to the last target; it leaves out targets without a weight now, and a route without any is refused at once as not run, with Retry-After. The preview says so as well.

test_route_without_weights (tests/platform/test_path.py, tests/preview) and test_service_without_weight failed before.

--- a/nutmegtrail/gateway/models.py
+++ b/nutmegtrail/gateway/models.py
@@ -61,6 +61,11 @@
             self.pause_objective_seconds * const.STREAM_ABANDONMENT_PAUSES,
         )
 
+    @property
+    def has_service(self) -> bool:
+        """Return whether any service receives requests of the route."""
+        return any(target.weight for target in self.targets)
+
     @property
     def is_retryable(self) -> bool:
         """Return whether a request that may have run can be sent again."""
--- a/nutmegtrail/gateway/request_handler.py
+++ b/nutmegtrail/gateway/request_handler.py
@@ -165,14 +165,9 @@
         status = http.HTTPStatus.NOT_FOUND
         if route is not None:
             account = routes.find_account(configuration, route, caller.api_key)
-            if account is not None and self._exhausted:
-                await self._refuse_at_limit(exchange, caller)
-                return None
             if account is not None:
                 return await self._admit_job(
-                    self._create_job(
-                        exchange, caller, route, account, configuration
-                    )
+                    exchange, caller, route, account, configuration
                 )
             status = http.HTTPStatus.UNAUTHORIZED
         logs.decision(
@@ -185,8 +180,31 @@
         await self._respond(exchange, caller.request_id, status)
         return None
 
-    async def _admit_job(self, job: jobs.Job) -> jobs.Job | None:
-        """Return a job, None if a planned stop leaves it too little time."""
+    async def _admit_job(
+        self,
+        exchange: server.Exchange,
+        caller: models.CallerRequest,
+        route: models.Route,
+        account: models.Account,
+        configuration: models.Configuration,
+    ) -> jobs.Job | None:
+        """Return the job of a request that is allowed, None if it is refused.
+
+        The host may have no room, the route no service, or a planned stop may
+        leave too little time.
+        """
+        if self._exhausted:
+            await self._refuse_at_limit(exchange, caller)
+            return None
+        if not route.has_service:
+            await self._reject(
+                exchange,
+                caller,
+                'no service of the route',
+                const.MAX_RETRY_AFTER_SECONDS,
+            )
+            return None
+        job = self._create_job(exchange, caller, route, account, configuration)
         if self._fits(job):
             return job
         await self._refuse_at_stop(job)
--- a/nutmegtrail/gateway/routes.py
+++ b/nutmegtrail/gateway/routes.py
@@ -38,12 +38,14 @@
     """Return the service of a request, by the weights of the route.
 
     The choice depends on the request ID, so that it is the same for retries.
+    A service with a weight of 0 is not chosen; one must have another.
     """
-    total_weight = sum(target.weight for target in route.targets)
+    targets = [target for target in route.targets if target.weight]
+    total_weight = sum(target.weight for target in targets)
     hashed = xxhash.xxh3_64_intdigest(request_id.encode()) % _HASH_RANGE
     position = hashed / _HASH_RANGE * total_weight
-    for target in route.targets:
+    for target in targets:
         position -= target.weight
         if position < 0:
             return target.service
-    return route.targets[-1].service
+    return targets[-1].service
--- a/nutmegtrail/preview/requests.py
+++ b/nutmegtrail/preview/requests.py
@@ -57,6 +57,16 @@
             preview_models.Outcome.DENIED,
             'the route needs a key of a known client account',
         )
+    if not route.has_service:
+        return {
+            **_undecided(
+                question,
+                preview_models.Outcome.REFUSED,
+                'no service of the route gets requests',
+            ),
+            'configuration': configuration.version,
+            'route': route.name,
+        }
     queued = _queued_request(route, account, region_by_domain)
     now = anyio.current_time()
     previews = [
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -43,6 +43,18 @@
             '', routes.find_account(configuration, open_route, '').name
         )
 
+    # Guards against requests to a service whose weight is 0.
+    def test_service_without_weight(self):
+        """A service without a weight is not chosen, also if it is the last."""
+        route = samples.route(
+            targets=(models.Target('new', 1), models.Target('old', 0)),
+        )
+        self.assertTrue(route.has_service)
+        for number in range(2_000):
+            self.assertEqual('new', routes.choose_service(route, f'r-{number}'))
+        closed = samples.route(targets=(models.Target('old', 0),))
+        self.assertFalse(closed.has_service)
+
     def test_weighted_services(self):
         """A split route is weighted and deterministic by request ID."""
         split_route = samples.route(
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -425,6 +425,26 @@
 
         self._run(_scenario)
 
+    # Guards against requests to a service whose weight is 0.
+    def test_route_without_weights(self):
+        """A route none of whose services has a weight refuses requests."""
+
+        async def _scenario():
+            document = json.loads(json.dumps(samples.CONFIG))
+            for route in document['routes']:
+                route['traffic_split'] = [{'service': 'desk', 'weight': 0}]
+            self.configure(version=9, routes=document['routes'])
+            await self._request_until(503, b'/long/b')
+            runs = len(self.desk[0].requests) + len(self.desk[1].requests)
+            status, headers, _ = await self._request(b'/long/b')
+            self.assertEqual(503, status)
+            self.assertIn(b'retry-after', headers)
+            self.assertEqual(
+                runs, len(self.desk[0].requests) + len(self.desk[1].requests)
+            )
+
+        self._run(_scenario)
+
     def test_unknown_route(self):
         """A path without a route gets 404."""
 
--- a/tests/preview/test_requests.py
+++ b/tests/preview/test_requests.py
@@ -91,6 +91,13 @@
             )
             self.assertEqual('denied', preview['outcome'])
 
+    def test_route_without_weights(self):
+        """A route none of whose services has a weight refuses requests."""
+        route = samples.route(targets=(models.Target('drafts', 0),))
+        preview = _ask((samples.upstream('u1'),), route)
+        self.assertEqual('refused', preview['outcome'])
+        self.assertEqual('r1', preview['route'])
+
     def test_full_upstream(self):
         """The request would wait."""
         preview = _ask((samples.upstream('u1'),), prepare=_fill)
