Keep no removed upstream after an outage too short for it to expire

Cause: two failed calls count as an outage of the store, and after each outage a removed upstream was kept for 2.2 s, since its registration may have expired meanwhile. It cannot in an outage of under two heartbeats: it expires after three silent ones. A short outage within a grace period began the whole period again.

The length of an outage is kept now, from the first failed call on, or from the start of that call if the store was silent. A short one starts no grace period, and lengthens one that runs by its own time.

--- a/nutmegtrail/adapters/http1/errors.py
+++ b/nutmegtrail/adapters/http1/errors.py
@@ -40,3 +40,15 @@
 
 class ResponseDropped(ExchangeBroken):
     """The process had no room for the response; its peer did not fail."""
+
+
+def has_timed_out(error: BaseException | None) -> bool:
+    """Return whether an error or one of its causes is a timeout.
+
+    The kernel ends a connection with one whose peer no longer responds.
+    """
+    while error is not None:
+        if isinstance(error, TimeoutError):
+            return True
+        error = error.__cause__
+    return False
--- a/nutmegtrail/adapters/http1/json_client.py
+++ b/nutmegtrail/adapters/http1/json_client.py
@@ -42,11 +42,13 @@
 class NoResponse(typing.NamedTuple):
     """Reason for a missing response; the request may have been executed.
 
-    `is_refused` is set if no process listens at the address.
+    `is_refused` is set if no process listens at the address, and
+    `has_timed_out` if the peer was silent.
     """
 
     detail: str
     is_refused: bool = False
+    has_timed_out: bool = False
 
 
 def _fits_any(_: Response) -> bool:
@@ -138,10 +140,15 @@
         except errors.ResponseDropped:
             return NoResponse(_DROPPED)
         except (errors.NotConnected, errors.ExchangeBroken) as error:
-            is_refused = isinstance(error, errors.ConnectionRefused)
-            return NoResponse(str(error), is_refused=is_refused)
+            return NoResponse(
+                str(error),
+                is_refused=isinstance(error, errors.ConnectionRefused),
+                has_timed_out=errors.has_timed_out(error),
+            )
         except TimeoutError:
-            return NoResponse(f'no response within {timeout_seconds} s')
+            return NoResponse(
+                f'no response within {timeout_seconds} s', has_timed_out=True
+            )
 
     async def _exchange(
         self, call: client.Call, fits: typing.Callable[[Response], bool]
--- a/nutmegtrail/bootstrap/gateway.py
+++ b/nutmegtrail/bootstrap/gateway.py
@@ -139,6 +139,7 @@
             documents,
             shared.dispatcher,
             retry_budget.hold_standing,
+            _heartbeat_seconds(configured),
         ),
         store_listeners.GATEWAY_PREFIX: store_listeners.FanOutListener(
             gossip,
@@ -212,17 +213,13 @@
     parts = part_quarantine.PartQuarantine(
         shared.store, shared.metrics_registry
     )
-    heartbeat_seconds = (
-        configured.upstreams.heartbeat_milliseconds
-        / shared_const.MILLISECONDS_PER_SECOND
-    )
     detector = crash_detector.CrashDetector(
         engines,
         shared.dispatcher,
         quarantine,
         parts,
         shared.metrics_registry,
-        heartbeat_seconds,
+        _heartbeat_seconds(configured),
     )
     return _CrashProtection(
         quarantine, parts, detector, (quarantine.replica, parts.replica)
@@ -260,6 +257,14 @@
     )
 
 
+def _heartbeat_seconds(configured: settings.GatewaySettings) -> float:
+    """Return the interval at which upstreams renew their registrations."""
+    return (
+        configured.upstreams.heartbeat_milliseconds
+        / shared_const.MILLISECONDS_PER_SECOND
+    )
+
+
 def _host_limits(host: settings.Host) -> conditions.Limits:
     """Return the limits of the host, as far as the settings name them."""
     memory_bytes = None
--- a/nutmegtrail/expert_balancing/leader_lease.py
+++ b/nutmegtrail/expert_balancing/leader_lease.py
@@ -78,7 +78,7 @@
         orders of this one from being accepted.
         """
 
-    def on_store_recovered(self) -> None:
+    def on_store_recovered(self, outage_seconds: float) -> None:
         """Do nothing; the current key arrives with the next read."""
 
     def on_store_restored(self) -> None:
--- a/nutmegtrail/gateway/fleet.py
+++ b/nutmegtrail/gateway/fleet.py
@@ -23,8 +23,7 @@
 
 from nutmegtrail.gateway import const
 from nutmegtrail.gateway import models
-
-_Key = typing.TypeVar('_Key')
+from nutmegtrail.gateway import times
 
 UpstreamsById: typing.TypeAlias = pyrsistent.typing.PMap[str, models.Upstream]
 DeadlinesById: typing.TypeAlias = pyrsistent.typing.PMap[str, float]
@@ -177,7 +176,13 @@
 
 
 class StoreRecovered(typing.NamedTuple):
-    """The store responds again."""
+    """The store responds again.
+
+    `may_have_expired` is set if the outage was long enough for registrations
+    to expire in it.
+    """
+
+    may_have_expired: bool = True
 
 
 class StoreRestored(typing.NamedTuple):
@@ -349,37 +354,31 @@
     fleet: Fleet,
     now_seconds: float,
 ) -> Fleet:
-    """Start the grace period in which upstreams register again.
+    """End an outage, which counts for no time that is waited or kept.
 
-    What the entry waited for when the store was lost is waited for as long
-    again, and removals have become no older.
+    If registrations may have expired in it, a grace period starts in which
+    upstreams register again.
     """
     if not fleet.is_store_unavailable:
         return fleet
     outage_seconds = now_seconds - fleet.lost_at_seconds
-    removals = {
-        incarnation: removed_at + outage_seconds
-        for incarnation, removed_at in fleet.removed_at_by_incarnation.items()
-    }
     noticed_again = {
         upstream_id: announcement._replace(noticed_at_seconds=now_seconds)
         for upstream_id, announcement in fleet.announcements_by_id.items()
     }
-    grace_until_seconds = now_seconds + const.REREGISTRATION_WINDOW_SECONDS
-    deferred_until_seconds = fleet.deferred_until_seconds
-    if deferred_until_seconds > fleet.lost_at_seconds:
-        deferred_until_seconds = now_seconds + const.COPY_EXPIRY_SECONDS
-    return fleet._replace(
+    fleet = fleet._replace(
         is_store_unavailable=False,
-        grace_until_seconds=grace_until_seconds,
-        graced=fleet.incarnations,
-        missing_until_by_id=pyrsistent.pmap(
-            dict.fromkeys(fleet.missing_until_by_id, grace_until_seconds)
+        grace_until_seconds=fleet.grace_until_seconds + outage_seconds,
+        missing_until_by_id=times.later_by(
+            fleet.missing_until_by_id, outage_seconds
+        ),
+        deferred_until_seconds=fleet.deferred_until_seconds + outage_seconds,
+        removed_at_by_incarnation=times.later_by(
+            fleet.removed_at_by_incarnation, outage_seconds
         ),
-        deferred_until_seconds=deferred_until_seconds,
-        removed_at_by_incarnation=pyrsistent.pmap(removals),
         announcements_by_id=pyrsistent.pmap(noticed_again),
     )
+    return _start_grace(fleet, now_seconds) if event.may_have_expired else fleet
 
 
 @decide.register
@@ -440,7 +439,7 @@
 ) -> Fleet:
     """Forget what is no longer needed."""
     fleet = fleet._replace(
-        returned_at_by_domain=_later_than(
+        returned_at_by_domain=times.later_than(
             fleet.returned_at_by_domain,
             now_seconds - const.DOMAIN_RAMP_SECONDS,
         )
@@ -449,7 +448,7 @@
         return fleet
     oldest = now_seconds - const.REMOVAL_MEMORY_SECONDS
     fleet = fleet._replace(
-        removed_at_by_incarnation=_later_than(
+        removed_at_by_incarnation=times.later_than(
             fleet.removed_at_by_incarnation, oldest
         )
     )
@@ -552,14 +551,23 @@
     )
 
 
-def _later_than(
-    at_by_key: pyrsistent.typing.PMap[_Key, float], oldest: float
-) -> pyrsistent.typing.PMap[_Key, float]:
-    """Return the times after the oldest one."""
-    for key, at_seconds in at_by_key.items():
-        if at_seconds <= oldest:
-            at_by_key = at_by_key.remove(key)
-    return at_by_key
+def _start_grace(fleet: Fleet, now_seconds: float) -> Fleet:
+    """Return the fleet in the grace period after an outage.
+
+    What is waited for already is waited for as long again.
+    """
+    grace_until_seconds = now_seconds + const.REREGISTRATION_WINDOW_SECONDS
+    deferred_until_seconds = fleet.deferred_until_seconds
+    if deferred_until_seconds > now_seconds:
+        deferred_until_seconds = now_seconds + const.COPY_EXPIRY_SECONDS
+    return fleet._replace(
+        grace_until_seconds=grace_until_seconds,
+        graced=fleet.incarnations,
+        missing_until_by_id=pyrsistent.pmap(
+            dict.fromkeys(fleet.missing_until_by_id, grace_until_seconds)
+        ),
+        deferred_until_seconds=deferred_until_seconds,
+    )
 
 
 def _forget_announcements(fleet: Fleet, now_seconds: float) -> Fleet:
--- a/nutmegtrail/gateway/gossip.py
+++ b/nutmegtrail/gateway/gossip.py
@@ -151,7 +151,7 @@
     def on_store_lost(self) -> None:
         """Keep the known instances."""
 
-    def on_store_recovered(self) -> None:
+    def on_store_recovered(self, outage_seconds: float) -> None:
         """Do nothing; the current registrations arrive with the next read."""
 
     def on_store_restored(self) -> None:
--- a/nutmegtrail/gateway/mark_replica.py
+++ b/nutmegtrail/gateway/mark_replica.py
@@ -103,7 +103,7 @@
     def on_store_lost(self) -> None:
         """Keep the marks."""
 
-    def on_store_recovered(self) -> None:
+    def on_store_recovered(self, outage_seconds: float) -> None:
         """Do nothing; the current marks arrive with the next read."""
 
     def on_store_restored(self) -> None:
--- a/nutmegtrail/gateway/store_availability.py
+++ b/nutmegtrail/gateway/store_availability.py
@@ -8,6 +8,7 @@
 """
 
 import functools
+import math
 import typing
 
 import anyio
@@ -19,12 +20,16 @@
 class Availability(typing.NamedTuple):
     """Outages so far and when the last response came.
 
-    `responded_at_seconds` is None before the first response.
+    `responded_at_seconds` is None before the first response. An outage began
+    at `unavailable_since_seconds`, and the last one that has ended took
+    `outage_seconds`.
     """
 
     is_unavailable: bool = False
     outages: int = 0
     responded_at_seconds: float | None = None
+    unavailable_since_seconds: float = math.inf
+    outage_seconds: float = 0
 
 
 class Responded(typing.NamedTuple):
@@ -32,9 +37,14 @@
 
 
 class CheckFailed(typing.NamedTuple):
-    """A call that was made right after a failed one had no response."""
+    """A call that was made right after a failed one had no response.
+
+    The first failure shows that the store may be unavailable since
+    `failed_since_seconds`.
+    """
 
     started_at_seconds: float
+    failed_since_seconds: float
 
 
 Event: typing.TypeAlias = Responded | CheckFailed
@@ -54,14 +64,20 @@
 ) -> Availability:
     """End an outage; count one that showed only in the store's silence."""
     outages = availability.outages
+    outage_seconds = availability.outage_seconds
     responded_at = availability.responded_at_seconds
-    if responded_at is not None and not availability.is_unavailable:
+    if availability.is_unavailable:
+        outage_seconds = now_seconds - availability.unavailable_since_seconds
+    elif responded_at is not None:
         silent_seconds = now_seconds - responded_at
-        outages += silent_seconds >= const.STORE_SILENCE_SECONDS
+        if silent_seconds >= const.STORE_SILENCE_SECONDS:
+            outages += 1
+            outage_seconds = silent_seconds
     return Availability(
         is_unavailable=False,
         outages=outages,
         responded_at_seconds=now_seconds,
+        outage_seconds=outage_seconds,
     )
 
 
@@ -74,10 +90,16 @@
     has_responded = (
         responded_at is not None and responded_at > event.started_at_seconds
     )
-    if availability.is_unavailable or has_responded:
+    if has_responded:
         return availability
+    since_seconds = min(
+        availability.unavailable_since_seconds, event.failed_since_seconds
+    )
+    begun = int(not availability.is_unavailable)
     return availability._replace(
-        is_unavailable=True, outages=availability.outages + 1
+        is_unavailable=True,
+        outages=availability.outages + begun,
+        unavailable_since_seconds=since_seconds,
     )
 
 
@@ -87,8 +109,8 @@
     def on_store_lost(self) -> None:
         """Handle the start of a store outage."""
 
-    def on_store_recovered(self) -> None:
-        """Handle the end of a store outage."""
+    def on_store_recovered(self, outage_seconds: float) -> None:
+        """Handle the end of a store outage of a length."""
 
 
 class StoreAvailability:
@@ -107,9 +129,18 @@
         """Record that any call had a response."""
         self._apply(Responded(), 'no response to any call')
 
-    def record_failure(self, started_at_seconds: float, detail: str) -> None:
-        """Record that a call right after a failed one had no response."""
-        self._apply(CheckFailed(started_at_seconds), detail)
+    def record_failure(
+        self,
+        started_at_seconds: float,
+        failed_since_seconds: float,
+        detail: str,
+    ) -> None:
+        """Record that a call right after a failed one had no response.
+
+        The store may be unavailable since the failed one.
+        """
+        failed = CheckFailed(started_at_seconds, failed_since_seconds)
+        self._apply(failed, detail)
 
     def _apply(self, event: Event, detail: str) -> None:
         """Decide on an event; tell the listeners of a change."""
@@ -130,7 +161,9 @@
                 listener.on_store_lost()
         if (is_new or before.is_unavailable) and not self.state.is_unavailable:
             logs.decision(
-                'store:regained', since_response_seconds=since_seconds
+                'store:regained',
+                since_response_seconds=since_seconds,
+                outage_seconds=round(self.state.outage_seconds, 3),
             )
             for listener in self._listeners:
-                listener.on_store_recovered()
+                listener.on_store_recovered(self.state.outage_seconds)
--- a/nutmegtrail/gateway/store_listeners.py
+++ b/nutmegtrail/gateway/store_listeners.py
@@ -6,6 +6,7 @@
 
 from nutmegtrail.evacuation import domains
 from nutmegtrail.expert_balancing import expert_balancer
+from nutmegtrail.gateway import const
 from nutmegtrail.gateway import dispatcher as dispatching
 from nutmegtrail.gateway import errors
 from nutmegtrail.gateway import evacuation_recorder
@@ -89,7 +90,7 @@
     def on_store_lost(self) -> None:
         """Keep the current configuration."""
 
-    def on_store_recovered(self) -> None:
+    def on_store_recovered(self, outage_seconds: float) -> None:
         """Do nothing; the current configuration arrives with the next read."""
 
     def on_store_restored(self) -> None:
@@ -148,7 +149,7 @@
     def on_store_lost(self) -> None:
         """Keep the current configuration and evacuations."""
 
-    def on_store_recovered(self) -> None:
+    def on_store_recovered(self, outage_seconds: float) -> None:
         """Do nothing; the current state arrives with the next read."""
 
     def on_store_restored(self) -> None:
@@ -163,14 +164,17 @@
         documents: DocumentDecoder,
         dispatcher: dispatching.Dispatcher,
         on_service: typing.Callable[[str], None],
+        heartbeat_seconds: float,
     ) -> None:
         """Initialize the listener without any registrations.
 
         `on_service` is called with the service of each registration.
+        Upstreams renew them with each heartbeat.
         """
         self._documents = documents
         self._dispatcher = dispatcher
         self._on_service = on_service
+        self._heartbeat_seconds = heartbeat_seconds
 
     def on_snapshot(self, items: tuple[watched_store.Item, ...]) -> None:
         """Replace the fleet with the registrations of a snapshot."""
@@ -214,9 +218,20 @@
         """Tell the fleet about the outage of the store."""
         self._decide(fleet.StoreLost())
 
-    def on_store_recovered(self) -> None:
-        """Tell the fleet about the end of the outage."""
-        self._decide(fleet.StoreRecovered())
+    def on_store_recovered(self, outage_seconds: float) -> None:
+        """Tell the fleet about the end of the outage.
+
+        A registration is written once in each interval, so that the last of
+        the silent ones may have begun before the outage.
+        """
+        shortest_seconds = self._heartbeat_seconds * (
+            const.SILENT_HEARTBEATS - 1
+        )
+        self._decide(
+            fleet.StoreRecovered(
+                may_have_expired=outage_seconds >= shortest_seconds
+            )
+        )
 
     def on_store_restored(self) -> None:
         """Tell the fleet that registrations may be outdated or missing."""
@@ -294,10 +309,10 @@
         for listener in self._listeners:
             listener.on_store_lost()
 
-    def on_store_recovered(self) -> None:
+    def on_store_recovered(self, outage_seconds: float) -> None:
         """Forward the end of an outage to all listeners."""
         for listener in self._listeners:
-            listener.on_store_recovered()
+            listener.on_store_recovered(outage_seconds)
 
     def on_store_restored(self) -> None:
         """Forward the return of an earlier copy to all listeners."""
--- a/nutmegtrail/platform/store.py
+++ b/nutmegtrail/platform/store.py
@@ -500,7 +500,9 @@
             ),
         )
         if isinstance(response, json_client.NoResponse):
-            return watched_store.StoreUnavailable(f'{path}: {response.detail}')
+            return watched_store.StoreUnavailable(
+                f'{path}: {response.detail}', response.has_timed_out
+            )
         if not response.fits:
             return watched_store.StoreUnavailable(
                 f'{path}: response to an earlier request'
--- a/nutmegtrail/ports/watched_store.py
+++ b/nutmegtrail/ports/watched_store.py
@@ -40,9 +40,14 @@
 
 
 class StoreUnavailable(typing.NamedTuple):
-    """The store refused the call or did not respond."""
+    """The store refused the call or did not respond.
+
+    `has_timed_out` is set if it was silent, so that it may have been
+    unavailable since the start of the call.
+    """
 
     detail: str
+    has_timed_out: bool = False
 
 
 class HistoryLost(typing.NamedTuple):
--- a/nutmegtrail/retry_budget/components.py
+++ b/nutmegtrail/retry_budget/components.py
@@ -77,7 +77,7 @@
     def on_store_lost(self) -> None:
         """Do nothing; claims without a response grant nothing."""
 
-    def on_store_recovered(self) -> None:
+    def on_store_recovered(self, outage_seconds: float) -> None:
         """Claim again what could not be claimed."""
         self._standing.claim_again()
 
--- a/tests/gateway/simulated_registrations.py
+++ b/tests/gateway/simulated_registrations.py
@@ -30,6 +30,9 @@
 PREFIX = 'servers/'
 _PREFIXES = (PREFIX, 'op/', 'nutmegtrail/')
 _LOST = expression.Error(watched_store.StoreUnavailable('lost'))
+_TIMED_OUT = expression.Error(
+    watched_store.StoreUnavailable('silent', has_timed_out=True)
+)
 _CALL_SECONDS = 0.004
 _TIMEOUT_SECONDS = 1.5
 _KEEP_ALIVE_SECONDS = 3.0
@@ -302,6 +305,8 @@
         self.faults = Faults()
         self.availability = store_availability.StoreAvailability()
         self.loss_ratio = 0
+        self.refuses_checks = False
+        self._refused_prefixes = set()
         self._store = store
         self._generator = generator
         self._scopes_by_prefix = collections.defaultdict(set)
@@ -311,6 +316,8 @@
         for prefix in prefixes:
             for scope in self._scopes_by_prefix[prefix]:
                 scope.cancel()
+                if self.refuses_checks:
+                    self._refused_prefixes.add(prefix)
 
     async def snapshot(self, prefix):
         """Return all items, or that there was no response."""
@@ -318,15 +325,18 @@
 
     async def changes(self, prefix, after_revision, wait_seconds):
         """Return changes, after a wait for the first one."""
+        if not wait_seconds and prefix in self._refused_prefixes:
+            self._refused_prefixes.remove(prefix)
+            return _LOST
         if wait_seconds:
             with anyio.CancelScope() as scope:
                 self._scopes_by_prefix[prefix].add(scope)
-                is_connected = await self._wait(
-                    prefix, after_revision, wait_seconds
-                )
+                failure = await self._wait(prefix, after_revision, wait_seconds)
             self._scopes_by_prefix[prefix].discard(scope)
-            if scope.cancelled_caught or not is_connected:
+            if scope.cancelled_caught:
                 return _LOST
+            if failure is not None:
+                return failure
         return await self._call(
             functools.partial(self._store.changes, prefix, after_revision)
         )
@@ -345,36 +355,36 @@
             if self._fault == 'refused':
                 return _LOST
             if not await self._changes_before(deadline):
-                return _LOST
+                return _TIMED_OUT
         answer = run()
         if self._generator.random() < self.loss_ratio:
             await anyio.sleep(_TIMEOUT_SECONDS)
-            return _LOST
+            return _TIMED_OUT
         self.availability.record_response()
         return answer
 
     async def _wait(self, prefix, after_revision, wait_seconds):
-        """Wait for a change; return whether the connection has survived."""
+        """Wait for a change; return how the connection failed, if it did."""
         until = anyio.current_time() + wait_seconds
         hangs = self._generator.random() < 0.5
         resets = self._generator.random() < 0.5
         while True:
             fault = self._fault
             if fault == 'refused' and not hangs:
-                return False
+                return _LOST
             if fault:
                 silent_until = anyio.current_time() + _KEEP_ALIVE_SECONDS
                 while self._fault:
                     if not await self._changes_before(silent_until):
-                        return False
+                        return _TIMED_OUT
                 if resets:
-                    return False
+                    return _LOST
                 continue
             changes = self._store.changes(prefix, after_revision)
             if changes.is_error() or changes.ok.changes:
-                return True
+                return None
             if not await self._changes_before(until):
-                return True
+                return None
 
     @property
     def _fault(self):
@@ -480,7 +490,7 @@
         # Those that were left out because they did not reach the store.
         self.excused = set()
         self._listener = store_listeners.UpstreamListener(
-            _Documents(), self, lambda _: None
+            _Documents(), self, lambda _: None, _HEARTBEAT_SECONDS
         )
         store.on_ready.append(self.known_gone.discard)
 
@@ -527,10 +537,14 @@
 
 
 class Simulation:
-    """Upstreams, entries and drawn events; `problems` has what went wrong."""
+    """Upstreams, entries and drawn events; `problems` has what went wrong.
+
+    With `refuses_checks`, the call after each cut of a watch fails, too.
+    """
 
-    def __init__(self, seed, entries=2, upstreams=4):
+    def __init__(self, seed, entries=2, upstreams=4, *, refuses_checks=False):
         """Initialize everything without running it."""
+        self._refuses_checks = refuses_checks
         self.problems = []
         self.longest_use_seconds = 0
         self.longest_drop_seconds = 0
@@ -551,6 +565,8 @@
         self._entries = [
             Entry(self._store, generator) for _ in range(self._entry_count)
         ]
+        for entry in self._entries:
+            entry.client.refuses_checks = self._refuses_checks
         self._upstreams = [
             Upstream(f'u{number}', self._store, generator)
             for number in range(self._upstream_count)
@@ -819,13 +835,14 @@
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=20)
     parser.add_argument('--steps', type=int, default=500)
+    parser.add_argument('--refuse-checks', action='store_true')
     options = parser.parse_args()
     failed = []
     longest_use = 0
     longest_drop = 0
     dropped = 0
     for seed in range(options.first, options.first + options.seeds):
-        simulation = Simulation(seed)
+        simulation = Simulation(seed, refuses_checks=options.refuse_checks)
         problems = simulation.run(options.steps)
         longest_use = max(longest_use, simulation.longest_use_seconds)
         longest_drop = max(longest_drop, simulation.longest_drop_seconds)
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -198,7 +198,7 @@
             ),
         )
         upstreams = store_listeners.UpstreamListener(
-            documents, dispatcher, set().add
+            documents, dispatcher, set().add, 1.2
         )
         return dispatcher, operator, upstreams
 
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -56,6 +56,37 @@
         )
         self.assertEqual({'u2'}, _usable_ids(updated))
 
+    # Guards against work for removed upstreams (DRAIN) after a failed call or
+    # two.
+    def test_outage_too_short_to_expire(self):
+        """A removal after an outage in which nothing expired counts at once."""
+        short = fleet.StoreRecovered(may_have_expired=False)
+        updated = _decide(
+            fleet.Fleet(),
+            (0, _BOTH),
+            (5, fleet.StoreLost()),
+            (5.5, short),
+            (5.5, fleet.Removed('u1')),
+        )
+        self.assertEqual({'u2'}, _usable_ids(updated))
+        self.assertFalse(updated.is_store_unavailable)
+
+    def test_short_outage_in_a_grace_period(self):
+        """The grace period of an outage before it is longer by the short one."""
+        updated = _decide(
+            fleet.Fleet(),
+            (0, _BOTH),
+            (5, fleet.StoreLost()),
+            (10, fleet.StoreRecovered()),
+            (10, fleet.Removed('u1')),
+            (11, fleet.StoreLost()),
+            (12.1, fleet.StoreRecovered(may_have_expired=False)),
+            (13.2, fleet.Read()),
+        )
+        self.assertEqual({'u1', 'u2'}, _usable_ids(updated))
+        updated = _decide(updated, (13.4, fleet.Read()))
+        self.assertEqual({'u2'}, _usable_ids(updated))
+
     def test_returned_within_the_window(self):
         """An upstream that registers again within the grace period is kept."""
         updated = _decide(
--- a/tests/gateway/test_store_availability.py
+++ b/tests/gateway/test_store_availability.py
@@ -22,7 +22,7 @@
 
     def test_failed_check(self):
         """An outage begins with a failed check and ends with a response."""
-        failed = store_availability.CheckFailed(1.0)
+        failed = store_availability.CheckFailed(1.0, 1.0)
         begun = _decide((0, _RESPONDED), (1.5, failed))
         self.assertTrue(begun.is_unavailable)
         again = _decide((0, _RESPONDED), (1.5, failed), (2.5, failed))
@@ -30,13 +30,29 @@
         ended = _decide((0, _RESPONDED), (1.5, failed), (9, _RESPONDED))
         self.assertEqual((False, 1), ended[:2])
 
+    def test_length_of_an_outage(self):
+        """An outage is as long as any of the failed calls lets it be."""
+        began = store_availability.CheckFailed(1.0, 1.0)
+        earlier = store_availability.CheckFailed(2.0, 0.5)
+        ended = _decide(
+            (0, _RESPONDED), (1, began), (2, earlier), (4.5, _RESPONDED)
+        )
+        self.assertEqual(4, ended.outage_seconds)
+        again = store_availability.CheckFailed(8.0, 8.0)
+        later = store_availability.decide(
+            _RESPONDED, store_availability.decide(again, ended, 8), 8.5
+        )
+        self.assertEqual(0.5, later.outage_seconds)
+        silent = _decide((0, _RESPONDED), (_SILENCE, _RESPONDED))
+        self.assertEqual(_SILENCE, silent.outage_seconds)
+
     # Guards against a lost connection that is taken for a lost store.
     def test_response_to_another_call(self):
         """A check that fails is no outage if another call was answered."""
         for responded_at in (1.1, 1.2):
             availability = _decide(
                 (responded_at, _RESPONDED),
-                (1.5, store_availability.CheckFailed(1.0)),
+                (1.5, store_availability.CheckFailed(1.0, 1.0)),
             )
             self.assertEqual((False, 0), availability[:2])
 
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -79,7 +79,7 @@
         """Record an outage."""
         self.recorded_calls.append('lost')
 
-    def on_store_recovered(self):
+    def on_store_recovered(self, outage_seconds):
         """Record the end of an outage."""
         self.recorded_calls.append('regained')
 
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -44,7 +44,8 @@
     """Key-value store with revisions, watches and leases.
 
     It responds with 503 while `is_unavailable` is set, and late to listings of
-    `delayed_prefix`. `cut_watches` closes the connections of waiting watches.
+    `delayed_prefix`. `cut_watches` closes the connections of waiting watches,
+    and may refuse the next calls that watch the prefix.
     `restore` replaces it by an earlier copy and raises the era; the revisions and leases since the
     copy are given out again.
     """
@@ -63,6 +64,7 @@
         self._expiry_by_lease = {}
         self._changed = anyio.Event()
         self._watch_scopes_by_prefix = collections.defaultdict(set)
+        self._refusals_by_prefix = collections.Counter()
 
     async def expire_leases(self):
         """Revoke expired leases until cancelled."""
@@ -93,8 +95,9 @@
         removal = {'key': key, 'revision': self.revision, 'removed': True}
         self._notify(removal)
 
-    def cut_watches(self, prefix):
+    def cut_watches(self, prefix, refusals=0):
         """Cut the watches that wait for changes under a prefix."""
+        self._refusals_by_prefix[prefix] = refusals
         for scope in self._watch_scopes_by_prefix[prefix]:
             scope.cancel()
 
@@ -138,7 +141,12 @@
         call, _, arguments['id'] = path.removeprefix('/api/').partition('/')
         call = call.replace('-', '_')
         body = json.loads(exchange.request.body or b'{}')
-        scopes = self._watch_scopes_by_prefix[arguments.get('prefix')]
+        prefix = arguments.get('prefix')
+        if call == 'kv_watch' and self._refusals_by_prefix[prefix]:
+            self._refusals_by_prefix[prefix] -= 1
+            await exchange.respond(429, headers, b'{}')
+            return
+        scopes = self._watch_scopes_by_prefix[prefix]
         with anyio.CancelScope() as scope:
             if call == 'kv_watch':
                 scopes.add(scope)
--- a/tests/platform/test_cut_watch.py
+++ b/tests/platform/test_cut_watch.py
@@ -7,6 +7,7 @@
 
 _WATCH_SECONDS = 0.5
 _CUT_SECONDS = 0.05
+_RETRY_SECONDS = 1.0
 _REQUESTS = 12
 
 
@@ -35,6 +36,24 @@
 
         entries.run(_scenario, engine_count=2, entry_count=2)
 
+    # Guards against orders to a removed engine (DRAIN): a cut watch and one
+    # refused call counted as an outage, in which a registration may expire.
+    def test_removal_while_the_next_call_is_refused(self):
+        """The removal counts although the call after the cut fails, too."""
+
+        async def _scenario(deployment):
+            leaving, _ = deployment.engines
+            await anyio.sleep(_WATCH_SECONDS)
+            deployment.store.cut_watches('servers/', refusals=2)
+            await anyio.sleep(_CUT_SECONDS)
+            deployment.store.remove(leaving.key)
+            await anyio.sleep(_RETRY_SECONDS)
+            leaving.runs.clear()
+            await self._send(deployment, 'after')
+            self.assertEqual([], leaving.runs)
+
+        entries.run(_scenario, engine_count=2, entry_count=2)
+
     # Guards against a removal that is lost with the watch that would tell it.
     def test_removal_while_a_watch_is_cut_again_and_again(self):
         """The removal is read however often watches are cut."""
