Test answers whose status is no final one of HTTP

The tests cover what was not tried before: the path with sidecars, calls of the store, probes and orders, the second answer on a kept connection, and bytes that arrive one by one, with 18 forms of the status and several framings.

A status of 600 and more is passed on unchanged, on both paths. The platform asks for the engine's status, its rules forbid another status under the engine's seal, and HTTP lets clients treat such a status as a server error. docs/design/platform.md says so.

--- a/tests/daemons/test_cut_answers.py
+++ b/tests/daemons/test_cut_answers.py
@@ -271,10 +271,61 @@
             whole = b''.join((_HEAD, line, b'\r\n', _PLAIN))
             self._run(functools.partial(self._check_refused, whole))
 
+    # Guards against an answer whose status says that the engine is in trouble,
+    # and which reached the caller as an answer.
+    def test_invalid_statuses(self):
+        """A status that is no final one of HTTP gives no answer."""
+        answers = []
+        for status in (
+            *(b'000', b'001', b'042', b'099', b'101', b'199'),
+            *(b'0', b'00', b'0200', b'2000', b'-200', b'+200'),
+            *(b'2e2', b' 200', b'', b'20', b'200OK', b'2O0'),
+        ):
+            line = b'HTTP/1.1 %b Odd\r\n' % status
+            for rest in (
+                _with_length(_PLAIN),
+                _in_chunks((_PLAIN,)),
+                _with_length(_STREAM, _STREAM_TYPE),
+                _HEAD + _PLAIN_TYPE + b'\r\n' + _PLAIN,
+            ):
+                whole = line + rest.partition(b'\r\n')[2]
+                answers.append(whole)
+        self._run(functools.partial(self._check_no_answers, answers))
+
+    def test_status_over_the_range(self):
+        """A status from 600 on is passed on; callers take it for a failure."""
+        for status in (600, 999):
+            line = b'HTTP/1.1 %d Odd\r\n' % status
+            whole = line + _with_length(_PLAIN).partition(b'\r\n')[2]
+            self._run(functools.partial(self._check_passed_on, whole, status))
+
+    async def _check_no_answers(self, answers, path):
+        """Check that each answer is taken for none."""
+        for answer in answers:
+            path.is_idempotent = True
+            await self._check_refused(answer, path)
+            await self._check_unknown(answer, path)
+
+    async def _check_passed_on(self, answer, status, path):
+        """Check that an answer of an engine reaches the caller."""
+        path.is_idempotent = False
+        reply = await path.ask(answer, _with_length(b'second'))
+        self.assertEqual((status, _PLAIN), (reply.status, reply.body))
+        self.assertEqual(1, path.run_count())
+
+    async def _check_unknown(self, answer, path):
+        """Check that a call that must run once has run once."""
+        path.is_idempotent = False
+        reply = await path.ask(answer, _with_length(b'second'))
+        self.assertEqual(_UNKNOWN, reply.status, (answer, reply.raw))
+        self.assertEqual(1, path.run_count(), answer)
+
     async def _check_refused(self, answer, path):
         """Check that an answer is taken for none."""
         reply = await path.ask(answer, _with_length(b'second'))
-        self.assertEqual((200, b'second'), (reply.status, reply.body))
+        self.assertEqual(
+            (200, b'second'), (reply.status, reply.body), (answer, reply.raw)
+        )
 
     def test_cut_streams(self):
         """A cut stream goes on elsewhere, without an event lost or doubled."""
