--- a/nutmegtrail/draining/drain.py
+++ b/nutmegtrail/draining/drain.py
@@ -218,15 +218,15 @@
         """Return whether a request that is sent now ends in time."""
         return now_seconds <= self.latest_start(request, now_seconds)
 
-    def _is_late(self, now_seconds: float) -> bool:
-        """Return whether new connections hardly come here any more.
+    def _is_late(self, at_seconds: float) -> bool:
+        """Return whether new connections hardly come here at a time.
 
         Then a request that is refused for nothing costs less than one that is
         cut.
         """
         signalled_at = self.signalled_at_seconds
         return signalled_at is not None and (
-            now_seconds > signalled_at + const.LATE_SECONDS
+            at_seconds > signalled_at + const.LATE_SECONDS
         )
 
     def _current_outlook(
