--- a/tests/platform/test_cut_heads.py
+++ b/tests/platform/test_cut_heads.py
@@ -1,22 +1,14 @@
 """Answers that engines cut at each of their bytes, through a whole gateway."""
 
-import copy
-
 import anyio
 import testtools
 
 from nutmegtrail.adapters.http1 import json_client
 from nutmegtrail.adapters.http1 import messages
-from nutmegtrail.gateway import const as gateway_const
 from tests import loopback
 from tests import simulated_time
-from tests.platform import entries
-from tests.platform import samples
 from tests.platform import test_upstream_framing as framing
 
-# Every request is repeated once.
-_RETRIES = {'window_seconds': 10, 'share': 1, 'base': 2_000}
-_CALLER_WAIT_MS = 4_000
 _PLAIN = b'booked'
 _STREAM = b'id: 1\ndata: x\n\nid: 2\ndata: y\n\n'
 _START = b'HTTP/1.1 200 OK\r\n'
@@ -58,21 +50,9 @@
     return _send
 
 
-class CutHeadsTest(framing.FramingTest):
+class CutHeadsTest(framing.RepeatingTest):
     """A cut answer taken as whole would be framed as one to the caller."""
 
-    def setUp(self):
-        """Let the budget and the routes allow for all repetitions."""
-        super().setUp()
-        patient = copy.deepcopy(samples.CONFIG)
-        for route in patient['routes']:
-            route['timeout_ms'] = max(route['timeout_ms'], _CALLER_WAIT_MS)
-        self.patch(samples, 'CONFIG', patient)
-        self.patch(entries, '_RETRIES', _RETRIES)
-        # Else most of the time is waited for ejected engines.
-        for name in ('EJECTION_SECONDS', 'MAX_EJECTION_SECONDS'):
-            self.patch(gateway_const, name, 0.0)
-
     def _cuts(self, whole):
         """Return an answer for each position at which it can be cut.
 
--- a/tests/platform/test_status_lines.py
+++ b/tests/platform/test_status_lines.py
@@ -55,18 +55,18 @@
     return _send
 
 
-class StatusLineTest(framing.FramingTest):
+class StatusLineTest(framing.RepeatingTest):
     """Callers of a whole gateway."""
 
     def _check_repeated(self, path, body, odd):
-        """Check that a request is repeated after an odd answer."""
+        """Check that requests are repeated after odd answers."""
+        answers = []
         for status in _INVALID:
-            answers = (odd(status), framing.framed(body))
-            site, replies = self.ask_each(path, answers, range(1))
-            reply = replies[0]
-            details = (status, reply)
-            self.assertEqual((200, body), (reply.status, reply.body), details)
-            self.assertEqual(2, len(site.requests), details)
+            answers.extend((odd(status), framing.framed(body)))
+        site, replies = self.ask_each(path, answers, range(len(_INVALID)))
+        for status, reply in zip(_INVALID, replies, strict=True):
+            self.assertEqual((200, body), (reply.status, reply.body), status)
+        self.assertEqual(len(answers), len(site.requests))
 
     def test_plain(self):
         """A request that may be repeated gets the answer of another engine."""
@@ -82,39 +82,45 @@
 
     def test_unsafe(self):
         """A request that must not run twice gets 502 and has run once."""
-        for status in _INVALID:
-            site, replies = self.ask_each(
-                framing._UNSAFE_PATH, (_odd(status),), range(1)
-            )
-            reply = replies[0]
+        site, replies = self.ask_each(
+            framing._UNSAFE_PATH,
+            [_odd(status) for status in _INVALID],
+            range(len(_INVALID)),
+        )
+        for status, reply in zip(_INVALID, replies, strict=True):
             self.assertEqual((502, b''), (reply.status, reply.body), status)
-            self.assertEqual(1, len(site.requests))
+        self.assertEqual(len(_INVALID), len(site.requests))
 
     def test_kept_connection(self):
         """An odd answer behind a sound one gives none either."""
+        answers = []
         for status in _INVALID:
-            answers = (
-                framing.framed(b'first'),
-                _odd(status, ending='keep'),
-                framing.framed(b'third'),
-            )
-            _, replies = self.ask_each(framing._PLAIN_PATH, answers, range(2))
-            self.assertEqual(
-                [(200, b'first'), (200, b'third')],
-                [(reply.status, reply.body) for reply in replies],
-                status,
+            answers.extend(
+                (
+                    framing.framed(b'first'),
+                    _odd(status, ending='keep'),
+                    framing.framed(b'third'),
+                )
             )
+        site, replies = self.ask_each(
+            framing._PLAIN_PATH, answers, range(2 * len(_INVALID))
+        )
+        bodies = [(reply.status, reply.body) for reply in replies]
+        expected = [(200, b'first'), (200, b'third')]
+        self.assertEqual(expected * len(_INVALID), bodies)
+        self.assertTrue(max(site.connections) > 1)
 
     def test_over_the_range(self):
         """A status from 600 on is passed on as it is, with its seal."""
-        for status in _OVER_THE_RANGE:
-            site, replies = self.ask_each(
-                framing._UNSAFE_PATH, (_odd(b'%d' % status),), range(1)
-            )
-            reply = replies[0]
+        site, replies = self.ask_each(
+            framing._UNSAFE_PATH,
+            [_odd(b'%d' % status) for status in _OVER_THE_RANGE],
+            range(len(_OVER_THE_RANGE)),
+        )
+        for status, reply in zip(_OVER_THE_RANGE, replies, strict=True):
             self.assertEqual((status, _PLAIN), (reply.status, reply.body))
             self.assertEqual('s', reply.headers['x-nutmegtrail-response-seal'])
-            self.assertEqual(1, len(site.requests))
+        self.assertEqual(len(_OVER_THE_RANGE), len(site.requests))
 
 
 class StatusOfCallTest(testtools.TestCase):
@@ -122,18 +128,20 @@
 
     def test_invalid_statuses(self):
         """A call has no response, also on a connection that is kept."""
+        responses = iter(self._call_all())
         for status in _INVALID:
-            first, second = self._call(status)
+            first, second = next(responses), next(responses)
             self.assertEqual((200, _CONTENT), (first.status, first.body))
             self.assertIsInstance(second, json_client.NoResponse, status)
             self.assertFalse(second.is_refused)
 
-    def _call(self, status):
-        """Return the responses to two calls on a connection."""
+    def _call_all(self):
+        """Return the responses to two calls on a connection for each status."""
         responses = []
 
         async def _serve(stream):
             async with stream:
+                status = _INVALID[len(responses) // 2]
                 for line in (b'200 OK', b'%b Odd' % status):
                     await stream.receive()
                     await stream.send(
@@ -151,7 +159,7 @@
             with anyio.fail_after(_WAIT_SECONDS):
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(listener.serve, _serve)
-                    for _ in range(2):
+                    for _ in range(2 * len(_INVALID)):
                         responses.append(
                             await json.send(
                                 address, b'GET', b'/', (), b'', _CALL_SECONDS
--- a/tests/platform/test_upstream_framing.py
+++ b/tests/platform/test_upstream_framing.py
@@ -15,6 +15,7 @@
 
 from nutmegtrail.adapters.http1 import json_client
 from nutmegtrail.adapters.http1 import messages
+from nutmegtrail.gateway import const as gateway_const
 from tests import loopback
 from tests.platform import entries
 from tests.platform import samples
@@ -26,6 +27,8 @@
 # Lets the gateway read what was sent before a reset discards it.
 _BEFORE_END_SECONDS = 0.05
 _CALLER_WAIT_MS = 4_000
+# Every request is repeated once.
+_RETRIES = {'window_seconds': 10, 'share': 1, 'base': 2_000}
 _LINGER = struct.pack('ii', 1, 0)
 _HEAD = (
     b'X-Nutmegtrail-Request-Id: %b\r\nX-Nutmegtrail-Response-Seal: s\r\n'
@@ -298,6 +301,22 @@
         return site, replies
 
 
+class RepeatingTest(FramingTest):
+    """Many requests of one gateway, each of which may be repeated."""
+
+    def setUp(self):
+        """Let the budget and the routes allow for all repetitions."""
+        super().setUp()
+        patient = copy.deepcopy(samples.CONFIG)
+        for route in patient['routes']:
+            route['timeout_ms'] = max(route['timeout_ms'], _CALLER_WAIT_MS)
+        self.patch(samples, 'CONFIG', patient)
+        self.patch(entries, '_RETRIES', _RETRIES)
+        # Else most of the time is waited for ejected engines.
+        for name in ('EJECTION_SECONDS', 'MAX_EJECTION_SECONDS'):
+            self.patch(gateway_const, name, 0.0)
+
+
 class PlainTest(FramingTest):
     """Plain responses that end with their connection."""
 
