Take a silent store for away since its last response

Cause: the length of an outage counted from the first failed call. A store that falls silent fails no call at first: here a watch was cut 1.6 s after it had, and the call after it got no response.

--- a/nutmegtrail/gateway/store_availability.py
+++ b/nutmegtrail/gateway/store_availability.py
@@ -39,12 +39,13 @@
 class CheckFailed(typing.NamedTuple):
     """A call that was made right after a failed one had no response.
 
-    The first failure shows that the store may be unavailable since
-    `failed_since_seconds`.
+    The first of the failed calls ended at `failed_at_seconds`, which is None if
+    the store was silent to one of them: it may be unavailable since its last
+    response then.
     """
 
     started_at_seconds: float
-    failed_since_seconds: float
+    failed_at_seconds: float | None
 
 
 Event: typing.TypeAlias = Responded | CheckFailed
@@ -92,9 +93,10 @@
     )
     if has_responded:
         return availability
-    since_seconds = min(
-        availability.unavailable_since_seconds, event.failed_since_seconds
-    )
+    since_seconds = event.failed_at_seconds
+    if since_seconds is None:
+        since_seconds = -math.inf if responded_at is None else responded_at
+    since_seconds = min(availability.unavailable_since_seconds, since_seconds)
     begun = int(not availability.is_unavailable)
     return availability._replace(
         is_unavailable=True,
@@ -132,15 +134,14 @@
     def record_failure(
         self,
         started_at_seconds: float,
-        failed_since_seconds: float,
+        failed_at_seconds: float | None,
         detail: str,
     ) -> None:
         """Record that a call right after a failed one had no response.
 
-        The store may be unavailable since the failed one.
+        The failed one ended at a time, None if the store was silent to either.
         """
-        failed = CheckFailed(started_at_seconds, failed_since_seconds)
-        self._apply(failed, detail)
+        self._apply(CheckFailed(started_at_seconds, failed_at_seconds), detail)
 
     def _apply(self, event: Event, detail: str) -> None:
         """Decide on an event; tell the listeners of a change."""
--- a/nutmegtrail/gateway/store_watcher.py
+++ b/nutmegtrail/gateway/store_watcher.py
@@ -74,7 +74,7 @@
         self._availability = availability
         self._retry_seconds = const.STORE_RETRY_SECONDS
         self._has_failed = False
-        self._failed_since_seconds = float('-inf')
+        self._failed_at_seconds: float | None = None
         self._next_check_at_seconds = float('-inf')
         self._era: int | None = None
 
@@ -170,9 +170,7 @@
         now = anyio.current_time()
         if not self._has_failed:
             self._has_failed = True
-            self._failed_since_seconds = (
-                started_at_seconds if error.has_timed_out else now
-            )
+            self._failed_at_seconds = None if error.has_timed_out else now
             logs.decision(
                 'store:watch-failed', prefix=self._prefix, detail=error.detail
             )
@@ -182,8 +180,10 @@
             self._next_check_at_seconds = check_at + const.STORE_RETRY_SECONDS
             await anyio.sleep_until(check_at)
             return
+        if error.has_timed_out:
+            self._failed_at_seconds = None
         self._availability.record_failure(
-            started_at_seconds, self._failed_since_seconds, error.detail
+            started_at_seconds, self._failed_at_seconds, error.detail
         )
         await anyio.sleep(self._retry_seconds)
         doubled_seconds = self._retry_seconds * 2
--- a/nutmegtrail/ports/watched_store.py
+++ b/nutmegtrail/ports/watched_store.py
@@ -43,7 +43,7 @@
     """The store refused the call or did not respond.
 
     `has_timed_out` is set if it was silent, so that it may have been
-    unavailable since the start of the call.
+    unavailable for longer than the call took.
     """
 
     detail: str
--- a/tests/gateway/test_store_availability.py
+++ b/tests/gateway/test_store_availability.py
@@ -31,7 +31,7 @@
         self.assertEqual((False, 1), ended[:2])
 
     def test_length_of_an_outage(self):
-        """An outage is as long as any of the failed calls lets it be."""
+        """An outage begins with the first failed call."""
         began = store_availability.CheckFailed(1.0, 1.0)
         earlier = store_availability.CheckFailed(2.0, 0.5)
         ended = _decide(
@@ -46,6 +46,17 @@
         silent = _decide((0, _RESPONDED), (_SILENCE, _RESPONDED))
         self.assertEqual(_SILENCE, silent.outage_seconds)
 
+    # Guards against live upstreams that are left out: a watch was cut late in an
+    # outage in which the store had been silent.
+    def test_length_of_a_silent_outage(self):
+        """A store that is silent may be away since its last response."""
+        ended = _decide(
+            (1, _RESPONDED),
+            (4, store_availability.CheckFailed(2.5, None)),
+            (5, _RESPONDED),
+        )
+        self.assertEqual(4, ended.outage_seconds)
+
     # Guards against a lost connection that is taken for a lost store.
     def test_response_to_another_call(self):
         """A check that fails is no outage if another call was answered."""
