Look for the cause of a failed call in one place

The test for a timeout among the causes of an error repeated the one for a refused connection, which the client had. has_cause serves both. No behaviour changes; the tests of the adapters, the store's answers, cut heads and status lines pass, and the linters do.

--- a/nutmegtrail/adapters/http1/client.py
+++ b/nutmegtrail/adapters/http1/client.py
@@ -253,7 +253,7 @@
                 )
         except (OSError, TimeoutError) as error:
             error_type = errors.NotConnected
-            if _is_refusal(error):
+            if errors.has_cause(error, ConnectionRefusedError):
                 error_type = errors.ConnectionRefused
             raise error_type(
                 f'{call.address} did not accept a connection: {error!r}',
@@ -342,15 +342,6 @@
     return connection._replace(refused_ids=refused_ids)
 
 
-def _is_refusal(error: BaseException | None) -> bool:
-    """Return whether an error or one of its causes is a refusal."""
-    while error is not None:
-        if isinstance(error, ConnectionRefusedError):
-            return True
-        error = error.__cause__
-    return False
-
-
 async def _send(stream: anyio.abc.ByteStream, call: Call) -> None:
     """Send a request; raise ExchangeBroken if the peer has closed.
 
--- a/nutmegtrail/adapters/http1/errors.py
+++ b/nutmegtrail/adapters/http1/errors.py
@@ -42,13 +42,12 @@
     """The process had no room for the response; its peer did not fail."""
 
 
-def has_timed_out(error: BaseException | None) -> bool:
-    """Return whether an error or one of its causes is a timeout.
-
-    The kernel ends a connection with one whose peer no longer responds.
-    """
+def has_cause(
+    error: BaseException | None, error_type: type[BaseException]
+) -> bool:
+    """Return whether an error or one of its causes is of a type."""
     while error is not None:
-        if isinstance(error, TimeoutError):
+        if isinstance(error, error_type):
             return True
         error = error.__cause__
     return False
--- a/nutmegtrail/adapters/http1/json_client.py
+++ b/nutmegtrail/adapters/http1/json_client.py
@@ -143,7 +143,8 @@
             return NoResponse(
                 str(error),
                 is_refused=isinstance(error, errors.ConnectionRefused),
-                has_timed_out=errors.has_timed_out(error),
+                # The kernel ends a connection whose peer no longer responds.
+                has_timed_out=errors.has_cause(error, TimeoutError),
             )
         except TimeoutError:
             return NoResponse(
