--- a/tests/platform/test_cut_heads.py
+++ b/tests/platform/test_cut_heads.py
@@ -1,20 +1,16 @@
 """Answers that engines cut at each of their bytes, through a whole gateway."""
 
-import anyio
 import testtools
 
 from nutmegtrail.adapters.http1 import json_client
 from nutmegtrail.adapters.http1 import messages
-from tests import loopback
-from tests import simulated_time
+from tests.platform import json_calls
 from tests.platform import test_upstream_framing as framing
 
 _PLAIN = b'booked'
 _STREAM = b'id: 1\ndata: x\n\nid: 2\ndata: y\n\n'
 _START = b'HTTP/1.1 200 OK\r\n'
 _ID = b'X-Nutmegtrail-Request-Id: %b\r\nX-Nutmegtrail-Response-Seal: s\r\n'
-_WAIT_SECONDS = 30
-_CALL_SECONDS = 2
 
 
 def _with_length(body):
@@ -115,37 +111,12 @@
 
     def _call(self, whole):
         """Return the responses to calls whose answers are cut."""
-        responses = []
         cuts = [whole[:end] for end in range(len(whole))]
 
-        async def _serve(stream):
-            async with stream:
-                await stream.receive()
-                answer = cuts[len(responses)]
-                if answer:
-                    await stream.send(answer)
-
-        async def _main():
-            address = loopback.free_address()
-            listener = await anyio.create_tcp_listener(
-                local_host=address.ip, local_port=address.port
-            )
-            json = json_client.JsonClient()
-            with anyio.fail_after(_WAIT_SECONDS):
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(listener.serve, _serve)
-                    while len(responses) < len(cuts):
-                        responses.append(
-                            await json.send(
-                                address,
-                                b'POST',
-                                b'/',
-                                (),
-                                b'{}',
-                                _CALL_SECONDS,
-                            )
-                        )
-                    tasks.cancel_scope.cancel()
-
-        simulated_time.run_processes(_main)
-        return responses
+        async def _serve(stream, responses):
+            await stream.receive()
+            answer = cuts[len(responses)]
+            if answer:
+                await stream.send(answer)
+
+        return json_calls.send_all(_serve, len(cuts))
--- a/tests/platform/test_status_lines.py
+++ b/tests/platform/test_status_lines.py
@@ -9,7 +9,7 @@
 import testtools
 
 from nutmegtrail.adapters.http1 import json_client
-from tests import loopback
+from tests.platform import json_calls
 from tests.platform import test_upstream_framing as framing
 
 _INVALID = (
@@ -21,8 +21,6 @@
 _OVER_THE_RANGE = (600, 999)
 _PLAIN = b'booked'
 _STREAM = b'id: 1\ndata: x\n\nid: 2\ndata: y\n\n'
-_CALL_SECONDS = 2
-_WAIT_SECONDS = 30
 _CONTENT = b'{"current_rev": 123}'
 
 
@@ -137,36 +135,15 @@
 
     def _call_all(self):
         """Return the responses to two calls on a connection for each status."""
-        responses = []
-
-        async def _serve(stream):
-            async with stream:
-                status = _INVALID[len(responses) // 2]
-                for line in (b'200 OK', b'%b Odd' % status):
-                    await stream.receive()
-                    await stream.send(
-                        b'HTTP/1.1 %b\r\nKeep-Alive: timeout=9\r\n'
-                        b'Content-Length: %d\r\n\r\n%b'
-                        % (line, len(_CONTENT), _CONTENT)
-                    )
-
-        async def _main():
-            address = loopback.free_address()
-            listener = await anyio.create_tcp_listener(
-                local_host=address.ip, local_port=address.port
-            )
-            json = json_client.JsonClient()
-            with anyio.fail_after(_WAIT_SECONDS):
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(listener.serve, _serve)
-                    for _ in range(2 * len(_INVALID)):
-                        responses.append(
-                            await json.send(
-                                address, b'GET', b'/', (), b'', _CALL_SECONDS
-                            )
-                        )
-                    await json.close()
-                    tasks.cancel_scope.cancel()
-
-        anyio.run(_main)
-        return responses
+
+        async def _serve(stream, responses):
+            status = _INVALID[len(responses) // 2]
+            for line in (b'200 OK', b'%b Odd' % status):
+                await stream.receive()
+                await stream.send(
+                    b'HTTP/1.1 %b\r\nKeep-Alive: timeout=9\r\n'
+                    b'Content-Length: %d\r\n\r\n%b'
+                    % (line, len(_CONTENT), _CONTENT)
+                )
+
+        return json_calls.send_all(_serve, 2 * len(_INVALID))
