Review: a machine that stays on an old configuration

Cause: the answer to a watch holds all changes that were missed. Above 16 MiB the store client drops it, and the watcher asks for the same changes again.

--- a/review/harness_3/caller.py
+++ b/review/harness_3/caller.py
@@ -26,8 +26,7 @@
         'Host': deployment.HOST,
         'X-Nutmegtrail-Request-Id': request_id,
         'X-Nutmegtrail-Deadline-Ms': str(deadline_ms),
-        'Api-Key': deployment.KEY,
-        **{name.replace('_', '-'): text for name, text in more.items()},
+        'Api-Key': more.get('api_key', deployment.KEY),
     }
 
 
--- a/review/harness_3/deployment.py
+++ b/review/harness_3/deployment.py
@@ -218,9 +218,9 @@
             await self.add_engine(engine)
         self.configure(routes)
         for number in range(entries):
-            entry = Entry(
-                f'front-{number}', self.folder, self.store.address, **options
-            )
+            name = f'front-{number}'
+            address = await self.store.listen(name)
+            entry = Entry(name, self.folder, address, **options)
             self.entries.append(entry)
             entry.start()
         for entry in self.entries:
@@ -241,7 +241,6 @@
         self,
         routes: list[dict[str, object]],
         keys: tuple[str, ...] = (KEY,),
-        **limits: int,
     ) -> int:
         """Write a configuration; return its version."""
         self._version += 3
@@ -261,7 +260,6 @@
                         'max_body_bytes': 4194304,
                         'header_timeout_ms': 3000,
                         'idle_timeout_ms': 15000,
-                        **limits,
                     },
                     'tenants': [
                         {'name': TENANT, 'api_keys': list(keys)},
@@ -269,14 +267,17 @@
                 }
             ).encode(),
         )
-        self.record('configured', version=self._version)
+        self.record(
+            'configured',
+            version=self._version,
+            bytes=len(self.store.items['op/config'].value),
+        )
         return self._version
 
     async def close(self) -> None:
         """End all processes and servers."""
         for entry in self.entries:
             entry.kill()
-            (self.folder / f'{entry.name}.log').exists()
         for engine in self.engines:
             await engine.close()
         await self.store.close()
--- a/review/harness_3/store.py
+++ b/review/harness_3/store.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import base64
+import contextlib
+import functools
 import itertools
 import json
 import time
@@ -23,41 +25,57 @@
 
 
 class Store:
-    """Keeps items, leases and all changes in memory.
+    """Keeps items, leases and the changes of `history_seconds` in memory.
 
-    `refused_statuses` are answered, in their order, to the next transactions.
+    Each machine has an address of its own. Those in `turned_away` get 503 to
+    all calls.
     """
 
     def __init__(self, record: typing.Callable[..., None]) -> None:
         """Initialize an empty store."""
-        self.address = ''
+        self.history_seconds = 20.0
+        self.turned_away: set[str] = set()
         self.items: dict[str, Item] = {}
         self.revision = 100
         self.events: list[dict[str, object]] = []
+        self._forgotten_revision = 0
+        self._event_times: list[float] = []
         self._record = record
         self._lease_ids = itertools.count(7001)
         self._leases: dict[int, tuple[float, float]] = {}
         self._changed = asyncio.Event()
-        self._server: asyncio.Server | None = None
+        self._servers: list[asyncio.Server] = []
         self._expiry: asyncio.Task[None] | None = None
-        self.is_down = False
-        self.writers: set[asyncio.StreamWriter] = set()
+        self._writers_by_machine: dict[str, set[asyncio.StreamWriter]] = {}
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', 0, limit=1 << 24
-        )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
+        """Begin to expire leases and old changes."""
         self._expiry = asyncio.create_task(self._expire())
 
+    async def listen(self, machine: str) -> str:
+        """Return the address at which the store serves a machine."""
+        writers = self._writers_by_machine.setdefault(machine, set())
+        server = await asyncio.start_server(
+            functools.partial(self._serve, machine, writers),
+            '127.0.0.1',
+            0,
+            limit=1 << 24,
+        )
+        self._servers.append(server)
+        return f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+
+    def turn_away(self, machine: str) -> None:
+        """Refuse all calls of a machine from now on, also those that wait."""
+        self.turned_away.add(machine)
+        for writer in tuple(self._writers_by_machine[machine]):
+            writer.transport.abort()
+
     async def close(self) -> None:
         """Stop listening."""
         if self._expiry is not None:
             self._expiry.cancel()
-        if self._server is not None:
-            self._server.close()
+        for server in self._servers:
+            server.close()
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write an item; return its revision."""
@@ -80,6 +98,7 @@
     def _add_event(self, event: dict[str, object]) -> None:
         """Record a change and wake the watches."""
         self.events.append(event)
+        self._event_times.append(time.monotonic())
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -91,6 +110,14 @@
             for lease, (_, ends_at) in tuple(self._leases.items()):
                 if now > ends_at:
                     self._end_lease(lease)
+            self._forget_changes(now - self.history_seconds)
+
+    def _forget_changes(self, oldest: float) -> None:
+        """Drop the changes from before a time."""
+        while self._event_times and self._event_times[0] < oldest:
+            self._event_times.pop(0)
+            event = self.events.pop(0)
+            self._forgotten_revision = int(str(event['revision']))
 
     def _end_lease(self, lease: int) -> bool:
         """End a lease and remove its items; return whether it was valid."""
@@ -101,21 +128,27 @@
         return is_valid
 
     async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        machine: str,
+        writers: set[asyncio.StreamWriter],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         """Serve the calls of one connection."""
-        self.writers.add(writer)
+        writers.add(writer)
         try:
             while (received := await wire.read_request(reader)) is not None:
-                if self.is_down:
-                    break
-                writer.write(await self._answer(received))
+                if machine in self.turned_away:
+                    writer.write(wire.json_response(503, {}))
+                else:
+                    writer.write(await self._answer(received))
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
             return
         finally:
-            self.writers.discard(writer)
-            await wire.close(writer)
+            writers.discard(writer)
+            with contextlib.suppress(OSError):
+                await wire.close(writer)
 
     async def _answer(self, received: wire.Request) -> bytes:
         """Return the response to a call."""
@@ -171,6 +204,8 @@
         after = int(query['after'])
         ends_at = time.monotonic() + int(query.get('wait_ms') or 0) / 1000
         while True:
+            if after < self._forgotten_revision:
+                return wire.json_response(410, {})
             changed = self._changed
             events = [
                 event
