Review: late streams with long prompts that a planned stop cuts

Cause: for requests that come late in a stop, the time to the first event is that of the last minute, whatever the prompt. Case 12 sends streams with long prompts 3.2 s after a SIGTERM.

--- a/review/harness_3/caller.py
+++ b/review/harness_3/caller.py
@@ -22,7 +22,14 @@
     request_id: str, deadline_ms: int = 8000, **more: str
 ) -> dict[str, str]:
     """Return the headers of a request."""
+    sized = {}
+    if 'token_count' in more:
+        sized = {
+            'X-Nutmegtrail-Model': 'm',
+            'X-Nutmegtrail-Token-Count': more['token_count'],
+        }
     return {
+        **sized,
         'Host': deployment.HOST,
         'X-Nutmegtrail-Request-Id': request_id,
         'X-Nutmegtrail-Deadline-Ms': str(deadline_ms),
