--- a/review/harness_3/caller.py
+++ b/review/harness_3/caller.py
@@ -40,8 +40,13 @@
 class Connection:
     """Connection of a client to an entry."""
 
-    def __init__(self, address: str) -> None:
-        """Initialize without connecting."""
+    def __init__(
+        self,
+        address: str,
+        record: typing.Callable[..., None] | None = None,
+    ) -> None:
+        """Initialize without connecting; `record` gets what is sent."""
+        self._record = record
         self._ip, _, port = address.partition(':')
         self._port = int(port)
         self.reader: asyncio.StreamReader
@@ -64,6 +69,8 @@
     ) -> tuple[str, Answer]:
         """Send a request; return its ID and the answer."""
         request_id = secrets.token_hex(8)
+        if self._record is not None:
+            self._record('sent', request=request_id, target=target)
         self.writer.write(
             wire.request(
                 method, target, headers(request_id, deadline_ms, **more), body
